--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Experiment tool, load generators and micro-benchmarks."""
--- /dev/null
+++ b/cornelpin/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Registry of backend server drivers."""
--- /dev/null
+++ b/cornelpin/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The cornelpin command line."""
--- /dev/null
+++ b/cornelpin/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the scheduler: configuration, dispatch, tiers, moves."""
--- /dev/null
+++ b/cornelpin/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The cornelpind daemon: supervisor, entry and side roles, peer streams."""
--- /dev/null
+++ b/cornelpin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Registry of clients for the platform's services."""
