--- /dev/null
+++ b/cornelpin/backends/_engine.py
@@ -0,0 +1,148 @@
+"""Driver of model engines that speak the OpenAI-style API.
+
+Every run is streamed from the engine, also for callers that want one document,
+so that a broken connection can be resumed at the number of parts received.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+from typing import TYPE_CHECKING
+
+from cornelpin.backends._http import READ_BYTES, Exchange, Unreachable, small_request
+from cornelpin.backends._registry import (
+    CANCELLED,
+    DONE,
+    FAILED,
+    NOT_RUN,
+    UNKNOWN,
+    Call,
+    CancelToken,
+    RunEnd,
+    Sink,
+    backend,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+EVENT_PREFIX = b"data: "
+END_OF_STREAM = b"[DONE]"
+
+
+@backend("engine")
+class EngineBackend:
+    """A model engine with continuous batching and resumable streams."""
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url
+
+    def run(self, call: Call, sink: Sink, cancel: CancelToken) -> RunEnd:
+        """Streams a completion."""
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": call.request_id,
+        }
+        return self._stream(
+            "POST", call.path, headers, _engine_body(call), sink, cancel, call
+        )
+
+    def resume(
+        self, call: Call, offset: int, sink: Sink, cancel: CancelToken
+    ) -> RunEnd:
+        """Streams the rest of a run that the engine still holds."""
+        path = f"/v1/streams/{call.request_id}?offset={offset}"
+        end = self._stream("GET", path, {}, b"", sink, cancel, call)
+        if end.outcome == NOT_RUN:
+            return RunEnd(UNKNOWN, end.detail, unreachable=True)
+        return end
+
+    def versions(self) -> list[str]:
+        """Returns the versions that the engine has loaded."""
+        try:
+            status, body = small_request(self._url, "GET", "/versions")
+            loaded = json.loads(body) if status == 200 else []
+        except (OSError, ValueError):
+            return []
+        if isinstance(loaded, dict):
+            loaded = loaded.get("versions", [])
+        return [str(version) for version in loaded]
+
+    def _stream(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        sink: Sink,
+        cancel: CancelToken,
+        call: Call,
+    ) -> RunEnd:
+        exchange = Exchange(self._url)
+        try:
+            exchange.open()
+            exchange.interrupt_on(cancel)
+            resp = exchange.send(method, path, headers, body)
+            if method == "GET" and resp.status == 404:
+                return RunEnd(UNKNOWN, "the engine does not know the request")
+            sink.head(resp.status, _answer_headers(resp))
+            if resp.status != 200:
+                sink.parts([resp.read()])
+                return RunEnd(DONE if resp.status < 500 else FAILED)
+            return _pump(resp, sink)
+        except Unreachable as exc:
+            return RunEnd(NOT_RUN, str(exc), unreachable=True)
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            if cancel.cancelled:
+                self._cancel(call.request_id)
+                return RunEnd(CANCELLED)
+            return RunEnd(FAILED, f"{type(exc).__name__}: {exc}", unreachable=True)
+        finally:
+            exchange.close()
+
+    def _cancel(self, request_id: str) -> None:
+        with contextlib.suppress(OSError):
+            small_request(self._url, "DELETE", f"/v1/streams/{request_id}")
+
+
+def _engine_body(call: Call) -> bytes:
+    """Asks for a stream with usage, of the version that the call names."""
+    document = json.loads(call.body)
+    document["stream"] = True
+    document["stream_options"] = {"include_usage": True}
+    if call.version:
+        document["model"] = f"{call.route}@{call.version}"
+    return json.dumps(document).encode()
+
+
+def _answer_headers(resp: http.client.HTTPResponse) -> dict[str, str]:
+    return {"Content-Type": resp.headers.get("Content-Type", "application/json")}
+
+
+def _pump(resp: http.client.HTTPResponse, sink: Sink) -> RunEnd:
+    """Passes stream events on until the end marker."""
+    for events in _event_batches(resp):
+        if events and events[-1] == END_OF_STREAM:
+            if events[:-1]:
+                sink.parts(events[:-1])
+            return RunEnd(DONE)
+        if events:
+            sink.parts(events)
+    raise ConnectionError("the stream ended without its end marker")
+
+
+def _event_batches(resp: http.client.HTTPResponse) -> Iterator[list[bytes]]:
+    """Yields the events of each read; stops at the end of the connection."""
+    rest = b""
+    while True:
+        data = resp.read1(READ_BYTES)
+        if not data:
+            return
+        *blocks, rest = (rest + data).split(b"\n\n")
+        yield [
+            block[len(EVENT_PREFIX) :]
+            for block in blocks
+            if block.startswith(EVENT_PREFIX)
+        ]
--- /dev/null
+++ b/cornelpin/backends/_http.py
@@ -0,0 +1,84 @@
+"""HTTP exchange with a backend server over ``http.client``."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import socket
+from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cornelpin.backends._registry import CancelToken
+
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 600.0
+READ_BYTES = 65_536
+
+
+class Unreachable(Exception):
+    """The backend server did not take the request: it surely never ran."""
+
+
+class Exchange:
+    """One request and its answer on a connection of its own."""
+
+    def __init__(self, url: str, *, read_timeout_s: float = READ_TIMEOUT_S) -> None:
+        parts = urlsplit(url)
+        self._conn = http.client.HTTPConnection(
+            parts.hostname or "", parts.port, timeout=CONNECT_TIMEOUT_S
+        )
+        self._read_timeout_s = read_timeout_s
+
+    def open(self) -> None:
+        """Connects.
+
+        Raises:
+            Unreachable: If there is no connection.
+        """
+        try:
+            self._conn.connect()
+        except OSError as exc:
+            raise Unreachable(str(exc)) from exc
+        self._conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._conn.sock.settimeout(self._read_timeout_s)
+
+    def send(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes
+    ) -> http.client.HTTPResponse:
+        """Sends the request and returns the answer once its head is there."""
+        self._conn.request(method, path, body=body or None, headers=dict(headers))
+        return self._conn.getresponse()
+
+    def interrupt_on(self, cancel: CancelToken) -> None:
+        """Breaks the connection when the run is cancelled."""
+        sock = self._conn.sock
+
+        def interrupt() -> None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+        cancel.on_cancel(interrupt)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._conn.close()
+
+
+def small_request(url: str, method: str, path: str, body: bytes = b"") -> tuple:
+    """Performs a short exchange and returns status and body.
+
+    Raises:
+        OSError: If the server cannot be reached or the exchange breaks.
+    """
+    exchange = Exchange(url, read_timeout_s=CONNECT_TIMEOUT_S)
+    try:
+        exchange.open()
+        resp = exchange.send(method, path, {"Content-Type": "application/json"}, body)
+        return resp.status, resp.read()
+    except (Unreachable, http.client.HTTPException) as exc:
+        raise OSError(str(exc)) from exc
+    finally:
+        exchange.close()
--- /dev/null
+++ b/cornelpin/backends/_service.py
@@ -0,0 +1,71 @@
+"""Driver of plain services: status and body pass through unchanged."""
+
+from __future__ import annotations
+
+import http.client
+
+from cornelpin.backends._http import READ_BYTES, Exchange, Unreachable
+from cornelpin.backends._registry import (
+    CANCELLED,
+    DONE,
+    FAILED,
+    NOT_RUN,
+    UNKNOWN,
+    Call,
+    CancelToken,
+    RunEnd,
+    Sink,
+    backend,
+)
+
+# Headers that belong to one connection and are not passed on.
+HOP_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "content-length", "te", "upgrade"}
+)
+
+
+@backend("service")
+class ServiceBackend:
+    """A plain HTTP service."""
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url
+
+    def run(self, call: Call, sink: Sink, cancel: CancelToken) -> RunEnd:
+        """Performs one call."""
+        exchange = Exchange(self._url)
+        try:
+            exchange.open()
+            exchange.interrupt_on(cancel)
+            headers = {**call.headers, "X-Request-Id": call.request_id}
+            resp = exchange.send(call.method, call.path, headers, call.body)
+            sink.head(resp.status, _passed_headers(resp))
+            while data := resp.read(READ_BYTES):
+                sink.parts([data])
+            return RunEnd(DONE)
+        except Unreachable as exc:
+            return RunEnd(NOT_RUN, str(exc), unreachable=True)
+        except (OSError, http.client.HTTPException) as exc:
+            if cancel.cancelled:
+                return RunEnd(CANCELLED)
+            return RunEnd(FAILED, f"{type(exc).__name__}: {exc}", unreachable=True)
+        finally:
+            exchange.close()
+
+    def resume(
+        self, call: Call, offset: int, sink: Sink, cancel: CancelToken
+    ) -> RunEnd:
+        """Plain services keep no answers, so nothing can be resumed."""
+        return RunEnd(UNKNOWN, "a plain service cannot resume an answer")
+
+    def versions(self) -> list[str]:
+        """Plain services have no versions."""
+        return []
+
+
+def _passed_headers(resp: http.client.HTTPResponse) -> dict[str, str]:
+    return {
+        name: value
+        for name, value in resp.headers.items()
+        if name.lower() not in HOP_HEADERS
+    }
--- /dev/null
+++ b/cornelpin/core/tickets.py
@@ -0,0 +1,134 @@
+"""Tickets: an entry's record of one request, which is granted exactly once."""
+
+from __future__ import annotations
+
+import enum
+import queue
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class State(enum.Enum):
+    """Life of a ticket."""
+
+    WAITING = "waiting"
+    GRANTED = "granted"
+    CLOSED = "closed"
+
+
+@attrs.frozen
+class Request:
+    """One accepted request of a caller.
+
+    Attributes:
+        request_id: Id given by the entry.
+        workspace: Name of the caller's workspace.
+        route: Name of the route.
+        tier: Name of the tier.
+        kind: ``model`` or ``service``.
+        method: HTTP method.
+        path: Path and query at the backend server.
+        headers: Headers to pass on.
+        body: Request body.
+        cost: Estimated work in tokens.
+        deadline: Monotonic time by which the answer must be complete, in seconds.
+        max_wait_s: Seconds the request may wait for a slot.
+        idempotent: Whether it may run more than once.
+        fingerprint: Digest of workspace and content.
+        keep: Whether the run outlives its entry.
+    """
+
+    request_id: str
+    workspace: str
+    route: str
+    tier: str
+    kind: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    cost: int
+    deadline: float
+    max_wait_s: float
+    idempotent: bool = False
+    fingerprint: str = ""
+    keep: bool = False
+
+    def left_s(self) -> float:
+        """Returns the seconds left until the deadline."""
+        return self.deadline - time.monotonic()
+
+
+class Ticket:
+    """Decides under one lock which session a request is granted to."""
+
+    def __init__(self, req: Request) -> None:
+        self.req = req
+        self.events: queue.SimpleQueue[tuple[Any, Any]] = queue.SimpleQueue()
+        self.version = ""
+        self.incarnation = ""
+        self._lock = threading.Lock()
+        self._state = State.WAITING
+        self._holder: Any = None
+        self._reserved: set[Any] = set()
+
+    @property
+    def holder(self) -> Any:
+        """The session the request is granted to, if any."""
+        return self._holder
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the request is not granted and not closed."""
+        return self._state is State.WAITING
+
+    def reserve(self, session: Any) -> bool:
+        """Notes a reservation; returns whether it should be sent."""
+        with self._lock:
+            if self._state is not State.WAITING or session in self._reserved:
+                return False
+            self._reserved.add(session)
+            return True
+
+    def reserved(self) -> set[Any]:
+        """Returns the sessions that hold a reservation."""
+        with self._lock:
+            return set(self._reserved)
+
+    def release(self, session: Any) -> None:
+        """Forgets a reservation."""
+        with self._lock:
+            self._reserved.discard(session)
+
+    def grant(self, session: Any, incarnation: str) -> bool:
+        """Grants the request to a session unless it is granted or closed."""
+        with self._lock:
+            if self._state is not State.WAITING:
+                return False
+            self._state = State.GRANTED
+            self._holder = session
+            self._reserved.discard(session)
+            self.incarnation = incarnation
+            return True
+
+    def take_back(self, session: Any) -> bool:
+        """Returns a granted request to waiting after the holder's "not run"."""
+        with self._lock:
+            if self._state is not State.GRANTED or self._holder is not session:
+                return False
+            self._state = State.WAITING
+            self._holder = None
+            return True
+
+    def close(self) -> bool:
+        """Closes the ticket; returns whether the request was never granted."""
+        with self._lock:
+            never = self._state is State.WAITING
+            self._state = State.CLOSED
+            return never
--- /dev/null
+++ b/cornelpin/core/verdict.py
@@ -0,0 +1,90 @@
+"""Verdicts: what is known about whether a request ran, and how it was refused."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+class Verdict(enum.Enum):
+    """Says whether a request may have run on a backend server."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request could have had an effect."""
+        return self is not Verdict.NOT_RUN
+
+
+class Reason(enum.Enum):
+    """Why a request was refused; the value appears in problem documents."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    NO_ROUTE = "no_route"
+    KEY_REUSED = "key_reused"
+    STALE_NUMBER = "stale_number"
+    INVALID_PATCH = "invalid_patch"
+    TOO_LARGE = "too_large"
+    SHED = "shed"
+    OVER_LIMIT = "over_limit"
+    NO_SERVER = "no_server"
+    NOT_READY = "not_ready"
+    LEAVING = "leaving"
+    STORE_UNAVAILABLE = "store_unavailable"
+    DEADLINE = "deadline"
+    QUARANTINED = "quarantined"
+    SERVER_LOST = "server_lost"
+    BACKEND_FAILED = "backend_failed"
+    CANCELLED = "cancelled"
+    IN_PROGRESS = "in_progress"
+
+
+HTTP_STATUS: dict[Reason, int] = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHORIZED: 401,
+    Reason.FORBIDDEN: 403,
+    Reason.NO_ROUTE: 404,
+    Reason.KEY_REUSED: 409,
+    Reason.STALE_NUMBER: 409,
+    Reason.INVALID_PATCH: 422,
+    Reason.TOO_LARGE: 413,
+    Reason.SHED: 429,
+    Reason.OVER_LIMIT: 429,
+    Reason.NO_SERVER: 503,
+    Reason.NOT_READY: 503,
+    Reason.LEAVING: 503,
+    Reason.STORE_UNAVAILABLE: 503,
+    Reason.DEADLINE: 504,
+    Reason.QUARANTINED: 422,
+    Reason.SERVER_LOST: 502,
+    Reason.BACKEND_FAILED: 502,
+    Reason.CANCELLED: 499,
+    Reason.IN_PROGRESS: 409,
+}
+
+
+@dataclass(eq=False)
+class Refusal(Exception):
+    """A final negative outcome of a request.
+
+    Attributes:
+        reason: Why the request was refused.
+        verdict: Whether the request may have run.
+        detail: One sentence for the caller.
+        retry_after_s: When to come back, in seconds, if known.
+    """
+
+    reason: Reason
+    verdict: Verdict = Verdict.NOT_RUN
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """The HTTP status code of this refusal."""
+        return HTTP_STATUS[self.reason]
--- /dev/null
+++ b/cornelpin/daemon/__main__.py
@@ -0,0 +1,76 @@
+"""Entry point of ``cornelpind``."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+
+import click
+from loguru import logger
+
+from cornelpin.daemon.entry import Entry
+from cornelpin.daemon.logs import set_up_logs
+from cornelpin.daemon.process import Process
+from cornelpin.daemon.settings import Settings, SettingsFaults, load_settings
+from cornelpin.daemon.side import Side
+
+EXIT_INVALID = 2
+EXIT_FORCED = 130
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False),
+    help="Settings file, JSON with comments.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+def main(path: str, check: bool) -> None:
+    """Runs one cornelpin process; its settings say whether entry or side.
+
+    SIGTERM or SIGINT stops gracefully: no new work is taken and everything in
+    hand is finished. A second signal stops at once. Exit codes: 0 stopped, 2
+    invalid settings, 130 stopped at once.
+    """
+    settings = load_settings(path)
+    if isinstance(settings, SettingsFaults):
+        click.echo(str(settings), err=True)
+        sys.exit(EXIT_INVALID)
+    if check:
+        click.echo(f"{path}: valid settings of {settings.role} {settings.name}")
+        return
+    run(settings)
+
+
+def run(settings: Settings) -> None:
+    """Runs the process until it is told to stop."""
+    set_up_logs(settings)
+    process = Process(settings)
+    role = Entry(process) if settings.role == "entry" else Side(process)
+    stopping = threading.Event()
+
+    def on_signal(signum: int, frame: object) -> None:
+        if stopping.is_set():
+            os._exit(EXIT_FORCED)
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    role.start()
+    logger.info("started as {} {}", settings.role, process.incarnation)
+    while not stopping.wait(1.0):
+        pass
+    logger.info("stopping")
+    process.stopping.set()
+    role.leave()
+    role.wait_idle()
+    process.supervisor.stop()
+    logger.info("stopped")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cornelpin/daemon/entry.py
@@ -0,0 +1,249 @@
+"""The entry role: owns a request from acceptance to its last byte."""
+
+from __future__ import annotations
+
+import queue
+import secrets
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+from cornelpin.core.configstore import Accepted, ConfigStore
+from cornelpin.core.events import Event, merge_events
+from cornelpin.daemon.dispatch import Dispatcher
+from cornelpin.daemon.http.admin import AdminApi
+from cornelpin.daemon.http.app import EntryApp
+from cornelpin.daemon.http.callers import CallerApi
+from cornelpin.daemon.http.server import HttpServer
+from cornelpin.daemon.http.wsgi import as_wsgi
+from cornelpin.daemon.links import Link, LinkTable
+from cornelpin.daemon.listener import PeerListener
+from cornelpin.daemon.messages import EventsAsk, EventsReply
+from cornelpin.daemon.replies import answer_events
+from cornelpin.daemon.spread import ConfigSpread
+from cornelpin.daemon.watcher import ConfigWatcher
+from cornelpin.platform import make_object_store
+
+if TYPE_CHECKING:
+    from cornelpin.core.config import Config
+    from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.process import Process
+
+TIMELINE_TIMEOUT_S = 2.0
+DRAIN_POLL_S = 0.05
+
+
+class Entry:
+    """An entry process: HTTP in front, links to sides behind."""
+
+    def __init__(self, process: Process) -> None:
+        settings = process.settings
+        self.process = process
+        self._objects = make_object_store(settings.objects)
+        self._store = ConfigStore(self._objects)
+        self._links = LinkTable(
+            process,
+            on_open=self._on_open,
+            on_message=self._on_message,
+            on_lost=self._on_lost,
+        )
+        self._dispatcher = Dispatcher(
+            process, self._links, settings.limits.held_requests
+        )
+        self._spread = ConfigSpread(process, self._peers)
+        self._watcher = ConfigWatcher(self._store, self._spread, process.view)
+        self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
+        self._inbound: dict[str, Peer] = {}
+        self._lock = threading.Lock()
+        process.view.on_change(self._links.on_config)
+        process.view.on_change(self._on_config)
+        app = EntryApp(process, CallerApi(process, self._dispatcher), AdminApi(self))
+        self._http = HttpServer(
+            as_wsgi(app.handle),
+            address=settings.address,
+            port=settings.http_port or 0,
+            threads=settings.limits.http_threads,
+            max_body_bytes=settings.limits.max_body_bytes,
+            header_bytes=settings.limits.header_bytes,
+        )
+
+    def start(self) -> None:
+        """Starts all tasks."""
+        settings = self.process.settings
+        sup = self.process.supervisor
+        listener = PeerListener(
+            self.process, settings.address, settings.peer_port, self._serve
+        )
+        sup.start("peer-listener", listener.run)
+        sup.start("config-watcher", self._watcher.run)
+        self._http.start()
+
+    def leave(self) -> None:
+        """Stops taking new requests."""
+        if not self.process.leaving.is_set():
+            self.process.leaving.set()
+            self.process.ring.record("entry.leaving")
+
+    def _on_config(self, config: Config) -> None:
+        if self.process.host_leaving(config):
+            self.leave()
+        elif not self.process.stopping.is_set():
+            self.process.leaving.clear()
+
+    def wait_idle(self) -> None:
+        """Waits until every request in hand is answered."""
+        while len(self._dispatcher.tickets):
+            time.sleep(DRAIN_POLL_S)
+
+    # Peers
+
+    def _peers(self) -> list[Peer]:
+        with self._lock:
+            inbound = list(self._inbound.values())
+        outbound = [link.peer for link in self._links.all()]
+        return [peer for peer in (*outbound, *inbound) if peer is not None]
+
+    def _on_open(self, link: Link, peer: Peer) -> None:
+        self._spread.greet(peer)
+
+    def _on_message(self, link: Link, peer: Peer, msg: Any) -> None:
+        if self._dispatcher.on_message(link, peer, msg):
+            return
+        self._handle(peer, msg)
+
+    def _on_lost(self, link: Link) -> None:
+        self._dispatcher.tickets.tell_lost(link)
+
+    def _serve(self, peer: Peer) -> None:
+        """Serves a session that another process opened."""
+        with self._lock:
+            self._inbound[peer.name] = peer
+        self._spread.greet(peer)
+        try:
+            while True:
+                self._handle(peer, peer.receive())
+        finally:
+            peer.close()
+            with self._lock:
+                if self._inbound.get(peer.name) is peer:
+                    del self._inbound[peer.name]
+
+    def _handle(self, peer: Peer, msg: Any) -> None:
+        match msg:
+            case EventsAsk():
+                answer_events(self.process.ring, peer, msg)
+            case EventsReply():
+                self._on_events(msg)
+            case _:
+                self._spread.handle(peer, msg)
+
+    # Operators
+
+    def submit_patch(self, base: int, patch: dict[str, Any], *, author: str) -> Any:
+        """Submits a patch and, once accepted, puts it in force here at once."""
+        outcome = self._store.submit(base, patch, author=author)
+        if isinstance(outcome, Accepted):
+            self._watcher.refresh()
+        return outcome
+
+    def history(self, first: int, last: int) -> list[dict[str, Any]]:
+        """Returns the history entries of a range of numbers."""
+        return self._watcher.history(first, last)
+
+    def processes(self) -> list[dict[str, Any]]:
+        """Returns the state of this process and of the sides it is linked to."""
+        view = self.process.view
+        rows: list[dict[str, Any]] = [
+            {
+                "name": self.process.settings.name,
+                "role": "entry",
+                "number": view.number,
+                "lag_s": 0.0,
+                "leaving": self.process.leaving.is_set(),
+                "held": len(self._dispatcher.tickets),
+            }
+        ]
+        rows += [self._side_row(link) for link in self._links.all()]
+        return rows
+
+    def _side_row(self, link: Link) -> dict[str, Any]:
+        view = self.process.view
+        state = link.state
+        number = state.number if state is not None else 0
+        behind = number < view.number
+        return {
+            "name": link.name,
+            "role": "side",
+            "number": number,
+            "lag_s": round(time.monotonic() - view.since, 3) if behind else 0.0,
+            "connected": state is not None,
+            "leaving": state.leaving if state is not None else False,
+            "slots": state.slots if state is not None else 0,
+            "free": state.free if state is not None else 0,
+            "waiting": state.waiting if state is not None else 0,
+            "versions": list(state.versions) if state is not None else [],
+        }
+
+    def routes(self) -> list[dict[str, Any]]:
+        """Returns the routes and how many of their servers are usable."""
+        return [
+            {
+                "name": name,
+                "kind": route.kind,
+                "version": route.version,
+                "backend_servers": len(route.backend_servers),
+                "usable": sum(
+                    link.usable for link in self._dispatcher.candidates(name)
+                ),
+            }
+            for name, route in self.process.view.config.routes.items()
+        ]
+
+    def tiers(self) -> list[dict[str, Any]]:
+        """Returns the tiers in shedding order."""
+        tiers = self.process.view.config.tiers.values()
+        return [
+            {"name": t.name, "shed_order": t.shed_order, "urgency": t.urgency}
+            for t in sorted(tiers, key=lambda tier: tier.shed_order)
+        ]
+
+    def moves(self) -> list[dict[str, Any]]:
+        """Returns the moves of the configuration and their state."""
+        return [
+            {
+                "name": name,
+                "route": move.route,
+                "from": move.from_version,
+                "to": move.to_version,
+                "state": "planned",
+                "share": 0.0,
+                "reason": "",
+            }
+            for name, move in self.process.view.config.moves.items()
+        ]
+
+    # Time line
+
+    def timeline(self, *, request: str, move: str) -> list[Event]:
+        """Collects the events of this process and of its peers."""
+        ask_id = secrets.token_hex(8)
+        replies: queue.SimpleQueue[list[Event]] = queue.SimpleQueue()
+        self._collecting[ask_id] = replies
+        peers = self._peers()
+        for peer in peers:
+            peer.send(EventsAsk(ask_id, request, move))
+        parts = [self.process.ring.select(request=request, move=move)]
+        until = time.monotonic() + TIMELINE_TIMEOUT_S
+        try:
+            for _ in peers:
+                parts.append(replies.get(timeout=max(0, until - time.monotonic())))
+        except queue.Empty:
+            pass
+        finally:
+            del self._collecting[ask_id]
+        return merge_events(parts)
+
+    def _on_events(self, msg: EventsReply) -> None:
+        replies = self._collecting.get(msg.ask_id)
+        if replies is not None:
+            replies.put([Event(*row) for row in msg.events])
--- /dev/null
+++ b/cornelpin/daemon/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface of an entry: callers, operators, health and metrics."""
--- /dev/null
+++ b/cornelpin/daemon/http/admin.py
@@ -0,0 +1,175 @@
+"""Operators' interface under ``/admin/v1/``."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import time
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs
+
+from cornelpin.core import configstore
+from cornelpin.core.verdict import Reason, Refusal
+from cornelpin.daemon.http.wsgi import (
+    HttpRequest,
+    HttpResponse,
+    json_response,
+    problem,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornelpin.daemon.entry import Entry
+
+PREFIX = "/admin/v1/"
+BOOTSTRAP_AUTHOR = "bootstrap"
+
+
+class AdminApi:
+    """Serves operators; every call needs an operator's token."""
+
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+        self._process = entry.process
+        self._handlers: dict[tuple[str, str], Callable[[HttpRequest], HttpResponse]]
+        self._handlers = {
+            ("GET", "config"): self._config,
+            ("POST", "config/patches"): self._patch,
+            ("GET", "config/status"): self._config_status,
+            ("GET", "config/history"): self._history,
+            ("GET", "status"): self._status,
+            ("GET", "moves"): self._moves,
+            ("GET", "timeline"): self._timeline,
+        }
+
+    def handle(self, http: HttpRequest) -> HttpResponse:
+        """Answers one call.
+
+        Raises:
+            Refusal: If the token is no operator's or nothing is served there.
+        """
+        self._operator(http)
+        name = http.path.removeprefix(PREFIX)
+        handler = self._handlers.get((http.method, name))
+        if handler is None:
+            valid = ", ".join(f"{m} {PREFIX}{n}" for m, n in sorted(self._handlers))
+            raise Refusal(
+                Reason.NO_ROUTE,
+                detail=f"nothing at {http.method} {http.path}; valid: {valid}",
+            )
+        return handler(http)
+
+    def _operator(self, http: HttpRequest) -> str:
+        token = http.bearer()
+        operator = self._process.view.config.operator_by_token(token)
+        if operator is not None:
+            return operator.name
+        bootstrap = self._process.settings.bootstrap_operator_sha256
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        if bootstrap and hmac.compare_digest(bootstrap, digest):
+            return BOOTSTRAP_AUTHOR
+        raise Refusal(Reason.UNAUTHORIZED, detail="the bearer token names no operator")
+
+    def _config(self, http: HttpRequest) -> HttpResponse:
+        view = self._process.view
+        return json_response({"number": view.number, "document": view.document})
+
+    def _patch(self, http: HttpRequest) -> HttpResponse:
+        document = http.json()
+        base, patch = document.get("base"), document.get("patch")
+        if type(base) is not int or not isinstance(patch, dict):
+            raise Refusal(
+                Reason.BAD_REQUEST,
+                detail="the body must be {base: number, patch: object}",
+            )
+        author = self._operator(http)
+        outcome = self._entry.submit_patch(base, patch, author=author)
+        return _patch_response(outcome)
+
+    def _config_status(self, http: HttpRequest) -> HttpResponse:
+        rows = [
+            {
+                "name": row["name"],
+                "role": row["role"],
+                "number": row["number"],
+                "lag_s": row["lag_s"],
+            }
+            for row in self._entry.processes()
+        ]
+        return json_response({"number": self._process.view.number, "processes": rows})
+
+    def _history(self, http: HttpRequest) -> HttpResponse:
+        query = parse_qs(http.query)
+        number = self._process.view.number
+        first = _int(query, "from", max(1, number - 20))
+        last = _int(query, "to", number)
+        return json_response(self._entry.history(first, last))
+
+    def _status(self, http: HttpRequest) -> HttpResponse:
+        return json_response(
+            {
+                "processes": self._entry.processes(),
+                "routes": self._entry.routes(),
+                "tiers": self._entry.tiers(),
+            }
+        )
+
+    def _moves(self, http: HttpRequest) -> HttpResponse:
+        return json_response(self._entry.moves())
+
+    def _timeline(self, http: HttpRequest) -> HttpResponse:
+        query = parse_qs(http.query)
+        events = self._entry.timeline(
+            request=query.get("request", [""])[0], move=query.get("move", [""])[0]
+        )
+        host = query.get("host", [""])[0]
+        rows = [e.as_row() for e in events if not host or e.host == host]
+        return json_response(rows)
+
+
+def _int(query: dict[str, list[str]], name: str, default: int) -> int:
+    text = query.get(name, [str(default)])[0]
+    if not text.isdigit():
+        raise Refusal(Reason.BAD_REQUEST, detail=f"{name} is {text!r}; valid: a number")
+    return int(text)
+
+
+def _patch_response(outcome: Any) -> HttpResponse:
+    match outcome:
+        case configstore.Accepted(number=number):
+            return json_response({"number": number})
+        case configstore.Stale(current=current, changed=changed):
+            refusal = Refusal(
+                Reason.STALE_NUMBER,
+                detail=f"the current number is {current}; fetch it and patch again",
+            )
+            return problem(refusal, extra={"current": current, "changed": changed})
+        case configstore.Invalid(faults=faults):
+            refusal = Refusal(
+                Reason.INVALID_PATCH, detail=f"{len(faults)} faults in the result"
+            )
+            rows = [
+                {"path": f.path, "value": f.value, "valid": f.valid} for f in faults
+            ]
+            return problem(refusal, extra={"faults": rows})
+        case configstore.NotStored(reason=reason):
+            return problem(
+                Refusal(
+                    Reason.STORE_UNAVAILABLE,
+                    detail=f"the patch was not stored: {reason}",
+                    retry_after_s=1.0,
+                ),
+                extra={"undecided": False},
+            )
+        case configstore.Undecided(reason=reason):
+            return problem(
+                Refusal(
+                    Reason.STORE_UNAVAILABLE,
+                    detail="the store does not say whether the patch took effect: "
+                    f"{reason}; read the configuration before patching again",
+                    retry_after_s=1.0,
+                ),
+                extra={"undecided": True},
+            )
+    raise TypeError(f"unexpected outcome {outcome!r} at {time.time()}")
--- /dev/null
+++ b/cornelpin/daemon/http/app.py
@@ -0,0 +1,82 @@
+"""Routes HTTP requests of an entry to their handlers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from cornelpin.core.verdict import Reason, Refusal, Verdict
+from cornelpin.daemon.http.callers import new_request_id
+from cornelpin.daemon.http.wsgi import (
+    HttpRequest,
+    HttpResponse,
+    json_response,
+    problem,
+)
+
+if TYPE_CHECKING:
+    from cornelpin.daemon.http.admin import AdminApi
+    from cornelpin.daemon.http.callers import CallerApi
+    from cornelpin.daemon.process import Process
+
+COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
+
+
+class EntryApp:
+    """The whole HTTP interface of an entry."""
+
+    def __init__(self, process: Process, callers: CallerApi, admin: AdminApi) -> None:
+        self._process = process
+        self._callers = callers
+        self._admin = admin
+
+    def handle(self, http: HttpRequest) -> HttpResponse:
+        """Answers any request; refusals become problem documents."""
+        request_id = new_request_id()
+        try:
+            resp = self._route(http, request_id)
+        except Refusal as exc:
+            self._process.ring.record(
+                "request.refused", request=request_id, detail=exc.reason.value
+            )
+            resp = problem(exc, request_id=request_id)
+        except Exception:
+            logger.exception("request {} failed", request_id)
+            failure = Refusal(
+                Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, "internal error"
+            )
+            resp = problem(failure, request_id=request_id)
+        resp.headers.setdefault("X-Request-Id", request_id)
+        return resp
+
+    def _route(self, http: HttpRequest, request_id: str) -> HttpResponse:
+        if http.path in COMPLETION_PATHS:
+            self._need_method(http, "POST")
+            return self._callers.complete(http, request_id)
+        if http.path.startswith("/v1/services/"):
+            return self._callers.service(http, request_id)
+        if http.path == "/v1/models":
+            self._need_method(http, "GET")
+            return self._callers.models(http)
+        if http.path.startswith("/admin/v1/"):
+            return self._admin.handle(http)
+        if http.path == "/healthz":
+            return json_response({"status": "ok"})
+        if http.path == "/readyz":
+            return self._ready()
+        raise Refusal(Reason.NO_ROUTE, detail=f"nothing is served at {http.path}")
+
+    def _need_method(self, http: HttpRequest, method: str) -> None:
+        if http.method != method:
+            raise Refusal(
+                Reason.BAD_REQUEST,
+                detail=f"{http.path} takes {method}, not {http.method}",
+            )
+
+    def _ready(self) -> HttpResponse:
+        ready = self._process.view.number > 0 and not self._process.leaving.is_set()
+        status = 200 if ready else 503
+        return json_response(
+            {"ready": ready, "number": self._process.view.number}, status=status
+        )
--- /dev/null
+++ b/cornelpin/daemon/http/wsgi.py
@@ -0,0 +1,144 @@
+"""Requests and responses between waitress and the handlers."""
+
+from __future__ import annotations
+
+import json
+from http.client import responses
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from cornelpin.core.verdict import Reason, Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+PROBLEM_TYPE = "application/problem+json"
+JSON_TYPE = "application/json"
+
+
+@attrs.frozen
+class HttpRequest:
+    """What a handler needs of an HTTP request.
+
+    Attributes:
+        method: HTTP method.
+        path: Path without the query.
+        query: Query string.
+        body: Request body.
+        environ: WSGI environment.
+    """
+
+    method: str
+    path: str
+    query: str
+    body: bytes
+    environ: dict[str, Any]
+
+    def header(self, name: str) -> str:
+        """Returns a header's value, or an empty string."""
+        key = name.upper().replace("-", "_")
+        if key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+            key = f"HTTP_{key}"
+        return str(self.environ.get(key, ""))
+
+    def headers(self) -> dict[str, str]:
+        """Returns all headers."""
+        found = {
+            key[5:].replace("_", "-").title(): str(value)
+            for key, value in self.environ.items()
+            if key.startswith("HTTP_")
+        }
+        if self.environ.get("CONTENT_TYPE"):
+            found["Content-Type"] = str(self.environ["CONTENT_TYPE"])
+        return found
+
+    def bearer(self) -> str:
+        """Returns the bearer token, or an empty string."""
+        scheme, _, token = self.header("Authorization").partition(" ")
+        return token.strip() if scheme.lower() == "bearer" else ""
+
+    def json(self) -> Any:
+        """Returns the body decoded as a JSON object.
+
+        Raises:
+            Refusal: If it is not one.
+        """
+        try:
+            document = json.loads(self.body)
+        except (ValueError, RecursionError) as exc:
+            raise Refusal(
+                Reason.BAD_REQUEST, detail=f"the body is not JSON: {exc}"
+            ) from exc
+        if not isinstance(document, dict):
+            raise Refusal(Reason.BAD_REQUEST, detail="the body must be a JSON object")
+        return document
+
+
+@attrs.define
+class HttpResponse:
+    """A response; ``chunks`` may be a generator that streams."""
+
+    status: int
+    headers: dict[str, str]
+    chunks: Iterable[bytes]
+
+
+def json_response(
+    document: Any, *, status: int = 200, headers: dict[str, str] | None = None
+) -> HttpResponse:
+    """Returns a JSON response."""
+    body = json.dumps(document).encode()
+    fields = {"Content-Type": JSON_TYPE, **(headers or {})}
+    fields["Content-Length"] = str(len(body))
+    return HttpResponse(status, fields, [body])
+
+
+def problem(
+    refusal: Refusal, *, request_id: str = "", extra: dict[str, Any] | None = None
+) -> HttpResponse:
+    """Returns a refusal as a problem document (RFC 9457)."""
+    may_have_run = refusal.verdict.may_have_run
+    title = refusal.reason.value.replace("_", " ")
+    document: dict[str, Any] = {
+        "type": f"urn:cornelpin:problem:{refusal.reason.value}",
+        "title": title,
+        "status": refusal.status,
+        "detail": refusal.detail or title,
+        "reason": refusal.reason.value,
+        "may_have_run": may_have_run,
+        "request_id": request_id,
+        # The official client shows error.message.
+        "error": {"message": refusal.detail or title, "type": refusal.reason.value},
+        **(extra or {}),
+    }
+    headers = {"X-Cornelpin-May-Have-Run": str(may_have_run).lower()}
+    if refusal.retry_after_s is not None:
+        document["retry_after_s"] = round(refusal.retry_after_s, 3)
+        headers["Retry-After"] = str(max(1, round(refusal.retry_after_s)))
+    resp = json_response(document, status=refusal.status, headers=headers)
+    resp.headers["Content-Type"] = PROBLEM_TYPE
+    return resp
+
+
+def as_wsgi(
+    handle: Callable[[HttpRequest], HttpResponse],
+) -> Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]:
+    """Wraps a handler as a WSGI application."""
+
+    def app(
+        environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        req = HttpRequest(
+            method=environ["REQUEST_METHOD"],
+            path=environ.get("PATH_INFO", "/"),
+            query=environ.get("QUERY_STRING", ""),
+            body=environ["wsgi.input"].read(),
+            environ=environ,
+        )
+        resp = handle(req)
+        phrase = responses.get(resp.status, "Refused")
+        start_response(f"{resp.status} {phrase}", list(resp.headers.items()))
+        return resp.chunks
+
+    return app
--- /dev/null
+++ b/cornelpin/daemon/links.py
@@ -0,0 +1,186 @@
+"""An entry's links to the sides of backend servers."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from cornelpin.daemon.messages import Heartbeat, ProtocolError
+from cornelpin.daemon.peer import PeerClosed, connect
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornelpin.core.config import Config
+    from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.process import Process
+
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
+
+
+class Link:
+    """The link to one side: its current session and last announced state."""
+
+    def __init__(self, name: str, address: str, data_centre: str) -> None:
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.incarnation = ""
+        self.state: Heartbeat | None = None
+        self.direct = 0
+        self.shed_until = 0.0
+        self._peer: Peer | None = None
+        self._opened = threading.Condition()
+
+    @property
+    def usable(self) -> bool:
+        """Whether the side is connected and takes new work."""
+        state = self.state
+        return self._peer is not None and state is not None and not state.leaving
+
+    @property
+    def idle_slots(self) -> int:
+        """Free slots as far as this entry knows, less its own direct grants."""
+        state = self.state
+        if state is None or state.waiting:
+            return 0
+        return state.free - self.direct
+
+    @property
+    def peer(self) -> Peer | None:
+        """The current session, if any."""
+        return self._peer
+
+    def send(self, msg: Any) -> bool:
+        """Sends on the current session; returns whether there is one."""
+        peer = self._peer
+        if peer is None:
+            return False
+        peer.send(msg)
+        return True
+
+    def on_state(self, state: Heartbeat) -> None:
+        """Takes the side's announced state."""
+        self.state = state
+        self.direct = 0
+
+    def opened(self, peer: Peer) -> None:
+        """Takes a new session."""
+        with self._opened:
+            self.state = None
+            self.incarnation = peer.incarnation
+            self._peer = peer
+            self._opened.notify_all()
+
+    def lost(self) -> None:
+        """Notes that the session has ended."""
+        with self._opened:
+            self._peer = None
+            self.state = None
+
+    def wait_opened(self, timeout_s: float) -> bool:
+        """Waits until there is a session."""
+        with self._opened:
+            return self._opened.wait_for(lambda: self._peer is not None, timeout_s)
+
+
+class LinkTable:
+    """Keeps a link, with its own task, to each side that routes need."""
+
+    def __init__(
+        self,
+        process: Process,
+        *,
+        on_open: Callable[[Link, Peer], None],
+        on_message: Callable[[Link, Peer, Any], None],
+        on_lost: Callable[[Link], None],
+    ) -> None:
+        self._process = process
+        self._on_open = on_open
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._lock = threading.Lock()
+        self._links: dict[str, Link] = {}
+        self._stops: dict[str, threading.Event] = {}
+
+    def all(self) -> list[Link]:
+        """Returns all links."""
+        with self._lock:
+            return list(self._links.values())
+
+    def of_servers(self, names: list[str] | tuple[str, ...]) -> list[Link]:
+        """Returns the links to the given backend servers."""
+        with self._lock:
+            return [self._links[name] for name in names if name in self._links]
+
+    def on_config(self, config: Config) -> None:
+        """Starts and stops links as the configuration names backend servers."""
+        wanted = {}
+        for name, server in config.backend_servers.items():
+            host = config.hosts.get(server.host)
+            if host is not None:
+                address = f"{host.address}:{server.peer_port}"
+                wanted[name] = (address, host.data_centre)
+        with self._lock:
+            for name in list(self._links):
+                link = self._links[name]
+                if wanted.get(name) != (link.address, link.data_centre):
+                    self._drop(name)
+            new = [name for name in wanted if name not in self._links]
+            for name in new:
+                self._add(Link(name, *wanted[name]))
+
+    def _add(self, link: Link) -> None:
+        def child(stop: threading.Event) -> None:
+            self._keep_open(link, stop)
+
+        self._links[link.name] = link
+        self._stops[link.name] = self._process.supervisor.start(
+            f"link-{link.name}", child
+        )
+
+    def _drop(self, name: str) -> None:
+        link = self._links.pop(name)
+        self._stops.pop(name).set()
+        if link.peer is not None:
+            link.peer.close()
+
+    def _keep_open(self, link: Link, stop: threading.Event) -> None:
+        """Connects, serves the session, and connects again, until stopped."""
+        backoff_s = FIRST_BACKOFF_S
+        while not stop.is_set():
+            try:
+                peer = connect(
+                    link.address, self._process.identity, clock=self._process.clock
+                )
+            except (PeerClosed, ProtocolError) as exc:
+                logger.debug("link {}: {}", link.name, exc)
+                stop.wait(backoff_s)
+                backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+                continue
+            backoff_s = FIRST_BACKOFF_S
+            self._serve(link, peer)
+
+    def _serve(self, link: Link, peer: Peer) -> None:
+        link.opened(peer)
+        self._process.ring.record("link.opened", detail=link.name)
+        try:
+            self._on_open(link, peer)
+            while True:
+                msg = peer.receive()
+                if isinstance(msg, Heartbeat):
+                    link.on_state(msg)
+                else:
+                    self._on_message(link, peer, msg)
+        except PeerClosed:
+            pass
+        except ProtocolError as exc:
+            logger.warning("link {}: {}", link.name, exc)
+        finally:
+            peer.close()
+            link.lost()
+            self._process.ring.record("link.lost", detail=link.name)
+            self._on_lost(link)
--- /dev/null
+++ b/cornelpin/daemon/listener.py
@@ -0,0 +1,69 @@
+"""Accepts peer streams; one task for each connection."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from cornelpin.daemon.messages import ProtocolError
+from cornelpin.daemon.peer import PeerClosed, accept
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.process import Process
+
+BACKLOG = 256
+ACCEPT_POLL_S = 0.5
+MAX_CONNECTIONS = 1024
+
+
+class PeerListener:
+    """Listens for peers and serves each session in a task of its own."""
+
+    def __init__(
+        self,
+        process: Process,
+        address: str,
+        port: int,
+        serve: Callable[[Peer], None],
+    ) -> None:
+        self._process = process
+        self._serve = serve
+        self._places = threading.BoundedSemaphore(MAX_CONNECTIONS)
+        self._sock = socket.create_server((address, port), backlog=BACKLOG)
+        self._sock.settimeout(ACCEPT_POLL_S)
+        self.rejected = 0
+
+    def run(self, stop: threading.Event) -> None:
+        """Accepts connections until stopped."""
+        while not stop.is_set():
+            try:
+                sock, _ = self._sock.accept()
+            except TimeoutError:
+                continue
+            if not self._places.acquire(blocking=False):
+                sock.close()
+                self.rejected += 1
+                continue
+            threading.Thread(
+                target=self._connection, args=(sock,), name="session", daemon=True
+            ).start()
+        self._sock.close()
+
+    def _connection(self, sock: socket.socket) -> None:
+        try:
+            peer = accept(sock, self._process.identity, clock=self._process.clock)
+            self._serve(peer)
+        except ProtocolError as exc:
+            self.rejected += 1
+            logger.warning("peer stream refused: {}", exc)
+        except PeerClosed:
+            pass
+        finally:
+            sock.close()
+            self._places.release()
--- /dev/null
+++ b/cornelpin/daemon/logs.py
@@ -0,0 +1,25 @@
+"""Log set-up: lines only for changes of state; counters are metrics."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from cornelpin.daemon.settings import Settings
+
+TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[process]} {message}"
+
+
+def set_up_logs(settings: Settings) -> None:
+    """Sends log lines to standard error as text or JSON."""
+    logger.remove()
+    logger.configure(extra={"process": settings.name})
+    logger.add(
+        sys.stderr,
+        level=settings.log.level.upper(),
+        format=TEXT_FORMAT,
+        serialize=settings.log.format == "json",
+    )
--- /dev/null
+++ b/cornelpin/daemon/peer.py
@@ -0,0 +1,273 @@
+"""Authenticated message streams between cornelpin's processes."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import hmac
+import os
+import queue
+import socket
+import ssl
+import threading
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from cornelpin.daemon._codec import LENGTH_PREFIX
+from cornelpin.daemon.messages import (
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSIONS,
+    Hello,
+    Proof,
+    ProtocolError,
+    decode,
+    encode,
+)
+
+if TYPE_CHECKING:
+    from cornelpin.core.clock import HybridClock
+
+HANDSHAKE_TIMEOUT_S = 5.0
+IDLE_TIMEOUT_S = 4.0
+SEND_QUEUE_FRAMES = 20_000
+RECEIVE_BYTES = 65_536
+BATCH_BYTES = 65_536
+NONCE_BYTES = 16
+
+
+class PeerClosed(Exception):
+    """The stream to a peer has ended."""
+
+
+@attrs.frozen
+class Identity:
+    """Who this process is on peer streams.
+
+    Attributes:
+        name: Process name.
+        role: ``entry`` or ``side``.
+        incarnation: Random id of this run of the process.
+        key: Shared key.
+        tls_client: TLS context for outgoing streams, if any.
+        tls_server: TLS context for incoming streams, if any.
+    """
+
+    name: str
+    role: str
+    incarnation: str
+    key: bytes
+    tls_client: ssl.SSLContext | None = None
+    tls_server: ssl.SSLContext | None = None
+
+
+class Peer:
+    """One session with another process.
+
+    The reading end is driven by one task calling :meth:`receive`; sending never
+    blocks: frames go to a bounded queue emptied by a writer thread, and a peer
+    too slow to take them loses its session.
+    """
+
+    def __init__(self, sock: socket.socket, *, clock: HybridClock) -> None:
+        self._sock = sock
+        self._clock = clock
+        self._buffer = bytearray()
+        self._frames: queue.SimpleQueue[bytes | threading.Event | None] = queue.SimpleQueue()
+        self._closed = threading.Event()
+        self.name = ""
+        self.role = ""
+        self.incarnation = ""
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    @property
+    def closed(self) -> bool:
+        """Whether the session has ended."""
+        return self._closed.is_set()
+
+    def handshake(self, identity: Identity, *, server: bool) -> None:
+        """Proves to each other the knowledge of the shared key.
+
+        Raises:
+            ProtocolError: If versions do not overlap or the proof is wrong.
+            PeerClosed: If the peer goes away.
+        """
+        self._sock.settimeout(HANDSHAKE_TIMEOUT_S)
+        mine = Hello(
+            *PROTOCOL_VERSIONS,
+            identity.name,
+            identity.role,
+            identity.incarnation,
+            os.urandom(NONCE_BYTES),
+        )
+        self._send_now(mine)
+        theirs = self._expect(Hello)
+        if theirs.highest < mine.lowest or theirs.lowest > mine.highest:
+            raise ProtocolError(
+                f"peer speaks versions {theirs.lowest} to {theirs.highest}, "
+                f"this process {mine.lowest} to {mine.highest}"
+            )
+        self._send_now(Proof(_mac(identity.key, mine, theirs, server=server)))
+        proof = self._expect(Proof)
+        expected = _mac(identity.key, theirs, mine, server=not server)
+        if not hmac.compare_digest(proof.mac, expected):
+            raise ProtocolError("peer does not know the shared key")
+        self.name = theirs.name
+        self.role = theirs.role
+        self.incarnation = theirs.incarnation
+        self._sock.settimeout(IDLE_TIMEOUT_S)
+        threading.Thread(
+            target=self._write_loop, name=f"write-{self.name}", daemon=True
+        ).start()
+
+    def send(self, msg: Any) -> None:
+        """Queues a message; a closed session drops it."""
+        if self.closed:
+            return
+        if self._frames.qsize() > SEND_QUEUE_FRAMES:
+            self.close()
+            return
+        self._frames.put(encode(msg, stamp=self._clock.now()))
+
+    def receive(self) -> Any:
+        """Returns the next message.
+
+        Raises:
+            PeerClosed: If the stream ended or was idle for too long.
+            ProtocolError: If the frame is malformed.
+        """
+        size = LENGTH_PREFIX.unpack(self._read(LENGTH_PREFIX.size))[0]
+        if size > MAX_FRAME_BYTES:
+            raise ProtocolError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
+        msg, stamp = decode(self._read(size))
+        self._clock.observe(stamp)
+        return msg
+
+    def close(self) -> None:
+        """Ends the session; safe to call from any thread, more than once."""
+        if self._closed.is_set():
+            return
+        self._closed.set()
+        self._frames.put(None)
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+    def flush(self, timeout_s: float) -> None:
+        """Waits until every queued frame was written."""
+        written = threading.Event()
+        self._frames.put(written)
+        written.wait(timeout_s)
+
+    def _expect(self, cls: type) -> Any:
+        msg = self.receive()
+        if not isinstance(msg, cls):
+            raise ProtocolError(f"expected {cls.__name__}, got {type(msg).__name__}")
+        return msg
+
+    def _send_now(self, msg: Any) -> None:
+        try:
+            self._sock.sendall(encode(msg, stamp=self._clock.now()))
+        except OSError as exc:
+            raise PeerClosed(str(exc)) from exc
+
+    def _read(self, size: int) -> bytes:
+        while len(self._buffer) < size:
+            try:
+                data = self._sock.recv(RECEIVE_BYTES)
+            except (OSError, ValueError) as exc:
+                raise PeerClosed(str(exc)) from exc
+            if not data:
+                raise PeerClosed("end of stream")
+            self.bytes_received += len(data)
+            self._buffer += data
+        data = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return data
+
+    def _write_loop(self) -> None:
+        while True:
+            frame = self._frames.get()
+            if frame is None:
+                return
+            if isinstance(frame, threading.Event):
+                frame.set()
+                continue
+            frame = self._with_queued(frame)
+            try:
+                self._sock.sendall(frame)
+            except (OSError, ValueError):
+                self.close()
+                return
+            self.bytes_sent += len(frame)
+
+    def _with_queued(self, frame: bytes) -> bytes:
+        """Joins frames that are already queued into one write."""
+        parts = [frame]
+        size = len(frame)
+        while size < BATCH_BYTES:
+            try:
+                following = self._frames.get_nowait()
+            except queue.Empty:
+                break
+            if not isinstance(following, bytes):
+                self._frames.put(following)
+                break
+            parts.append(following)
+            size += len(following)
+        return b"".join(parts)
+
+
+def _mac(key: bytes, sender: Hello, receiver: Hello, *, server: bool) -> bytes:
+    """Binds the proof to both hellos and to the sender's end of the stream."""
+    text = repr((server, attrs.astuple(sender), attrs.astuple(receiver)))
+    return hmac.new(key, text.encode(), hashlib.sha256).digest()
+
+
+def connect(address: str, identity: Identity, *, clock: HybridClock) -> Peer:
+    """Opens an authenticated session with the process at ``ip:port``.
+
+    Raises:
+        PeerClosed: If the process cannot be reached.
+        ProtocolError: If the handshake fails.
+    """
+    ip, _, port = address.rpartition(":")
+    try:
+        sock = socket.create_connection((ip, int(port)), HANDSHAKE_TIMEOUT_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if identity.tls_client is not None:
+            sock = identity.tls_client.wrap_socket(sock)
+    except OSError as exc:
+        raise PeerClosed(f"{address}: {exc}") from exc
+    return _opened(sock, identity, clock=clock, server=False)
+
+
+def accept(sock: socket.socket, identity: Identity, *, clock: HybridClock) -> Peer:
+    """Completes the handshake on an incoming connection.
+
+    Raises:
+        PeerClosed: If the peer goes away.
+        ProtocolError: If the handshake fails.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.settimeout(HANDSHAKE_TIMEOUT_S)
+    if identity.tls_server is not None:
+        try:
+            sock = identity.tls_server.wrap_socket(sock, server_side=True)
+        except OSError as exc:
+            sock.close()
+            raise PeerClosed(str(exc)) from exc
+    return _opened(sock, identity, clock=clock, server=True)
+
+
+def _opened(
+    sock: socket.socket, identity: Identity, *, clock: HybridClock, server: bool
+) -> Peer:
+    peer = Peer(sock, clock=clock)
+    try:
+        peer.handshake(identity, server=server)
+    except BaseException:
+        peer.close()
+        raise
+    return peer
--- /dev/null
+++ b/cornelpin/daemon/process.py
@@ -0,0 +1,44 @@
+"""What every cornelpin process has: identity, clock, events, tasks, metrics."""
+
+from __future__ import annotations
+
+import os
+import threading
+from typing import TYPE_CHECKING
+
+from cornelpin.core.clock import HybridClock
+from cornelpin.core.events import EventRing
+from cornelpin.daemon.peer import Identity
+from cornelpin.daemon.supervisor import Supervisor
+from cornelpin.daemon.view import ConfigView
+
+if TYPE_CHECKING:
+    from cornelpin.core.config import Config
+    from cornelpin.daemon.settings import Settings
+
+INCARNATION_BYTES = 8
+
+
+class Process:
+    """Shared parts of a process, passed to the roles built on top."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.clock = HybridClock()
+        self.ring = EventRing(self.clock, process=settings.name, host=settings.host)
+        self.supervisor = Supervisor(settings.name)
+        self.view = ConfigView()
+        self.leaving = threading.Event()
+        self.stopping = threading.Event()
+        self.incarnation = os.urandom(INCARNATION_BYTES).hex()
+        self.identity = Identity(
+            name=settings.name,
+            role=settings.role,
+            incarnation=self.incarnation,
+            key=settings.key_bytes(),
+        )
+
+    def host_leaving(self, config: Config) -> bool:
+        """Whether the configuration drains the host of this process."""
+        host = config.hosts.get(self.settings.host)
+        return host is not None and host.leaving
--- /dev/null
+++ b/cornelpin/daemon/view.py
@@ -0,0 +1,68 @@
+"""The configuration in force in this process; its number only rises."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from cornelpin.core.config import Config
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from cornelpin.core.sections import Head
+
+
+class ConfigView:
+    """Holds the configuration in force and tells listeners about a new one."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._listeners: list[Callable[[Config], None]] = []
+        self._known = threading.Event()
+        self.config = Config()
+        self.head: Head | None = None
+        self.sections: Mapping[str, bytes] = {}
+        self.document: dict = {}
+        self.since = time.monotonic()
+
+    @property
+    def number(self) -> int:
+        """The number in force; zero before any configuration is known."""
+        return self.config.number
+
+    def wait_known(self, timeout_s: float) -> bool:
+        """Waits until a configuration is in force."""
+        return self._known.wait(timeout_s)
+
+    def on_change(self, listener: Callable[[Config], None]) -> None:
+        """Registers a listener, called in the task that applies the change."""
+        self._listeners.append(listener)
+
+    def apply(
+        self,
+        config: Config,
+        *,
+        document: dict,
+        head: Head,
+        sections: Mapping[str, bytes],
+    ) -> bool:
+        """Puts a configuration in force unless its number is not higher.
+
+        Returns:
+            Whether it is now in force.
+        """
+        with self._lock:
+            if config.number <= self.config.number:
+                return False
+            self.config = config
+            self.document = document
+            self.head = head
+            self.sections = sections
+            self.since = time.monotonic()
+            self._known.set()
+            listeners = list(self._listeners)
+        for listener in listeners:
+            listener(config)
+        return True
