--- /dev/null
+++ b/standins/_limits.py
@@ -0,0 +1,39 @@
+"""Rate limits of the stand-ins."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+MIN_BURST = 1.0
+
+
+class TokenBucket:
+    """A token bucket that holds up to one second's worth of tokens."""
+
+    def __init__(
+        self, per_s: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._per_s = per_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._capacity = max(MIN_BURST, per_s)
+        self._tokens = self._capacity
+        self._filled_s = clock()
+
+    def take(self) -> float:
+        """Takes a token if there is one.
+
+        Returns:
+            0.0 if a token was taken, else the seconds until there is one.
+        """
+        with self._lock:
+            now_s = self._clock()
+            earned = (now_s - self._filled_s) * self._per_s
+            self._tokens = min(self._capacity, self._tokens + earned)
+            self._filled_s = now_s
+            if self._tokens >= 1:
+                self._tokens -= 1
+                return 0.0
+            return (1 - self._tokens) / self._per_s
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in of a model engine with continuous batching."""
