--- a/cornelpin/tests/test_standins_common.py
+++ b/cornelpin/tests/test_standins_common.py
@@ -105,7 +105,7 @@
         time.sleep(POLL_S)
 
 
-@pytest.mark.parametrize("name", ["engine", "objects", "weights"])
+@pytest.mark.parametrize("name", ["engine", "objects", "service", "hosts", "weights"])
 def test_stand_in_ends_cleanly_on_sigterm(name: str) -> None:
     with running(name) as stand_in:
         assert stand_in.call("GET", "/nothing/here").status in (200, 404)
--- /dev/null
+++ b/standins/hosts.py
@@ -0,0 +1,125 @@
+"""A stand-in of the host list: ``python -m standins.hosts``."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+import attrs
+
+from standins._http import (
+    Request,
+    Response,
+    Router,
+    argument_parser,
+    json_response,
+    problem,
+    serve,
+)
+
+STATES = ("live", "leaving")
+MODES = ("ok", "outage")
+
+
+@attrs.frozen
+class Host:
+    """One host of the list."""
+
+    host: str
+    address: str
+    data_centre: str
+    state: str = attrs.field(default="live", validator=attrs.validators.in_(STATES))
+
+
+class HostList:
+    """The hosts with their past, of which readers see a late state."""
+
+    def __init__(
+        self, lag_s: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._lag_s = lag_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._now: dict[str, Host] = {}
+        self._past: list[tuple[float, dict[str, Host]]] = [(clock(), {})]
+
+    def put(self, host: Host) -> None:
+        """Adds or replaces a host."""
+        with self._lock:
+            self._record({**self._now, host.host: host})
+
+    def delete(self, name: str) -> bool:
+        """Removes a host; returns False if there is none of that name."""
+        with self._lock:
+            if name not in self._now:
+                return False
+            rest = {key: host for key, host in self._now.items() if key != name}
+            self._record(rest)
+            return True
+
+    def read(self) -> list[Host]:
+        """Returns the hosts as they were the lag ago, by name."""
+        until_s = self._clock() - self._lag_s
+        with self._lock:
+            while len(self._past) > 1 and self._past[1][0] <= until_s:
+                del self._past[0]
+            hosts = self._past[0][1]
+        return [hosts[name] for name in sorted(hosts)]
+
+    def _record(self, hosts: dict[str, Host]) -> None:
+        self._now = hosts
+        self._past.append((self._clock(), hosts))
+
+
+class HostApi:
+    """The HTTP interface of the host list."""
+
+    def __init__(self, hosts: HostList) -> None:
+        self._hosts = hosts
+        self._mode = "ok"
+
+    def router(self) -> Router:
+        """Returns the routes of the host list."""
+        router = Router()
+        router.add("GET", "/hosts", self._list)
+        router.add("PUT", "/hosts/([^/]+)", self._put)
+        router.add("DELETE", "/hosts/([^/]+)", self._delete)
+        router.add("POST", "/faults", self._set_faults)
+        return router
+
+    def _list(self, request: Request) -> Response:
+        # Changes still work in an outage, so that a trial can go on.
+        if self._mode == "outage":
+            return problem(503, "outage")
+        return json_response([attrs.asdict(host) for host in self._hosts.read()])
+
+    def _put(self, request: Request, name: str) -> Response:
+        host = Host(**{**request.json(), "host": name})
+        self._hosts.put(host)
+        return json_response(attrs.asdict(host))
+
+    def _delete(self, request: Request, name: str) -> Response:
+        if not self._hosts.delete(name):
+            return problem(404, f"no host {name}")
+        return json_response({})
+
+    def _set_faults(self, request: Request) -> Response:
+        mode = request.json().get("mode", "ok")
+        if mode not in MODES:
+            return problem(400, f"mode is one of {MODES}")
+        self._mode = mode
+        return json_response({"mode": mode})
+
+
+def main() -> None:
+    """Serves the host list until SIGTERM."""
+    parser = argument_parser("A stand-in of the host list.")
+    parser.add_argument("--lag-s", type=float, default=0.0)
+    arguments = parser.parse_args()
+    api = HostApi(HostList(arguments.lag_s))
+    serve(api.router(), arguments.address, arguments.port)
+
+
+if __name__ == "__main__":
+    main()
