--- /dev/null
+++ b/cornelpin/core/_checking.py
@@ -0,0 +1,292 @@
+"""Checks of JSON documents against attrs classes.
+
+Each field of a class carries its check in its metadata. A check takes a JSON value,
+adds every fault it finds to a list and returns the value to store in the class.
+"""
+
+from __future__ import annotations
+
+import difflib
+import json
+import math
+import re
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+import attrs
+
+T = TypeVar("T")
+
+_CHECK = "check"
+_PLAIN_KEY = re.compile(r"[A-Za-z_][A-Za-z0-9_-]*")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@+-]{0,127}")
+_NAME_VALID = "a name: a letter or digit, then up to 127 more or ._:/@+-"
+_MISSING = "(missing)"
+_HIDDEN = "(hidden)"
+
+
+@attrs.frozen
+class Fault:
+    """One fault of a document.
+
+    Attributes:
+        path: JSON path of the value, such as ``$.tiers.urgent.weight``.
+        value: The value found there.
+        valid: Description of the values that are accepted there.
+    """
+
+    path: str
+    value: Any
+    valid: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {_shorten(self.value)} is not valid; use {self.valid}"
+
+
+Faults = list[Fault]
+Check = Callable[[Any, str, Faults], Any]
+
+
+def _shorten(value: Any) -> str:
+    text = json.dumps(value, default=repr)
+    return text if len(text) <= 80 else text[:77] + "..."
+
+
+def member(path: str, key: object) -> str:
+    """Returns the JSON path of a member of the object or array at a path."""
+    if isinstance(key, int):
+        return f"{path}[{key}]"
+    if isinstance(key, str) and _PLAIN_KEY.fullmatch(key):
+        return f"{path}.{key}"
+    return f"{path}[{json.dumps(key, default=repr)}]"
+
+
+def listed(names: Any) -> str:
+    """Returns the known names as text for the description of valid values."""
+    known = sorted(names)
+    if not known:
+        return "(none is defined)"
+    shown = ", ".join(known[:20])
+    return shown if len(known) <= 20 else f"{shown}, ... ({len(known)} in all)"
+
+
+def checked(check: Check) -> dict[str, Check]:
+    """Returns the metadata that attaches a check to an attrs field."""
+    return {_CHECK: check}
+
+
+def boolean() -> Check:
+    """Accepts true and false."""
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        if not isinstance(value, bool):
+            faults.append(Fault(path, value, "true or false"))
+        return value
+
+    return check
+
+
+def _range_text(kind: str, low: float | None, high: float | None, above: bool) -> str:
+    lower = "" if low is None else f" {'above' if above else 'of at least'} {low}"
+    upper = "" if high is None else f" and at most {high}"
+    return kind + lower + upper
+
+
+def _is_number(value: Any) -> bool:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    try:
+        return math.isfinite(value)
+    except OverflowError:  # an integer beyond the range of a float
+        return False
+
+
+def _in_range(value: float, low: float | None, high: float | None, above: bool) -> bool:
+    if low is not None and (value < low or (above and value == low)):
+        return False
+    return high is None or value <= high
+
+
+def integer(*, low: int | None = None, high: int | None = None) -> Check:
+    """Accepts integers from low to high, both included."""
+    valid = _range_text("an integer", low, high, False)
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        whole = _is_number(value) and isinstance(value, int)
+        if not whole or not _in_range(value, low, high, False):
+            faults.append(Fault(path, value, valid))
+        return value
+
+    return check
+
+
+def number(
+    *, low: float | None = None, high: float | None = None, above: bool = False
+) -> Check:
+    """Accepts finite numbers in a range; with above, low itself is excluded."""
+    valid = _range_text("a number", low, high, above)
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        if not _is_number(value) or not _in_range(value, low, high, above):
+            faults.append(Fault(path, value, valid))
+            return value
+        return float(value)
+
+    return check
+
+
+def text(*, valid: str = "a text that is not empty", min_length: int = 1) -> Check:
+    """Accepts texts of a minimum length."""
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        if not isinstance(value, str) or len(value) < min_length:
+            faults.append(Fault(path, value, valid))
+        return value
+
+    return check
+
+
+def matching(accept: Callable[[str], object], *, valid: str) -> Check:
+    """Accepts texts for which accept gives a true value and no ValueError."""
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        try:
+            accepted = isinstance(value, str) and bool(accept(value))
+        except ValueError:
+            accepted = False
+        if not accepted:
+            faults.append(Fault(path, value, valid))
+        return value
+
+    return check
+
+
+def name() -> Check:
+    """Accepts names of things."""
+    return matching(_NAME.fullmatch, valid=_NAME_VALID)
+
+
+def choice(*values: str) -> Check:
+    """Accepts one of the given texts."""
+    return matching(values.__contains__, valid="one of " + ", ".join(values))
+
+
+def nullable(inner: Check) -> Check:
+    """Accepts null and all that the inner check accepts."""
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        if value is None:
+            return None
+        found: Faults = []
+        result = inner(value, path, found)
+        for fault in found:
+            own = fault.path == path
+            valid = f"null or {fault.valid}" if own else fault.valid
+            faults.append(attrs.evolve(fault, valid=valid))
+        return result
+
+    return check
+
+
+def hidden(inner: Check) -> Check:
+    """Keeps the value of a secret out of the faults."""
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        found: Faults = []
+        result = inner(value, path, found)
+        faults.extend(attrs.evolve(fault, value=_HIDDEN) for fault in found)
+        return result
+
+    return check
+
+
+def list_of(inner: Check) -> Check:
+    """Accepts arrays without repeated items and returns a tuple."""
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        if not isinstance(value, list):
+            faults.append(Fault(path, value, "an array"))
+            return ()
+        items = []
+        for index, item in enumerate(value):
+            items.append(inner(item, member(path, index), faults))
+            if item in value[:index]:
+                valid = "an item that the array does not hold already"
+                faults.append(Fault(member(path, index), item, valid))
+        return tuple(items)
+
+    return check
+
+
+def map_of(cls: type) -> Check:
+    """Accepts objects from names to the given class, whose name field is the key."""
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        if not isinstance(value, dict):
+            faults.append(Fault(path, value, "an object from names to objects"))
+            return MappingProxyType({})
+        items: dict[str, Any] = {}
+        for key, item in value.items():
+            where = member(path, key)
+            if not (isinstance(key, str) and _NAME.fullmatch(key)):
+                faults.append(Fault(where, key, _NAME_VALID))
+            items[key] = _build(cls, item, where, faults, {"name": key})
+        return MappingProxyType({k: v for k, v in items.items() if v is not None})
+
+    return check
+
+
+def record(cls: type) -> Check:
+    """Accepts objects that fit the checked fields of an attrs class."""
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        return _build(cls, value, path, faults, {})
+
+    return check
+
+
+def build(cls: type[T], value: Any, faults: Faults, **given: Any) -> T | None:
+    """Builds a class from a whole document.
+
+    Args:
+        cls: The attrs class whose fields carry checks.
+        value: The decoded JSON document.
+        faults: The list to which every fault is added.
+        given: Values of fields that are not part of the document.
+
+    Returns:
+        The object, or None if its fields have faults.
+    """
+    return _build(cls, value, "$", faults, given)
+
+
+def _build(
+    cls: type[T], value: Any, path: str, faults: Faults, given: Mapping[str, Any]
+) -> T | None:
+    if not isinstance(value, dict):
+        faults.append(Fault(path, value, "an object"))
+        return None
+    fields = {
+        field.name: field
+        for field in attrs.fields(cls)  # type: ignore[arg-type]
+        if _CHECK in field.metadata
+    }
+    before = len(faults)
+    for key in value.keys() - fields.keys():
+        faults.append(_unknown_key(path, key, list(fields)))
+    values = dict(given)
+    for key, field in fields.items():
+        where = member(path, key)
+        if key in value:
+            values[key] = field.metadata[_CHECK](value[key], where, faults)
+        elif field.default is attrs.NOTHING:
+            faults.append(Fault(where, _MISSING, "a value: the key is required"))
+    return cls(**values) if len(faults) == before else None
+
+
+def _unknown_key(path: str, key: Any, known: list[str]) -> Fault:
+    close = difflib.get_close_matches(str(key), known, n=1, cutoff=0.0)
+    nearest = f" (nearest: {close[0]})" if close else ""
+    valid = f"a known key{nearest}: {', '.join(known)}"
+    return Fault(member(path, key), key, valid)
--- /dev/null
+++ b/cornelpin/core/_config_classes.py
@@ -0,0 +1,299 @@
+"""Classes of the configuration that operators change by patches."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import ipaddress
+import re
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+from attrs import field, frozen
+
+from cornelpin.core._checking import (
+    Check,
+    Fault,
+    Faults,
+    boolean,
+    checked,
+    choice,
+    integer,
+    list_of,
+    map_of,
+    matching,
+    name,
+    nullable,
+    number,
+    record,
+    text,
+)
+
+T = TypeVar("T")
+
+MAX_PORT = 65535
+DEFAULT_MAX_WAIT_S = 30.0
+DEFAULT_TIMEOUT_S = 600.0
+DEFAULT_MAX_BODY_BYTES = 1024 * 1024
+DEFAULT_STAGES = (0.01, 0.05, 0.2, 0.5, 1.0)
+DEFAULT_STAGE_S = 30.0
+DEFAULT_MAX_BAD_SHARE = 0.02
+DEFAULT_ANSWERS_S = 24 * 3600.0
+DEFAULT_CLAIMS_S = 7 * 24 * 3600.0
+
+ip_address = matching(ipaddress.ip_address, valid="an IP address")
+_name = name()
+port = integer(low=1, high=MAX_PORT)
+sha256_digest = matching(
+    re.compile("[0-9a-f]{64}").fullmatch,
+    valid="a SHA-256 digest in 64 lower-case hexadecimal digits",
+)
+
+
+def _stages() -> Check:
+    inner = list_of(number(low=0, high=1, above=True))
+
+    def check(value: Any, path: str, faults: Faults) -> Any:
+        before = len(faults)
+        shares = inner(value, path, faults)
+        if len(faults) > before:
+            return shares
+        rising = all(a < b for a, b in zip(shares, shares[1:], strict=False))
+        if not shares or not rising or shares[-1] != 1:
+            faults.append(Fault(path, value, "shares that rise and end with 1"))
+        return shares
+
+    return check
+
+
+@frozen(kw_only=True)
+class Tier:
+    """A class of requests with its urgency and its place in the shedding order.
+
+    Attributes:
+        name: Name of the tier.
+        shed_order: Requests of higher order are shed later.
+        urgency: Requests of lower urgency value are dispatched first.
+        max_wait_s: Longest time that a request may wait for dispatch.
+        queue_share: Share of the queue's places that the tier may take.
+        slot_share: Share of a backend server's slots that the tier may take.
+        durable: Whether accepted requests survive the loss of their entry.
+        weight: Weight of the tier in goodput.
+    """
+
+    name: str = ""
+    shed_order: int = field(default=0, metadata=checked(integer(low=0)))
+    urgency: int = field(default=0, metadata=checked(integer(low=0)))
+    max_wait_s: float = field(
+        default=DEFAULT_MAX_WAIT_S, metadata=checked(number(low=0, above=True))
+    )
+    queue_share: float = field(
+        default=1.0, metadata=checked(number(low=0, high=1, above=True))
+    )
+    slot_share: float = field(
+        default=1.0, metadata=checked(number(low=0, high=1, above=True))
+    )
+    durable: bool = field(default=False, metadata=checked(boolean()))
+    weight: float = field(default=1.0, metadata=checked(number(low=0)))
+
+
+@frozen(kw_only=True)
+class Limits:
+    """Limits of a workspace over all entries; None means no limit."""
+
+    requests_per_s: float | None = field(
+        default=None, metadata=checked(nullable(number(low=0, above=True)))
+    )
+    tokens_per_s: float | None = field(
+        default=None, metadata=checked(nullable(number(low=0, above=True)))
+    )
+    concurrent: int | None = field(
+        default=None, metadata=checked(nullable(integer(low=1)))
+    )
+
+
+@frozen(kw_only=True)
+class Workspace:
+    """A group of callers with its tokens, routes, tiers, fair share and limits."""
+
+    name: str = ""
+    token_sha256: tuple[str, ...] = field(
+        default=(), metadata=checked(list_of(sha256_digest))
+    )
+    routes: tuple[str, ...] = field(default=(), metadata=checked(list_of(_name)))
+    tiers: tuple[str, ...] = field(default=(), metadata=checked(list_of(_name)))
+    share: float = field(default=1.0, metadata=checked(number(low=0, above=True)))
+    limits: Limits = field(factory=Limits, metadata=checked(record(Limits)))
+
+
+@frozen(kw_only=True)
+class Route:
+    """A model or a plain service that callers address by name."""
+
+    name: str = ""
+    kind: str = field(default="model", metadata=checked(choice("model", "service")))
+    tier: str = field(metadata=checked(_name))
+    backend_servers: tuple[str, ...] = field(
+        default=(), metadata=checked(list_of(_name))
+    )
+    version: str | None = field(default=None, metadata=checked(nullable(text())))
+    idempotent: bool = field(default=False, metadata=checked(boolean()))
+    timeout_s: float = field(
+        default=DEFAULT_TIMEOUT_S, metadata=checked(number(low=0, above=True))
+    )
+    max_body_bytes: int = field(
+        default=DEFAULT_MAX_BODY_BYTES, metadata=checked(integer(low=1))
+    )
+
+
+@frozen(kw_only=True)
+class BackendServer:
+    """A backend server with the host and the port of its side process."""
+
+    name: str = ""
+    host: str = field(metadata=checked(_name))
+    peer_port: int = field(metadata=checked(port))
+
+
+@frozen(kw_only=True)
+class Entry:
+    """An entry process with its host and ports."""
+
+    name: str = ""
+    host: str = field(metadata=checked(_name))
+    peer_port: int = field(metadata=checked(port))
+    http_port: int = field(metadata=checked(port))
+
+
+@frozen(kw_only=True)
+class Host:
+    """A host with its address and data centre, and whether it is leaving."""
+
+    name: str = ""
+    address: str = field(metadata=checked(ip_address))
+    data_centre: str = field(default="", metadata=checked(text()))
+    leaving: bool = field(default=False, metadata=checked(boolean()))
+
+
+@frozen(kw_only=True)
+class Move:
+    """A planned move of a route's traffic from one version to another.
+
+    Attributes:
+        name: Name of the move.
+        route: Route whose traffic moves.
+        from_version: Version that serves the route before the move.
+        to_version: Version that serves the route after the move.
+        finish_by: Unix time in seconds by which the move has to be finished.
+        state: What the operators order: run, pause or take_back.
+        stages: Rising shares of the traffic, of which the last is 1.
+        stage_s: Shortest duration of a stage in seconds.
+        max_bad_share: Highest tolerated share of bad outcomes.
+    """
+
+    name: str = ""
+    route: str = field(metadata=checked(_name))
+    from_version: str = field(metadata=checked(text()))
+    to_version: str = field(metadata=checked(text()))
+    finish_by: float = field(metadata=checked(number(low=0, above=True)))
+    state: str = field(
+        default="run", metadata=checked(choice("run", "pause", "take_back"))
+    )
+    stages: tuple[float, ...] = field(
+        default=DEFAULT_STAGES, metadata=checked(_stages())
+    )
+    stage_s: float = field(
+        default=DEFAULT_STAGE_S, metadata=checked(number(low=0, above=True))
+    )
+    max_bad_share: float = field(
+        default=DEFAULT_MAX_BAD_SHARE, metadata=checked(number(low=0, high=1))
+    )
+
+
+@frozen(kw_only=True)
+class Operator:
+    """An operator, who may read and patch the configuration."""
+
+    name: str = ""
+    token_sha256: tuple[str, ...] = field(
+        default=(), metadata=checked(list_of(sha256_digest))
+    )
+
+
+@frozen(kw_only=True)
+class Retention:
+    """How long answers and claims are kept, in seconds."""
+
+    answers_s: float = field(
+        default=DEFAULT_ANSWERS_S, metadata=checked(number(low=0, above=True))
+    )
+    claims_s: float = field(
+        default=DEFAULT_CLAIMS_S, metadata=checked(number(low=0, above=True))
+    )
+
+
+def _empty() -> Mapping[str, Any]:
+    return MappingProxyType({})
+
+
+@frozen(kw_only=True)
+class Config:
+    """The whole configuration under one number."""
+
+    number: int = 0
+    tiers: Mapping[str, Tier] = field(factory=_empty, metadata=checked(map_of(Tier)))
+    workspaces: Mapping[str, Workspace] = field(
+        factory=_empty, metadata=checked(map_of(Workspace))
+    )
+    routes: Mapping[str, Route] = field(factory=_empty, metadata=checked(map_of(Route)))
+    backend_servers: Mapping[str, BackendServer] = field(
+        factory=_empty, metadata=checked(map_of(BackendServer))
+    )
+    entries: Mapping[str, Entry] = field(
+        factory=_empty, metadata=checked(map_of(Entry))
+    )
+    hosts: Mapping[str, Host] = field(factory=_empty, metadata=checked(map_of(Host)))
+    moves: Mapping[str, Move] = field(factory=_empty, metadata=checked(map_of(Move)))
+    operators: Mapping[str, Operator] = field(
+        factory=_empty, metadata=checked(map_of(Operator))
+    )
+    retention: Retention = field(factory=Retention, metadata=checked(record(Retention)))
+    _workspace_by_digest: dict[str, tuple[str, Workspace]] = field(
+        init=False, eq=False, repr=False
+    )
+    _operator_by_digest: dict[str, tuple[str, Operator]] = field(
+        init=False, eq=False, repr=False
+    )
+
+    @_workspace_by_digest.default
+    def _index_workspaces(self) -> dict[str, tuple[str, Workspace]]:
+        return {
+            digest: (digest, workspace)
+            for workspace in self.workspaces.values()
+            for digest in workspace.token_sha256
+        }
+
+    @_operator_by_digest.default
+    def _index_operators(self) -> dict[str, tuple[str, Operator]]:
+        return {
+            digest: (digest, operator)
+            for operator in self.operators.values()
+            for digest in operator.token_sha256
+        }
+
+    def workspace_by_token(self, token: str) -> Workspace | None:
+        """Returns the workspace that a bearer token belongs to, if any."""
+        return _by_token(self._workspace_by_digest, token)
+
+    def operator_by_token(self, token: str) -> Operator | None:
+        """Returns the operator that a bearer token belongs to, if any."""
+        return _by_token(self._operator_by_digest, token)
+
+
+def _by_token(index: Mapping[str, tuple[str, T]], token: str) -> T | None:
+    digest = hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
+    # The lookup sees only a digest of the token, so its timing tells a caller
+    # nothing about the known tokens; the comparison is constant-time besides.
+    known, owner = index.get(digest, ("", None))
+    return owner if hmac.compare_digest(known, digest) else None
--- /dev/null
+++ b/cornelpin/core/config.py
@@ -0,0 +1,135 @@
+"""The operators' configuration: parsing, checks and references between sections."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from cornelpin.core._checking import Fault, Faults, build, listed, member
+from cornelpin.core._config_classes import (
+    BackendServer,
+    Config,
+    Entry,
+    Host,
+    Limits,
+    Move,
+    Operator,
+    Retention,
+    Route,
+    Tier,
+    Workspace,
+)
+
+__all__ = [
+    "BackendServer",
+    "Config",
+    "ConfigFaults",
+    "Entry",
+    "Fault",
+    "Host",
+    "Limits",
+    "Move",
+    "Operator",
+    "Retention",
+    "Route",
+    "Tier",
+    "Workspace",
+    "parse_config",
+]
+
+
+@dataclass(frozen=True)
+class ConfigFaults:
+    """The outcome for a document that is not valid, with all its faults."""
+
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(str(fault) for fault in self.faults)
+
+
+def parse_config(document: dict[str, Any], *, number: int = 0) -> Config | ConfigFaults:
+    """Parses and checks a configuration document.
+
+    Args:
+        document: The decoded JSON document.
+        number: Number of the configuration.
+
+    Returns:
+        The configuration, or all faults of the document.
+    """
+    faults: Faults = []
+    config = build(Config, document, faults, number=number)
+    if config is not None:
+        faults.extend(_reference_faults(config))
+    if config is None or faults:
+        return ConfigFaults(tuple(sorted(faults, key=lambda fault: fault.path)))
+    return config
+
+
+def _reference_faults(config: Config) -> Iterator[Fault]:
+    for route in config.routes.values():
+        path = member("$.routes", route.name)
+        yield from _unknown(f"{path}.tier", [route.tier], config.tiers)
+        where = f"{path}.backend_servers"
+        yield from _unknown(where, route.backend_servers, config.backend_servers)
+    for workspace in config.workspaces.values():
+        path = member("$.workspaces", workspace.name)
+        yield from _unknown(f"{path}.routes", workspace.routes, config.routes)
+        yield from _unknown(f"{path}.tiers", workspace.tiers, config.tiers)
+    for move in config.moves.values():
+        yield from _move_faults(config, move)
+    yield from _shared_moves(config)
+    yield from _shared_tokens("$.workspaces", config.workspaces)
+    yield from _shared_tokens("$.operators", config.operators)
+
+
+def _unknown(
+    path: str, names: Collection[str], known: Mapping[str, object]
+) -> Iterator[Fault]:
+    single = not path.endswith("s")
+    for index, name in enumerate(names):
+        if name not in known:
+            where = path if single else member(path, index)
+            yield Fault(where, name, f"a defined name: {listed(known)}")
+
+
+def _move_faults(config: Config, move: Move) -> Iterator[Fault]:
+    path = member("$.moves", move.name)
+    if move.from_version == move.to_version:
+        valid = "a version other than from_version"
+        yield Fault(f"{path}.to_version", move.to_version, valid)
+    route = config.routes.get(move.route)
+    if route is None:
+        yield from _unknown(f"{path}.route", [move.route], config.routes)
+        return
+    if route.version not in (None, move.from_version, move.to_version):
+        valid = f"the version of route {route.name} ({route.version}) as one end"
+        yield Fault(f"{path}.from_version", move.from_version, valid)
+
+
+def _shared_moves(config: Config) -> Iterator[Fault]:
+    """Finds routes with two unfinished moves, which would fight over the share."""
+    first: dict[str, str] = {}
+    for move in config.moves.values():
+        route = config.routes.get(move.route)
+        if route is None or move.state == "take_back":
+            continue
+        if route.version not in (None, move.from_version):
+            continue
+        other = first.setdefault(move.route, move.name)
+        if other != move.name:
+            path = member("$.moves", move.name)
+            valid = f"a route without an unfinished move (it has {other})"
+            yield Fault(f"{path}.route", move.route, valid)
+
+
+def _shared_tokens(path: str, owners: Mapping[str, Any]) -> Iterator[Fault]:
+    first: dict[str, str] = {}
+    for owner in owners.values():
+        for index, digest in enumerate(owner.token_sha256):
+            other = first.setdefault(digest, owner.name)
+            if other != owner.name:
+                where = member(f"{member(path, owner.name)}.token_sha256", index)
+                yield Fault(where, digest, f"a digest that {other} does not use")
