--- /dev/null
+++ b/cornelpin/core/sections.py
@@ -0,0 +1,110 @@
+"""Immutable sections of a configuration document and the head that names them.
+
+A document of any size is stored as values that each fit the object store. A section
+is named by the digest of its content, so that it never changes once written.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import asdict, frozen
+
+SHARDS = 64
+SHARD_ABOVE_ENTRIES = 64
+SHARDED_KEYS = frozenset({"workspaces", "backend_servers", "hosts"})
+_SHARD_MARK = "."
+
+
+@frozen(kw_only=True)
+class Head:
+    """The object that says which sections make up a configuration.
+
+    Attributes:
+        number: Number of the configuration.
+        sections: Digests of the document's sections by section name.
+        patch: Digests of the sections of the patch that led here.
+        patch_id: Random identifier of the patch.
+        author: Operator who submitted the patch.
+        at: Unix time in seconds at which the patch was submitted.
+        previous: Digest of the previous head, empty for the first one.
+    """
+
+    number: int
+    sections: Mapping[str, str]
+    patch: Mapping[str, str]
+    patch_id: str
+    author: str
+    at: float
+    previous: str = ""
+
+    def encode(self) -> bytes:
+        """Returns the head as canonical JSON."""
+        return canonical_json(asdict(self))
+
+    @classmethod
+    def decode(cls, value: bytes) -> Head:
+        """Returns the head that encode turned into JSON.
+
+        Raises:
+            ValueError: The value is not a head.
+        """
+        try:
+            return cls(**json.loads(value))
+        except TypeError as exc:
+            raise ValueError(f"not a configuration head: {exc}") from exc
+
+
+def canonical_json(value: Any) -> bytes:
+    """Returns JSON text that is equal for equal values."""
+    text = json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False)
+    return text.encode()
+
+
+def digest_of(value: bytes) -> str:
+    """Returns the SHA-256 digest of a value in hexadecimal."""
+    return hashlib.sha256(value).hexdigest()
+
+
+def split(document: Mapping[str, Any]) -> dict[str, bytes]:
+    """Splits a document or patch into sections by name."""
+    sections: dict[str, bytes] = {}
+    for key, value in document.items():
+        if key in SHARDED_KEYS and _is_large(value):
+            for shard, part in _shards(value).items():
+                sections[f"{key}{_SHARD_MARK}{shard:02d}"] = canonical_json(part)
+        else:
+            sections[key] = canonical_json(value)
+    return sections
+
+
+def join(sections: Mapping[str, bytes]) -> dict[str, Any]:
+    """Joins the sections of a document or patch."""
+    document: dict[str, Any] = {}
+    for name, value in sections.items():
+        key, mark, _ = name.partition(_SHARD_MARK)
+        if mark:
+            document.setdefault(key, {}).update(json.loads(value))
+        else:
+            document[key] = json.loads(value)
+    return document
+
+
+def digests(sections: Mapping[str, bytes]) -> dict[str, str]:
+    """Returns the digests of sections by section name."""
+    return {name: digest_of(value) for name, value in sections.items()}
+
+
+def _is_large(value: Any) -> bool:
+    return isinstance(value, dict) and len(value) > SHARD_ABOVE_ENTRIES
+
+
+def _shards(entries: Mapping[str, Any]) -> dict[int, dict[str, Any]]:
+    shards: dict[int, dict[str, Any]] = {}
+    for name, entry in entries.items():
+        shard = hashlib.sha256(name.encode()).digest()[0] % SHARDS
+        shards.setdefault(shard, {})[name] = entry
+    return shards
