Store the configuration by numbered, conditional patches

Operators race each other and the store loses answers, so a patch needs one of five stated outcomes. Sections go first, the head last by conditional update; a lost answer is resolved by repeating that same update and reading the patch id back, since a plain read can miss a write under way.

--- /dev/null
+++ b/cornelpin/core/configstore.py
@@ -0,0 +1,306 @@
+"""The configuration in the object store: loading, patching and history.
+
+A patch writes the new sections first, then files the current head in the history and
+at last replaces the head by a conditional update. Each head holds its own patch, so
+that a crash between any two of these writes loses nothing.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from cornelpin.core._checking import Fault, member
+from cornelpin.core._config_outcomes import (
+    Accepted,
+    HistoryEntry,
+    Invalid,
+    NoSuchNumber,
+    NotStored,
+    Snapshot,
+    Stale,
+    Undecided,
+)
+from cornelpin.core._config_sections import SectionStore
+from cornelpin.core.config import Config, ConfigFaults, parse_config
+from cornelpin.core.patch import diff, merge_patch
+from cornelpin.core.sections import Head, digest_of, join, split
+from cornelpin.platform.objects import (
+    MAX_VALUE_BYTES,
+    Conflict,
+    Found,
+    Missing,
+    ObjectStore,
+    Unavailable,
+    Unchanged,
+    Unknown,
+    Written,
+)
+
+__all__ = [
+    "Accepted",
+    "ConfigStore",
+    "HistoryEntry",
+    "Invalid",
+    "NoSuchNumber",
+    "NotStored",
+    "Snapshot",
+    "Stale",
+    "Submission",
+    "Unavailable",
+    "Undecided",
+]
+
+HEAD_KEY = "config/head"
+HISTORY_PREFIX = "config/history/"
+RESOLVE_ATTEMPTS = 6
+RESOLVE_PAUSE_S = 0.05
+
+Submission = Accepted | Stale | Invalid | NotStored | Undecided
+
+_EMPTY = Snapshot(0, {}, Config(), None, 0)
+
+
+class ConfigStore:
+    """Reads and patches the configuration kept in an object store.
+
+    Args:
+        objects: The object store.
+        clock: Gives the Unix time in seconds that is kept with a patch.
+        sleep: Waits between two attempts to resolve a lost answer.
+    """
+
+    def __init__(
+        self,
+        objects: ObjectStore,
+        *,
+        clock: Callable[[], float] = time.time,
+        sleep: Callable[[float], object] = time.sleep,
+    ) -> None:
+        self._objects = objects
+        self._clock = clock
+        self._sleep = sleep
+        self._sections = SectionStore(objects)
+        self._last = _EMPTY
+        self._lock = threading.Lock()
+
+    def load(self) -> Snapshot | Unavailable:
+        """Reads the configuration; an unchanged one costs a single read."""
+        with self._lock:
+            return self._load()
+
+    def submit(self, base: int, patch: dict[str, Any], *, author: str) -> Submission:
+        """Applies a merge patch to the configuration of a number.
+
+        Args:
+            base: Number of the configuration that the patch was made against.
+            patch: JSON merge patch after RFC 7396.
+            author: Operator who submits the patch.
+        """
+        with self._lock:
+            current = self._load()
+            if isinstance(current, Unavailable):
+                return NotStored(current.reason)
+            if base != current.number:
+                return self._stale(base, current)
+            checked = _apply(current, patch)
+            if isinstance(checked, Invalid):
+                return checked
+            head = self._prepare(current, checked, patch, author)
+            if isinstance(head, NotStored):
+                return head
+            return self._replace_head(current, head)
+
+    def history(self, number: int) -> HistoryEntry | NoSuchNumber | Unavailable:
+        """Reads the patch that led to a number."""
+        with self._lock:
+            head = self._head_of(number)
+            if not isinstance(head, Head):
+                return head
+            patch = self._read_document(head.patch)
+            if isinstance(patch, Unavailable):
+                return patch
+            return HistoryEntry(number, head.author, head.at, patch, head.patch_id)
+
+    def diff(self, old: int, new: int) -> dict[str, Any] | NoSuchNumber | Unavailable:
+        """Returns the merge patch from one number's document to another's."""
+        with self._lock:
+            documents: list[dict[str, Any]] = []
+            for number in (old, new):
+                document = self._document_of(number)
+                if not isinstance(document, dict):
+                    return document
+                documents.append(document)
+            return diff(*documents)
+
+    def _load(self) -> Snapshot | Unavailable:
+        last = self._last
+        known = last.head_version or None
+        found = self._objects.get(HEAD_KEY, unless_version=known)
+        if isinstance(found, Unavailable):
+            return found
+        if isinstance(found, Unchanged):
+            return last
+        if isinstance(found, Missing):
+            gone = Unavailable(f"the head is missing after number {last.number}")
+            return gone if last.number else _EMPTY
+        snapshot = self._read_snapshot(found)
+        if isinstance(snapshot, Snapshot):
+            self._last = snapshot
+        return snapshot
+
+    def _read_snapshot(self, found: Found) -> Snapshot | Unavailable:
+        try:
+            head = Head.decode(found.value)
+        except ValueError as exc:
+            return Unavailable(str(exc))
+        if head.number < self._last.number:
+            reason = f"head number {head.number} is below {self._last.number}"
+            return Unavailable(reason)
+        sections = self._sections.read(head.sections)
+        if isinstance(sections, Unavailable):
+            return sections
+        document = join(sections)
+        config = parse_config(document, number=head.number)
+        if isinstance(config, ConfigFaults):
+            return Unavailable(f"stored configuration {head.number}: {config}")
+        return Snapshot(head.number, document, config, head, found.version)
+
+    def _stale(self, base: int, current: Snapshot) -> Stale:
+        document = self._document_of(base)
+        if not isinstance(document, dict):
+            return Stale(current.number, None)
+        return Stale(current.number, diff(document, current.document))
+
+    def _prepare(
+        self, current: Snapshot, new: dict[str, bytes], patch: Any, author: str
+    ) -> Head | NotStored:
+        """Writes all that the new head refers to."""
+        sections = self._sections.write(new)
+        if not isinstance(sections, dict):
+            return NotStored(sections.reason)
+        patches = self._sections.write(split(patch))
+        if not isinstance(patches, dict):
+            return NotStored(patches.reason)
+        failure = self._file(current.head) if current.head else None
+        if failure is not None:
+            return failure
+        return Head(
+            number=current.number + 1,
+            sections=sections,
+            patch=patches,
+            patch_id=uuid.uuid4().hex,
+            author=author,
+            at=self._clock(),
+            previous=digest_of(current.head.encode()) if current.head else "",
+        )
+
+    def _file(self, head: Head) -> NotStored | None:
+        """Files a head in the history, where another writer may have put it."""
+        key = f"{HISTORY_PREFIX}{head.number}"
+        outcome = self._objects.put(key, head.encode(), if_version=0)
+        if isinstance(outcome, Written | Conflict):
+            return None
+        found = self._objects.get(key) if isinstance(outcome, Unknown) else None
+        if isinstance(found, Found) and found.value == head.encode():
+            return None
+        return NotStored(f"history {head.number}: {outcome.reason}")
+
+    def _replace_head(self, current: Snapshot, head: Head) -> Submission:
+        version = current.head_version
+        outcome = self._objects.put(HEAD_KEY, head.encode(), if_version=version)
+        if isinstance(outcome, Written):
+            return Accepted(head.number)
+        if isinstance(outcome, Unavailable):
+            return NotStored(outcome.reason)
+        if isinstance(outcome, Conflict):
+            return self._lost_race(current, head)
+        return self._resolve(current, head, outcome.reason)
+
+    def _lost_race(self, current: Snapshot, head: Head) -> Submission:
+        latest = self._load()
+        if isinstance(latest, Unavailable):
+            return NotStored(f"another patch came first; {latest.reason}")
+        return self._stale(current.number, latest)
+
+    def _resolve(self, current: Snapshot, head: Head, reason: str) -> Submission:
+        """Finds out whether a write of the head without an answer took effect.
+
+        The write may still be under way, so reading the old head proves nothing.
+        The same conditional write is repeated instead: at most one of the two can
+        take effect, and a conflict means that the head has been replaced for good.
+        """
+        version = current.head_version
+        for attempt in range(RESOLVE_ATTEMPTS):
+            self._sleep(RESOLVE_PAUSE_S * 2**attempt)
+            outcome = self._objects.put(HEAD_KEY, head.encode(), if_version=version)
+            if isinstance(outcome, Written):
+                return Accepted(head.number)
+            if isinstance(outcome, Conflict):
+                decided = self._read_back(current, head)
+                if decided is not None:
+                    return decided
+        return Undecided(reason)
+
+    def _read_back(self, current: Snapshot, head: Head) -> Accepted | Stale | None:
+        """Compares the patch id under the head's number; None if it is unreadable."""
+        stored = self._head_of(head.number)
+        if not isinstance(stored, Head):
+            return None
+        if stored.patch_id == head.patch_id:
+            return Accepted(head.number)
+        latest = self._load()
+        if isinstance(latest, Unavailable):
+            return Stale(max(head.number, self._last.number), None)
+        return self._stale(current.number, latest)
+
+    def _head_of(self, number: int) -> Head | NoSuchNumber | Unavailable:
+        latest = self._load()
+        if isinstance(latest, Unavailable):
+            return latest
+        if latest.head is not None and latest.number == number:
+            return latest.head
+        if not 0 < number < latest.number:
+            return NoSuchNumber(number)
+        found = self._objects.get(f"{HISTORY_PREFIX}{number}")
+        if isinstance(found, Unavailable):
+            return found
+        if not isinstance(found, Found):
+            return NoSuchNumber(number)
+        try:
+            return Head.decode(found.value)
+        except ValueError as exc:
+            return Unavailable(str(exc))
+
+    def _document_of(self, number: int) -> dict[str, Any] | NoSuchNumber | Unavailable:
+        if number == 0:
+            return {}
+        head = self._head_of(number)
+        if not isinstance(head, Head):
+            return head
+        return self._read_document(head.sections)
+
+    def _read_document(self, names: Any) -> dict[str, Any] | Unavailable:
+        # A reader of its own, so that old sections don't displace the current ones.
+        sections = SectionStore(self._objects).read(names)
+        return sections if isinstance(sections, Unavailable) else join(sections)
+
+
+def _apply(current: Snapshot, patch: Any) -> dict[str, bytes] | Invalid:
+    """Returns the sections of the patched document after checking it whole."""
+    if not isinstance(patch, dict):
+        return Invalid((Fault("$", patch, "an object: a JSON merge patch"),))
+    document = merge_patch(current.document, patch)
+    config = parse_config(document, number=current.number + 1)
+    if isinstance(config, ConfigFaults):
+        return Invalid(config.faults)
+    sections = split(document)
+    too_large = tuple(
+        Fault(member("$", name), f"{len(value)} bytes", f"{MAX_VALUE_BYTES} bytes")
+        for name, value in (*sections.items(), *split(patch).items())
+        if len(value) > MAX_VALUE_BYTES
+    )
+    return Invalid(too_large) if too_large else sections
