Add the testbed, the workloads, the sender and the checker

Cause: the promises have to be judged from what the backend servers ran and what the callers saw, not from what cornelpin says of itself.

Change: benchmarks/testbed.py runs a deployment as plain processes, by pid, on loopback ports. The expected answer is computed apart from the engine stand-in.

--- /dev/null
+++ b/benchmarks/cluster_settings.py
@@ -0,0 +1,130 @@
+"""Settings files and the configuration document of a deployment."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+from attrs import frozen
+
+from benchmarks.deployments import Deployment, Tier, as_tier_document
+from benchmarks.records import Kind
+
+OPERATOR_TOKEN = "operator-token"
+SHARED_KEY = "testbed-shared-key"
+MAX_BODY_BYTES = 1_048_576
+FIRST_VERSION = "v1"
+
+
+@frozen
+class Placement:
+    """Ports that the testbed gave to one cornelpin process."""
+
+    name: str
+    host: str
+    peer_port: int
+    http_port: int
+
+
+def sha256_hex(text: str) -> str:
+    """Returns the SHA-256 of a text in hexadecimal."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def workspace_token(workspace: str) -> str:
+    """Returns the bearer token of a workspace in tests."""
+    return f"token-{workspace}"
+
+
+def process_settings(
+    placement: Placement,
+    role: str,
+    described: Deployment,
+    address: str,
+    objects_url: str,
+    seeds: list[str],
+) -> dict[str, Any]:
+    """Returns the settings that entries and sides have in common."""
+    return {
+        "role": role,
+        "name": placement.name,
+        "host": placement.host,
+        "data_centre": described.hosts[placement.host],
+        "address": address,
+        "peer_port": placement.peer_port,
+        "http_port": placement.http_port,
+        "shared_key": SHARED_KEY,
+        "objects": {"kind": "http", "url": objects_url},
+        "host_list": None,
+        "weight_store": None,
+        "seeds": seeds,
+        "log": {"format": "text", "level": "INFO"},
+    }
+
+
+def configuration(
+    described: Deployment,
+    address: str,
+    entries: list[Placement],
+    sides: dict[str, Placement],
+) -> dict[str, Any]:
+    """Returns the first configuration document of a deployment."""
+    return {
+        "tiers": {tier.name: as_tier_document(tier) for tier in described.tiers},
+        "workspaces": _workspaces(described),
+        "routes": _routes(described),
+        "backend_servers": {
+            name: {"host": side.host, "peer_port": side.peer_port}
+            for name, side in sides.items()
+        },
+        "entries": {
+            entry.name: {
+                "host": entry.host,
+                "peer_port": entry.peer_port,
+                "http_port": entry.http_port,
+            }
+            for entry in entries
+        },
+        "hosts": {
+            name: {"address": address, "data_centre": centre, "leaving": False}
+            for name, centre in described.hosts.items()
+        },
+        "moves": {},
+        "operators": {"bench": {"token_sha256": [sha256_hex(OPERATOR_TOKEN)]}},
+    }
+
+
+def _workspaces(described: Deployment) -> dict[str, Any]:
+    return {
+        name: {
+            "token_sha256": [sha256_hex(workspace_token(name))],
+            "routes": sorted({tier.route for tier in described.tiers}),
+            "tiers": [tier.name for tier in described.tiers],
+            "share": share,
+            "limits": {},
+        }
+        for name, share in described.workspaces.items()
+    }
+
+
+def _routes(described: Deployment) -> dict[str, Any]:
+    """Returns the routes; the first tier of a route is its default."""
+    routes: dict[str, Any] = {}
+    for tier in described.tiers:
+        routes.setdefault(tier.route, _route(described, tier))
+    return routes
+
+
+def _route(described: Deployment, tier: Tier) -> dict[str, Any]:
+    timeouts = [t.timeout_s for t in described.tiers if t.route == tier.route]
+    route: dict[str, Any] = {
+        "kind": tier.kind.value,
+        "tier": tier.name,
+        "backend_servers": list(described.servers_of(tier.kind)),
+        "idempotent": tier.idempotent,
+        "timeout_s": max(timeouts),
+        "max_body_bytes": MAX_BODY_BYTES,
+    }
+    if tier.kind is Kind.MODEL:
+        route["version"] = FIRST_VERSION
+    return route
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,165 @@
+"""Starts, pauses and ends plain processes by their process id."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from attrs import define, field
+
+from benchmarks.waiting import wait_until
+
+REPOSITORY = Path(__file__).resolve().parent.parent
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+KILL_TIMEOUT_S = 5.0
+POLL_INTERVAL_S = 0.02
+LOOPBACK = "127.0.0.1"
+
+
+class ProcessError(Exception):
+    """A process that could not be started or did not end as asked."""
+
+
+@define
+class ManagedProcess:
+    """One process that the testbed owns.
+
+    Attributes:
+        name: Name within the testbed.
+        arguments: Python module and its arguments.
+        folder: Folder that takes stdout and stderr.
+        child: The running process, None before the first start.
+        exit_codes: Exit codes of all earlier runs.
+    """
+
+    name: str
+    arguments: list[str]
+    folder: Path
+    child: subprocess.Popen[bytes] | None = None
+    exit_codes: list[int] = field(factory=list)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has been started and has not ended."""
+        return self.child is not None and self.child.poll() is None
+
+    @property
+    def stdout_path(self) -> Path:
+        """File that takes the standard output of all runs."""
+        return self.folder / f"{self.name}.stdout"
+
+    @property
+    def stderr_path(self) -> Path:
+        """File that takes the standard error of all runs."""
+        return self.folder / f"{self.name}.stderr"
+
+    def start(self) -> None:
+        """Starts the process; output is appended to its files."""
+        if self.running:
+            raise ProcessError(f"{self.name} runs already")
+        self._reap()
+        with self.stdout_path.open("ab") as out, self.stderr_path.open("ab") as err:
+            self.child = subprocess.Popen(
+                [sys.executable, "-u", "-m", *self.arguments],
+                cwd=REPOSITORY,
+                env={**os.environ, "PYTHONPATH": str(REPOSITORY)},
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+            )
+
+    def wait_ready(self, starts_before: int = 0) -> None:
+        """Waits for one more ``ready`` line than there was before the start."""
+
+        def ready() -> bool:
+            if not self.running:
+                raise ProcessError(f"{self.name} ended: {self.last_errors()}")
+            return self.ready_count() > starts_before
+
+        wait_until(ready, READY_TIMEOUT_S, f"{self.name} is ready")
+
+    def ready_count(self) -> int:
+        """Counts the ``ready`` lines printed so far."""
+        if not self.stdout_path.exists():
+            return 0
+        lines = self.stdout_path.read_text(errors="replace").splitlines()
+        return sum(line.startswith("ready ") for line in lines)
+
+    def last_errors(self, characters: int = 2000) -> str:
+        """Returns the end of the standard error."""
+        if not self.stderr_path.exists():
+            return ""
+        return self.stderr_path.read_text(errors="replace")[-characters:]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process if it runs."""
+        if self.running and self.child is not None:
+            self.child.send_signal(number)
+
+    def pause(self) -> None:
+        """Stops the process from being scheduled."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets a paused process run on."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Asks for a graceful shutdown and returns the exit code."""
+        self.signal(signal.SIGTERM)
+        return self._wait(timeout_s)
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.signal(signal.SIGKILL)
+        self._wait(KILL_TIMEOUT_S)
+
+    def _wait(self, timeout_s: float) -> int:
+        if self.child is None:
+            raise ProcessError(f"{self.name} was never started")
+        try:
+            return self.child.wait(timeout_s)
+        except subprocess.TimeoutExpired as exc:
+            raise ProcessError(f"{self.name} did not end in {timeout_s} s") from exc
+
+    def _reap(self) -> None:
+        if self.child is not None:
+            self.exit_codes.append(self.child.wait(KILL_TIMEOUT_S))
+
+
+@define
+class PortAllocator:
+    """Hands out free loopback ports, each at most once."""
+
+    address: str = LOOPBACK
+    given: set[int] = field(factory=set)
+
+    def allocate(self) -> int:
+        """Returns a free port that was not given before."""
+        for _ in range(100):
+            with socket.socket() as sock:
+                sock.bind((self.address, 0))
+                port = int(sock.getsockname()[1])
+            if port not in self.given:
+                self.given.add(port)
+                return port
+        raise ProcessError("no free port found")
+
+
+def stop_all(processes: list[ManagedProcess]) -> None:
+    """Ends all processes, gracefully at first, in reverse order of their start."""
+    for process in reversed(processes):
+        process.resume()
+        process.signal(signal.SIGTERM)
+    deadline = time.monotonic() + STOP_TIMEOUT_S
+    for process in reversed(processes):
+        while process.running and time.monotonic() < deadline:
+            time.sleep(POLL_INTERVAL_S)
+        if process.running:
+            process.kill()
--- /dev/null
+++ b/benchmarks/sse.py
@@ -0,0 +1,51 @@
+"""Reads an OpenAI-style stream of server-sent events."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from attrs import define
+
+DONE = "[DONE]"
+DATA_PREFIX = "data:"
+
+
+@define
+class StreamError(Exception):
+    """An error event inside a stream.
+
+    Attributes:
+        problem: The problem document, or what stood in its place.
+    """
+
+    problem: dict[str, Any]
+
+
+def completion_texts(lines: Iterable[bytes]) -> Iterator[str | None]:
+    """Yields the text of each event, and None for the end marker."""
+    for line in lines:
+        text = line.decode("utf-8", "replace").strip()
+        if not text.startswith(DATA_PREFIX):
+            continue
+        data = text[len(DATA_PREFIX) :].strip()
+        if data == DONE:
+            yield None
+            return
+        yield _event_text(json.loads(data))
+
+
+def _event_text(event: dict[str, Any]) -> str:
+    if "error" in event or "may_have_run" in event:
+        problem = event.get("error", event)
+        raise StreamError(problem if isinstance(problem, dict) else {"error": problem})
+    return "".join(choice_text(choice) for choice in event.get("choices", []))
+
+
+def choice_text(choice: dict[str, Any]) -> str:
+    """Returns the text of a choice of either completion interface."""
+    if "text" in choice:
+        return choice["text"] or ""
+    message = choice.get("delta") or choice.get("message") or {}
+    return message.get("content") or ""
--- /dev/null
+++ b/benchmarks/testbed.py
@@ -0,0 +1,345 @@
+"""Runs a deployment as plain processes on the loopback address."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from attrs import define, field
+
+from benchmarks.checker import Evidence, Violation, run_checks
+from benchmarks.cluster_settings import (
+    OPERATOR_TOKEN,
+    Placement,
+    configuration,
+    process_settings,
+    sha256_hex,
+    workspace_token,
+)
+from benchmarks.deployments import Deployment, Engine, Service
+from benchmarks.http_json import JsonClient, JsonReply
+from benchmarks.load import Sender, Target
+from benchmarks.processes import (
+    LOOPBACK,
+    ManagedProcess,
+    PortAllocator,
+    stop_all,
+)
+from benchmarks.records import RunEvent, SentRecord, read_run_log
+from benchmarks.waiting import wait_until
+
+OBJECTS = "objects"
+CONFIG_TIMEOUT_S = 20.0
+OK = 200
+
+
+class TestbedError(Exception):
+    """The testbed could not bring a deployment into the asked state."""
+
+
+@define
+class Testbed:
+    """Owns all processes of one deployment; use it as a context manager.
+
+    Names: ``objects``, each entry and each backend server by its own name, and
+    the side of backend server ``f1`` as ``side-f1``.
+
+    Attributes:
+        described: The deployment to run.
+        seed: Seed passed to the stand-ins.
+        folder: Folder for settings, run logs and output.
+        versions: Versions that the engines can load.
+        processes: All processes by name, in order of their first start.
+        ports: HTTP port by process name.
+        records: What the senders of this testbed saw.
+    """
+
+    described: Deployment
+    seed: int = 1
+    folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="testbed-")))
+    versions: tuple[str, ...] = ("v1", "v2", "v3")
+    processes: dict[str, ManagedProcess] = field(factory=dict)
+    ports: dict[str, int] = field(factory=dict)
+    entries: list[Placement] = field(factory=list)
+    sides: dict[str, Placement] = field(factory=dict)
+    records: list[SentRecord] = field(factory=list)
+    allocator: PortAllocator = field(factory=PortAllocator)
+
+    __test__ = False
+
+    def __enter__(self) -> Testbed:
+        """Starts everything and submits the first configuration."""
+        try:
+            self.start_standins()
+            self.start_cornelpin()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ends every process that was started."""
+        self.close()
+
+    def close(self) -> None:
+        """Ends every process that was started."""
+        stop_all(list(self.processes.values()))
+
+    # Stand-ins
+
+    def start_standins(self) -> None:
+        """Starts the object store, the engines and the services."""
+        self._add_standin(OBJECTS, "standins.objects", [])
+        for engine in self.described.engines:
+            self._add_standin(engine.name, "standins.engine", self._engine(engine))
+        for service in self.described.services:
+            self._add_standin(service.name, "standins.service", self._service(service))
+        self.wait_ready()
+
+    def _add_standin(self, name: str, module: str, arguments: list[str]) -> None:
+        port = self.ports[name] = self.allocator.allocate()
+        common = ["--address", LOOPBACK, "--port", str(port)]
+        self._add(name, [module, *common, *arguments])
+
+    def _engine(self, engine: Engine) -> list[str]:
+        options = {
+            "name": engine.name,
+            "model": self.described.model_route,
+            "versions": ",".join(self.versions),
+            "step-ms": engine.step_ms,
+            "max-batch": engine.max_batch,
+            "prefill-tokens-per-s": engine.prefill_tokens_per_s,
+            "cache-tokens": engine.cache_tokens,
+            "run-log": self.run_log(engine.name),
+            "checks-fence": int(engine.checks_fence),
+            "seed": self.seed,
+        }
+        return _as_arguments(options)
+
+    def _service(self, service: Service) -> list[str]:
+        options = {
+            "name": service.name,
+            "latency-ms": service.latency_ms,
+            "run-log": self.run_log(service.name),
+        }
+        return _as_arguments(options)
+
+    # Processes of cornelpin
+
+    def start_cornelpin(self) -> None:
+        """Starts entries and sides and waits until the configuration is in force."""
+        self._place()
+        for entry in self.entries:
+            self._add_daemon(entry, "entry", {})
+        for name, side in self.sides.items():
+            self._add_daemon(side, "side", {"backend": self._backend(name)})
+        wait_until(self._answers_status, CONFIG_TIMEOUT_S, "an entry answers status")
+        document = configuration(self.described, LOOPBACK, self.entries, self.sides)
+        self.patch(document)
+        wait_until(self.ready, CONFIG_TIMEOUT_S, "all entries are ready")
+
+    def _place(self) -> None:
+        for name in self.described.entries:
+            self.entries.append(self._placement(name, f"host-{name}"))
+        servers: list[Engine | Service] = [
+            *self.described.engines,
+            *self.described.services,
+        ]
+        for server in servers:
+            side = self._placement(f"side-{server.name}", server.host)
+            self.sides[server.name] = side
+
+    def _placement(self, name: str, host: str) -> Placement:
+        allocate = self.allocator.allocate
+        placement = Placement(name, host, allocate(), allocate())
+        self.ports[name] = placement.http_port
+        return placement
+
+    def _add_daemon(
+        self, placement: Placement, role: str, extra: dict[str, Any]
+    ) -> None:
+        seeds = [f"{LOOPBACK}:{entry.peer_port}" for entry in self.entries]
+        objects_url = f"http://{LOOPBACK}:{self.ports[OBJECTS]}"
+        settings = process_settings(
+            placement, role, self.described, LOOPBACK, objects_url, seeds
+        )
+        if role == "entry":
+            settings["bootstrap_operator_sha256"] = sha256_hex(OPERATOR_TOKEN)
+        path = self.folder / f"{placement.name}.json"
+        path.write_text(json.dumps({**settings, **extra}, indent=1))
+        self._add(placement.name, ["cornelpin.daemon", "--settings", str(path)])
+
+    def _backend(self, name: str) -> dict[str, Any]:
+        url = f"http://{LOOPBACK}:{self.ports[name]}"
+        for engine in self.described.engines:
+            if engine.name == name:
+                return {
+                    "name": name,
+                    "kind": "engine",
+                    "url": url,
+                    "checks_fence": engine.checks_fence,
+                    "slots": engine.max_batch,
+                }
+        service = next(s for s in self.described.services if s.name == name)
+        return {
+            "name": name,
+            "kind": "service",
+            "url": url,
+            "checks_fence": False,
+            "slots": service.slots,
+        }
+
+    # Acting on processes
+
+    def _add(self, name: str, arguments: list[str]) -> None:
+        process = ManagedProcess(name, arguments, self.folder)
+        self.processes[name] = process
+        process.start()
+
+    def wait_ready(self) -> None:
+        """Waits for the first ready line of every process started so far."""
+        for process in self.processes.values():
+            process.wait_ready()
+
+    def restart(self, name: str) -> None:
+        """Starts an ended process again with the same settings."""
+        process = self.processes[name]
+        before = process.ready_count()
+        process.start()
+        process.wait_ready(before)
+
+    def restart_daemon(self, name: str) -> None:
+        """Starts an ended entry or side again with the same settings."""
+        self.processes[name].start()
+
+    # Operating
+
+    def client(self, name: str, token: str = OPERATOR_TOKEN) -> JsonClient:
+        """Returns a JSON client of a process."""
+        return JsonClient(LOOPBACK, self.ports[name], token)
+
+    def ask_entries(self, method: str, path: str, body: Any = None) -> JsonReply:
+        """Asks the entries in turn; returns the first answer that is no fault."""
+        failures = []
+        for entry in self.entries:
+            try:
+                reply = self.client(entry.name).call(method, path, body)
+            except OSError as exc:
+                failures.append(f"{entry.name}: {exc}")
+                continue
+            if reply.status < 500:
+                return reply
+            failures.append(f"{entry.name}: {reply.status} {reply.body}")
+        raise TestbedError(f"{method} {path}: {failures}")
+
+    def config_number(self) -> int:
+        """Returns the number of the configuration in force."""
+        reply = self.ask_entries("GET", "/admin/v1/config/status")
+        if reply.status != OK:
+            raise TestbedError(f"config status: {reply.status} {reply.body}")
+        return int(reply.body["number"])
+
+    def patch(self, patch: dict[str, Any]) -> int:
+        """Submits a patch on the number in force and returns the new number."""
+        body = {"base": self.config_number(), "patch": patch}
+        reply = self.ask_entries("POST", "/admin/v1/config/patches", body)
+        if reply.status != OK:
+            raise TestbedError(f"patch: {reply.status} {reply.body}")
+        return int(reply.body["number"])
+
+    def ready(self) -> bool:
+        """Tells whether every running entry is ready and all run one number."""
+        running = [e for e in self.entries if self.processes[e.name].running]
+        if not all(self._entry_ready(entry.name) for entry in running):
+            return False
+        status = self.ask_entries("GET", "/admin/v1/config/status").body
+        in_force = {p["name"]: p["number"] for p in status["processes"]}
+        expected = {placement.name for placement in self._placements()}
+        running_names = {n for n in expected if self.processes[n].running}
+        return all(in_force.get(n) == status["number"] for n in running_names)
+
+    def _placements(self) -> list[Placement]:
+        return [*self.entries, *self.sides.values()]
+
+    def _entry_ready(self, name: str) -> bool:
+        return _quietly(lambda: self.client(name).call("GET", "/readyz").status == OK)
+
+    def _answers_status(self) -> bool:
+        def answers() -> bool:
+            path = "/admin/v1/config/status"
+            return all(
+                self.client(entry.name).call("GET", path).status == OK
+                for entry in self.entries
+            )
+
+        return _quietly(answers)
+
+    # Sending and collecting
+
+    def targets(self, names: tuple[str, ...] = ()) -> list[Target]:
+        """Returns the named entries, or all, as targets of a sender."""
+        chosen = names or self.described.entries
+        return [Target(name, LOOPBACK, self.ports[name]) for name in chosen]
+
+    def sender(self, names: tuple[str, ...] = ()) -> Sender:
+        """Returns a sender whose records count in the checks."""
+        tokens = {name: workspace_token(name) for name in self.described.workspaces}
+        return Sender(self.targets(names), tokens, records=self.records)
+
+    def run_log(self, server: str) -> Path:
+        """Returns the path of a stand-in's run log."""
+        return self.folder / f"{server}.runs.jsonl"
+
+    def run_events(self) -> list[RunEvent]:
+        """Reads the run logs of all backend servers."""
+        return [
+            event
+            for server in self.sides
+            for event in read_run_log(server, self.run_log(server))
+        ]
+
+    def evidence(self) -> Evidence:
+        """Returns what the checker reads."""
+        tiers = self.described.tiers
+        return Evidence(
+            records=list(self.records),
+            events=self.run_events(),
+            shed_orders={tier.name: tier.shed_order for tier in tiers},
+            pools={
+                t.route: frozenset(self.described.servers_of(t.kind)) for t in tiers
+            },
+        )
+
+    def violations(self) -> list[Violation]:
+        """Returns the promises that the logs show to be broken."""
+        return run_checks(self.evidence())
+
+    def timeline(self) -> list[dict[str, Any]]:
+        """Returns the merged time line, empty when no entry answers."""
+        try:
+            body = self.ask_entries("GET", "/admin/v1/timeline").body
+        except TestbedError:
+            return []
+        events = body.get("events", []) if isinstance(body, dict) else body
+        return list(events or [])
+
+
+def _as_arguments(options: dict[str, Any]) -> list[str]:
+    return [part for key, value in options.items() for part in (f"--{key}", str(value))]
+
+
+def _quietly(condition: Callable[[], bool]) -> bool:
+    """Takes a connection failure or a missing entry for "not yet"."""
+    try:
+        return condition()
+    except (OSError, TestbedError):
+        return False
--- /dev/null
+++ b/cornelpin/tests/scenarios/test_workload.py
@@ -0,0 +1,166 @@
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Iterator
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+import pytest
+
+from benchmarks.answers import expected_answer
+from benchmarks.cluster_settings import workspace_token
+from benchmarks.deployments import DEPLOYMENTS, capacity_per_s
+from benchmarks.load import Sender, Target
+from benchmarks.records import Answer, Kind, SentRecord
+from benchmarks.workload import PlannedRequest, Shape, plan
+
+SHAPE = Shape(seed=7, rate_per_s=200.0, duration_s=5.0, burst_every_s=2.0)
+SMALL = DEPLOYMENTS["small"]()
+PROMPT = "w1 w2 #out=6"
+WHOLE = expected_answer(PROMPT, 6)
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_equal_seeds_give_equal_plans(name: str) -> None:
+    planned = plan(DEPLOYMENTS[name](), SHAPE)
+    assert planned == plan(DEPLOYMENTS[name](), SHAPE)
+    assert len({request.digest for request in planned}) == len(planned)
+    assert [r.at_s for r in planned] == sorted(r.at_s for r in planned)
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_plan_covers_tiers_workspaces_and_a_hundredfold_of_lengths(name: str) -> None:
+    described = DEPLOYMENTS[name]()
+    planned = plan(described, SHAPE)
+    assert {r.tier for r in planned} == set(described.tiers)
+    assert {r.workspace for r in planned} == set(described.workspaces)
+    bounds = [t.output_tokens for t in described.tiers if t.kind is Kind.MODEL]
+    lengths = [r.output_tokens for r in planned if r.tier.kind is Kind.MODEL]
+    assert min(low for low, _ in bounds) <= min(lengths)
+    assert max(lengths) <= max(high for _, high in bounds)
+    assert max(lengths) >= 20 * min(lengths)
+
+
+def test_bursts_raise_the_rate() -> None:
+    planned = plan(SMALL, SHAPE)
+    inside = [r for r in planned if r.at_s % 2.0 < 1.0]
+    assert len(inside) > len(planned) / 2
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_shedding_spares_urgent_and_irreversible_work(name: str) -> None:
+    tiers = sorted(DEPLOYMENTS[name]().tiers, key=lambda tier: tier.shed_order)
+    assert tiers[0].name in ("tag", "name_check")
+    assert tiers[-1].name in ("release", "stamp")
+    assert capacity_per_s(DEPLOYMENTS[name]()) > 0
+
+
+def completion(text: str) -> bytes:
+    return json.dumps({"choices": [{"text": text}]}).encode()
+
+
+def stream(*parts: str, end: str = "data: [DONE]\n\n") -> bytes:
+    events = [f"data: {completion(part).decode()}\n\n" for part in parts]
+    return ("".join(events) + end).encode()
+
+
+REFUSAL = {"reason": "shed", "may_have_run": False}
+RUN_REFUSAL = json.dumps({"error": {"reason": "server_lost", "may_have_run": True}})
+
+ANSWERS: dict[str, tuple[bool, int, bytes, Answer, bool | None]] = {
+    "whole": (False, 200, completion(WHOLE), Answer.COMPLETE, None),
+    "crossed": (False, 200, completion(" other"), Answer.WRONG, None),
+    "short": (False, 200, completion(WHOLE[:-1]), Answer.CUT, None),
+    "empty": (False, 200, b"", Answer.CUT, None),
+    "too long": (False, 200, completion(WHOLE + " x"), Answer.WRONG, None),
+    "refused": (False, 429, json.dumps(REFUSAL).encode(), Answer.NONE, False),
+    "no problem document": (False, 502, b"oops", Answer.NONE, None),
+    "whole stream": (True, 200, stream(WHOLE[:9], WHOLE[9:]), Answer.COMPLETE, None),
+    "stream without end": (True, 200, stream(WHOLE, end=""), Answer.CUT, None),
+    "stream cut and ended": (True, 200, stream(WHOLE[:9]), Answer.CUT, None),
+    "stream with error": (
+        True,
+        200,
+        stream(WHOLE[:9], end=f"data: {RUN_REFUSAL}\n\n"),
+        Answer.FAILED,
+        True,
+    ),
+}
+
+
+class Handler(BaseHTTPRequestHandler):
+    replies: list[tuple[int, bytes]] = []
+    seen: list[dict[str, str]] = []
+
+    def reply(self) -> None:
+        length = int(self.headers.get("Content-Length") or 0)
+        self.rfile.read(length)
+        self.seen.append(dict(self.headers))
+        status, body = self.replies.pop(0)
+        self.send_response(status)
+        self.send_header("X-Request-Id", "q-1")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    do_GET = do_POST = reply  # noqa: N815
+
+    def log_message(self, *args: Any) -> None:
+        pass
+
+
+@pytest.fixture
+def target() -> Iterator[Target]:
+    server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+    thread.start()
+    Handler.replies, Handler.seen = [], []
+    yield Target("e1", "127.0.0.1", server.server_port)
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+def send(target: Target, tier: str, streamed: bool = False, **options: Any) -> Any:
+    request = PlannedRequest(
+        "c-1", 0.0, "shop-a", SMALL.tier(tier), PROMPT, 6, streamed, "k-1"
+    )
+    tokens = {"shop-a": workspace_token("shop-a")}
+    return Sender([target], tokens, **options).run([request])[0]
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+def test_answers_are_compared_with_the_expected_one(name: str, target: Target) -> None:
+    streamed, status, body, answer, verdict = ANSWERS[name]
+    Handler.replies = [(status, body)]
+    record: SentRecord = send(target, "question", streamed)
+    assert (record.status, record.answer, record.may_have_run) == (
+        status,
+        answer,
+        verdict,
+    )
+    assert record.request_id == "q-1"
+    assert record.intended_at <= record.started_at <= record.finished_at
+    assert Handler.seen[0]["Authorization"] == "Bearer token-shop-a"
+
+
+def test_durable_request_is_collected_until_it_is_concluded(target: Target) -> None:
+    unknown = json.dumps({"reason": "unknown", "may_have_run": False}).encode()
+    Handler.replies = [(202, b"{}"), (202, b"{}"), (404, unknown)]
+    Handler.replies += [(200, completion(WHOLE))]
+    record = send(target, "review")
+    assert record.accepted
+    assert (record.answer, record.may_have_run) == (Answer.COMPLETE, None)
+
+
+def test_durable_request_without_conclusion_stays_open(target: Target) -> None:
+    Handler.replies = [(202, b"{}"), *[(404, b"{}")] * 99]
+    record = send(target, "review", collect_timeout_s=0.5)
+    assert (record.accepted, record.answer) == (True, Answer.NONE)
+
+
+def test_refused_connection_is_recorded_as_an_error() -> None:
+    record = send(Target("e1", "127.0.0.1", 1), "question")
+    assert (record.status, record.answer) == (0, Answer.NONE)
+    assert record.error.startswith("ConnectionRefusedError")
