--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -68,7 +68,7 @@
             self.child = subprocess.Popen(
                 [sys.executable, "-u", "-m", *self.arguments],
                 cwd=REPOSITORY,
-                env={**os.environ, "PYTHONPATH": str(REPOSITORY)},
+                env={**os.environ, "PYTHONPATH": _python_path()},
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=err,
@@ -133,6 +133,12 @@
             self.exit_codes.append(self.child.wait(KILL_TIMEOUT_S))
 
 
+def _python_path() -> str:
+    """Puts this repository before whatever the path names already."""
+    rest = os.environ.get("PYTHONPATH")
+    return os.pathsep.join([str(REPOSITORY), *([rest] if rest else [])])
+
+
 @define
 class PortAllocator:
     """Hands out free loopback ports, each at most once."""
--- /dev/null
+++ b/benchmarks/scenario_measures.py
@@ -0,0 +1,85 @@
+"""The quantities that the steps ``expect`` and ``wait_for`` can bound."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from benchmarks.checker import is_shed
+from benchmarks.records import Answer, SentRecord, starts
+from benchmarks.scenario_run import Run, measure
+
+
+def _chosen(run: Run, arguments: Mapping[str, Any]) -> list[SentRecord]:
+    records = run.testbed.records
+    if "load" in arguments:
+        records = run.records[arguments["load"]]
+    for name in ("tier", "workspace", "entry"):
+        if name in arguments:
+            records = [r for r in records if getattr(r, name) == arguments[name]]
+    return records
+
+
+@measure("sent")
+def _sent(run: Run, arguments: Mapping[str, Any]) -> float:
+    return len(_chosen(run, arguments))
+
+
+@measure("complete")
+def _complete(run: Run, arguments: Mapping[str, Any]) -> float:
+    records = _chosen(run, arguments)
+    return sum(record.answer is Answer.COMPLETE for record in records)
+
+
+@measure("complete_share")
+def _complete_share(run: Run, arguments: Mapping[str, Any]) -> float:
+    return _complete(run, arguments) / max(1, len(_chosen(run, arguments)))
+
+
+@measure("shed")
+def _shed(run: Run, arguments: Mapping[str, Any]) -> float:
+    return sum(is_shed(record) for record in _chosen(run, arguments))
+
+
+@measure("may_have_run")
+def _may_have_run(run: Run, arguments: Mapping[str, Any]) -> float:
+    return sum(record.may_have_run is True for record in _chosen(run, arguments))
+
+
+@measure("errors")
+def _errors(run: Run, arguments: Mapping[str, Any]) -> float:
+    return sum(bool(record.error) for record in _chosen(run, arguments))
+
+
+@measure("runs")
+def _runs(run: Run, arguments: Mapping[str, Any]) -> float:
+    """Counts runs, at one server or version, after a mark and a delay."""
+    runs = starts(run.testbed.run_events())
+    if "after" in arguments:
+        after = run.marks[arguments["after"]] + arguments.get("delay_s", 0.0)
+        runs = [r for r in runs if r.at > after]
+    for name in ("server", "version"):
+        if name in arguments:
+            runs = [r for r in runs if getattr(r, name) == arguments[name]]
+    return len(runs)
+
+
+@measure("lagging_processes")
+def _lagging_processes(run: Run, arguments: Mapping[str, Any]) -> float:
+    status = run.testbed.ask_entries("GET", "/admin/v1/config/status").body
+    number = status["number"]
+    return sum(process["number"] < number for process in status["processes"])
+
+
+@measure("ready_entries")
+def _ready_entries(run: Run, arguments: Mapping[str, Any]) -> float:
+    return run.testbed.ready_entry_count()
+
+
+@measure("calls_answered_share")
+def _calls_answered_share(run: Run, arguments: Mapping[str, Any]) -> float:
+    """Share of logical calls of which at least one attempt was answered whole."""
+    records = _chosen(run, arguments)
+    calls = {record.call_id for record in records}
+    answered = {r.call_id for r in records if r.answer is Answer.COMPLETE}
+    return len(answered) / max(1, len(calls))
--- /dev/null
+++ b/benchmarks/scenario_steps.py
@@ -0,0 +1,194 @@
+"""The steps of the scenario language."""
+
+from __future__ import annotations
+
+import json
+import random
+import threading
+import time
+from collections.abc import Mapping
+from typing import Any
+
+from benchmarks.http_json import JsonClient
+from benchmarks.processes import LOOPBACK
+from benchmarks.records import Kind
+from benchmarks.scenario_run import MEASURES, Run, ScenarioError, step
+from benchmarks.waiting import WaitTimeoutError, wait_until
+from benchmarks.workload import PlannedRequest, Shape, plan
+
+MAX_SENT_REQUESTS = 5000
+MAX_SEED = 2**31
+MAX_WAIT_S = 30.0
+DEFAULT_WAIT_S = 10.0
+MULTIPLE_CHOICES = 300
+
+# Processes
+
+
+@step("start")
+def _start(run: Run, arguments: Mapping[str, Any]) -> None:
+    name = arguments["process"]
+    if name in run.testbed.daemon_names():
+        run.testbed.restart_daemon(name)
+    else:
+        run.testbed.restart(name)
+
+
+@step("stop")
+def _stop(run: Run, arguments: Mapping[str, Any]) -> None:
+    process = run.testbed.processes[arguments["process"]]
+    code = process.stop(arguments.get("within_s", DEFAULT_WAIT_S))
+    if code != 0:
+        raise ScenarioError(f"{process.name} ended with {code}")
+
+
+@step("kill")
+def _kill(run: Run, arguments: Mapping[str, Any]) -> None:
+    run.testbed.processes[arguments["process"]].kill()
+
+
+@step("pause")
+def _pause(run: Run, arguments: Mapping[str, Any]) -> None:
+    run.testbed.processes[arguments["process"]].pause()
+
+
+@step("resume")
+def _resume(run: Run, arguments: Mapping[str, Any]) -> None:
+    run.testbed.processes[arguments["process"]].resume()
+
+
+# Faults of the stand-ins
+
+
+@step("slow")
+def _slow(run: Run, arguments: Mapping[str, Any]) -> None:
+    _post_fault(run, arguments["process"], {"slow": arguments["factor"]})
+
+
+@step("fault")
+def _fault(run: Run, arguments: Mapping[str, Any]) -> None:
+    _post_fault(run, arguments["process"], dict(arguments["settings"]))
+
+
+def _post_fault(run: Run, name: str, settings: dict[str, Any]) -> None:
+    testbed = run.testbed
+    is_service = name in testbed.described.servers_of(Kind.SERVICE)
+    path = "/_standin/faults" if is_service else "/faults"
+    client = JsonClient(LOOPBACK, testbed.ports[name])
+    reply = client.call("POST", path, settings)
+    if reply.status >= MULTIPLE_CHOICES:
+        raise ScenarioError(f"fault at {name}: {reply.status} {reply.body}")
+
+
+# Configuration
+
+
+@step("patch")
+def _patch(run: Run, arguments: Mapping[str, Any]) -> None:
+    run.testbed.patch(dict(arguments["patch"]))
+
+
+# Load
+
+
+@step("send")
+def _send(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Sends a seeded load; ``background`` lets the next steps run beside it."""
+    name = arguments["as"]
+    planned = _planned(run, name, arguments)
+    _launch(run, name, planned, tuple(arguments.get("entries", ())))
+    if not arguments.get("background", False):
+        run.join(name)
+
+
+@step("send_twice")
+def _send_twice(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Sends each call at two entries at once, under one idempotency key."""
+    name = arguments["as"]
+    again = f"{name}-again"
+    planned = _planned(run, name, arguments)
+    first, second = run.testbed.described.entries[:2]
+    _launch(run, name, planned, (first,))
+    _launch(run, again, planned, (second,))
+    run.join(name)
+    run.join(again)
+
+
+def _planned(run: Run, name: str, arguments: Mapping[str, Any]) -> list[PlannedRequest]:
+    shape = Shape(
+        seed=random.Random(f"{run.scenario.seed}/{name}").randrange(MAX_SEED),
+        rate_per_s=arguments["rate_per_s"],
+        duration_s=arguments["duration_s"],
+        tiers=tuple(arguments.get("tiers", ())),
+        burst_every_s=arguments.get("burst_every_s", 0.0),
+    )
+    planned = plan(run.testbed.described, shape)
+    if len(planned) > MAX_SENT_REQUESTS:
+        raise ScenarioError(f"{len(planned)} requests, at most {MAX_SENT_REQUESTS}")
+    return planned
+
+
+def _launch(
+    run: Run, name: str, planned: list[PlannedRequest], entries: tuple[str, ...]
+) -> None:
+    """Starts a thread that sends the planned requests."""
+    if name in run.senders:
+        raise ScenarioError(f"two loads are named {name!r}")
+    sender = run.testbed.sender(entries)
+
+    def send() -> None:
+        try:
+            run.records[name] = sender.run(planned)
+        except Exception as exc:
+            run.errors.append(exc)
+
+    run.senders[name] = threading.Thread(target=send, name=name)
+    run.senders[name].start()
+
+
+@step("join")
+def _join(run: Run, arguments: Mapping[str, Any]) -> None:
+    run.join(arguments["load"])
+
+
+# Time
+
+
+@step("mark")
+def _mark(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Notes the present time under a name, for the measure ``runs``."""
+    run.marks[arguments["as"]] = time.time()
+
+
+@step("wait")
+def _wait(run: Run, arguments: Mapping[str, Any]) -> None:
+    time.sleep(min(arguments["s"], MAX_WAIT_S))
+
+
+# Expectations
+
+
+def _holds(run: Run, arguments: Mapping[str, Any]) -> bool:
+    value = MEASURES[arguments["measure"]](run, arguments)
+    if "equals" in arguments and value != arguments["equals"]:
+        return False
+    return arguments.get("at_least", value) <= value <= arguments.get("at_most", value)
+
+
+@step("expect")
+def _expect(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Fails unless a measure is within its bounds, at once or within a time."""
+    try:
+        wait_until(
+            lambda: _holds(run, arguments),
+            arguments.get("within_s", 0.0),
+            json.dumps(dict(arguments)),
+        )
+    except WaitTimeoutError as exc:
+        value = MEASURES[arguments["measure"]](run, arguments)
+        raise ScenarioError(f"{exc}; measured {value}") from exc
+
+
+@step("wait_for")
+def _wait_for(run: Run, arguments: Mapping[str, Any]) -> None:
+    _expect(run, {"within_s": DEFAULT_WAIT_S, **arguments})
--- /dev/null
+++ b/benchmarks/scenarios.py
@@ -0,0 +1,111 @@
+"""Reads and runs scenarios written in JSON with comments.
+
+A scenario names a deployment, a seed and a list of steps. Each step is an object
+with one key, the name of the step, whose value holds the arguments. The registry
+``STEPS`` is filled by the decorator ``step``; docs/scenarios.md describes them.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import json5
+
+from benchmarks import scenario_measures, scenario_steps
+from benchmarks.checker import Violation
+from benchmarks.deployments import DEPLOYMENTS
+from benchmarks.scenario_run import STEPS, Run, Scenario, ScenarioError, Step
+from benchmarks.testbed import Testbed
+
+MAX_STEPS = 100
+
+# Importing these two modules fills the registries of steps and of measures.
+LANGUAGE_MODULES = (scenario_steps, scenario_measures)
+
+
+def load_scenario(path: Path) -> Scenario:
+    """Reads and checks a scenario file."""
+    document = json5.loads(path.read_text(encoding="utf-8"))
+    for name in ("seed", "deployment", "steps"):
+        if name not in document:
+            raise ScenarioError(f"{path.name}: {name} is missing")
+    if document["deployment"] not in DEPLOYMENTS:
+        raise ScenarioError(f"{path.name}: no deployment {document['deployment']!r}")
+    if len(document["steps"]) > MAX_STEPS:
+        raise ScenarioError(f"{path.name}: more than {MAX_STEPS} steps")
+    steps = tuple(_step(path.name, entry) for entry in document["steps"])
+    return Scenario(path.stem, document["seed"], document["deployment"], steps)
+
+
+def _step(file_name: str, entry: Any) -> Step:
+    if not isinstance(entry, dict) or len(entry) != 1:
+        raise ScenarioError(f"{file_name}: a step has one key: {entry!r}")
+    ((name, arguments),) = entry.items()
+    if name not in STEPS:
+        raise ScenarioError(f"{file_name}: no step {name!r}; known: {sorted(STEPS)}")
+    return Step(name, arguments)
+
+
+def run_scenario(scenario: Scenario) -> list[Violation]:
+    """Runs a scenario in a fresh testbed and returns what the checker found.
+
+    Raises:
+        ScenarioError: A step failed; the message holds the merged time line.
+    """
+    described = DEPLOYMENTS[scenario.deployment]()
+    with Testbed(described, seed=scenario.seed) as testbed:
+        run = Run(scenario, testbed)
+        run_steps(run)
+        violations = testbed.violations()
+        if violations:
+            print(format_timeline(testbed.timeline()), file=sys.stderr)
+        return violations
+
+
+def run_steps(run: Run) -> None:
+    """Carries out all steps in order, then waits for the load to end."""
+    for i, current in enumerate(run.scenario.steps):
+        try:
+            STEPS[current.name](run, current.arguments)
+        except Exception as exc:
+            raise _failure(run, f"step {i} ({current.name})", exc) from exc
+    try:
+        run.join_all()
+    except Exception as exc:
+        raise _failure(run, "end of load", exc) from exc
+
+
+def _failure(run: Run, place: str, exc: Exception) -> ScenarioError:
+    timeline = format_timeline(run.testbed.timeline())
+    scenario = run.scenario
+    return ScenarioError(
+        f"{scenario.name}, seed {scenario.seed}, {place}: {exc}\n"
+        f"files: {run.testbed.folder}\n{timeline}"
+    )
+
+
+def format_timeline(events: list[dict[str, Any]]) -> str:
+    """Returns one line of JSON for each event of the time line."""
+    return "\n".join(["time line:", *(json.dumps(event) for event in events)])
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the named scenario files; returns 1 if any of them fails."""
+    failed = 0
+    for path in map(Path, arguments):
+        try:
+            found = run_scenario(load_scenario(path))
+        except ScenarioError as exc:
+            print(exc, file=sys.stderr)
+            failed += 1
+            continue
+        failed += bool(found)
+        print(path.name, "failed" if found else "passed", *found, sep="\n  ")
+    return min(failed, 1)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -13,6 +13,7 @@
 
 from benchmarks.checker import Evidence, Violation, run_checks
 from benchmarks.cluster_settings import (
+    FIRST_VERSION,
     OPERATOR_TOKEN,
     Placement,
     configuration,
@@ -52,7 +53,7 @@
         described: The deployment to run.
         seed: Seed passed to the stand-ins.
         folder: Folder for settings, run logs and output.
-        versions: Versions that the engines can load.
+        versions: Versions that the engines hold at their start.
         processes: All processes by name, in order of their first start.
         ports: HTTP port by process name.
         records: What the senders of this testbed saw.
@@ -61,7 +62,7 @@
     described: Deployment
     seed: int = 1
     folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="testbed-")))
-    versions: tuple[str, ...] = ("v1", "v2", "v3")
+    versions: tuple[str, ...] = (FIRST_VERSION,)
     processes: dict[str, ManagedProcess] = field(factory=dict)
     ports: dict[str, int] = field(factory=dict)
     entries: list[Placement] = field(factory=list)
@@ -221,6 +222,10 @@
         """Starts an ended entry or side again with the same settings."""
         self.processes[name].start()
 
+    def daemon_names(self) -> set[str]:
+        """Returns the names of all entries and sides."""
+        return {placement.name for placement in self._placements()}
+
     # Operating
 
     def client(self, name: str, token: str = OPERATOR_TOKEN) -> JsonClient:
@@ -263,9 +268,12 @@
             return False
         status = self.ask_entries("GET", "/admin/v1/config/status").body
         in_force = {p["name"]: p["number"] for p in status["processes"]}
-        expected = {placement.name for placement in self._placements()}
-        running_names = {n for n in expected if self.processes[n].running}
-        return all(in_force.get(n) == status["number"] for n in running_names)
+        names = {n for n in self.daemon_names() if self.processes[n].running}
+        return all(in_force.get(n) == status["number"] for n in names)
+
+    def ready_entry_count(self) -> int:
+        """Counts the entries that say they are ready."""
+        return sum(self._entry_ready(entry.name) for entry in self.entries)
 
     def _placements(self) -> list[Placement]:
         return [*self.entries, *self.sides.values()]
