Add the demonstration and the figures it prints

Cause: newcomers and reviewers need one command that shows the system at work.

Change: benchmarks/demo.py runs the small deployment at 1.3 times its estimated capacity with a patch, a good and a bad move, a drain and a crash, prints goodput by tier, wasted prefill, moves and doubled runs, and writes the time line page. measures.py computes the figures from run logs and the sender's records.

The demonstration itself has not run yet; it needs the daemon.

--- a/cornelpin/tests/scenarios/test_workload.py
+++ b/cornelpin/tests/scenarios/test_workload.py
@@ -8,11 +8,14 @@
 
 import pytest
 
+from benchmarks import demo
 from benchmarks.answers import expected_answer
 from benchmarks.cluster_settings import workspace_token
 from benchmarks.deployments import DEPLOYMENTS, capacity_per_s
 from benchmarks.load import Sender, Target
-from benchmarks.records import Answer, Kind, SentRecord
+from benchmarks.measures import goodput_by_tier, prefill_work
+from benchmarks.records import Answer, Kind, RunEvent, SentRecord
+from benchmarks.timeline_page import timeline_page
 from benchmarks.workload import PlannedRequest, Shape, plan
 
 SHAPE = Shape(seed=7, rate_per_s=200.0, duration_s=5.0, burst_every_s=2.0)
@@ -164,3 +167,33 @@
     record = send(Target("e1", "127.0.0.1", 1), "question")
     assert (record.status, record.answer) == (0, Answer.NONE)
     assert record.error.startswith("ConnectionRefusedError")
+
+
+def test_demo_sends_a_few_hundred_requests_of_all_tiers() -> None:
+    described = demo.demo_deployment()
+    rate_per_s = demo.LOAD_FACTOR * capacity_per_s(described)
+    planned = plan(described, Shape(demo.SEED, rate_per_s, demo.LOAD_DURATION_S))
+    assert 200 <= len(planned) <= 1000
+    assert {request.tier for request in planned} == set(described.tiers)
+
+
+def test_measures_count_whole_answers_and_wasted_prefill() -> None:
+    whole = SentRecord("a", "shop-a", "tag", "furnace", Kind.MODEL, "a")
+    whole.answer = Answer.COMPLETE
+    whole.intended_at, whole.started_at, whole.finished_at = 1.0, 2.5, 3.0
+    shed = SentRecord("b", "shop-a", "tag", "furnace", Kind.MODEL, "b", status=429)
+    (row,) = goodput_by_tier([whole, shed])
+    assert (row.sent, row.complete, row.shed, row.share) == (2, 1, 1, 0.5)
+    assert row.median_latency_s == 2.0
+    events = [
+        RunEvent("f1", "end", "q", "a", 3.0, "", "v1", outcome, 100, 40)
+        for outcome in ("done", "failed", "cancelled")
+    ]
+    work = prefill_work(events)
+    assert (work.computed, work.cached, work.wasted) == (180, 120, 120)
+
+
+def test_timeline_page_escapes_what_it_shows() -> None:
+    page = timeline_page("t", [{"at": 1, "text": "<b>"}, {"other": None}])
+    assert "&lt;b&gt;" in page
+    assert "<b>" not in page
