--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -22,7 +22,7 @@
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.spread import ConfigSpread
 from cornelpin.daemon.watcher import ConfigWatcher
-from cornelpin.platform import make_object_store
+from cornelpin.platform import object_store
 
 if TYPE_CHECKING:
     from cornelpin.core.config import Config
@@ -39,7 +39,9 @@
     def __init__(self, process: Process) -> None:
         settings = process.settings
         self.process = process
-        self._objects = make_object_store(settings.objects)
+        self._objects = object_store.create(
+            settings.objects.kind, url=settings.objects.url
+        )
         self._store = ConfigStore(self._objects)
         self._links = LinkTable(
             process,
--- a/cornelpin/daemon/peer.py
+++ b/cornelpin/daemon/peer.py
@@ -73,7 +73,9 @@
         self._sock = sock
         self._clock = clock
         self._buffer = bytearray()
-        self._frames: queue.SimpleQueue[bytes | threading.Event | None] = queue.SimpleQueue()
+        self._frames: queue.SimpleQueue[bytes | threading.Event | None] = (
+            queue.SimpleQueue()
+        )
         self._closed = threading.Event()
         self.name = ""
         self.role = ""
--- a/cornelpin/daemon/spread.py
+++ b/cornelpin/daemon/spread.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from cornelpin.core.config import ConfigFaults, parse_config
-from cornelpin.core.sections import Head, join_sections
+from cornelpin.core.sections import Head, join
 from cornelpin.daemon.messages import (
     ConfigHead,
     ConfigSections,
@@ -57,7 +57,9 @@
 
     def publish(self, head: Head, sections: Mapping[str, bytes]) -> bool:
         """Puts a configuration in force here and announces it to all peers."""
-        document = join_sections(head, sections)
+        document = join(
+            {name: sections[digest] for name, digest in head.sections.items()}
+        )
         config = parse_config(document, number=head.number)
         if isinstance(config, ConfigFaults):
             logger.error("configuration {} not applied: {}", head.number, config)
--- a/cornelpin/daemon/watcher.py
+++ b/cornelpin/daemon/watcher.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import threading
 from typing import TYPE_CHECKING, Any
 
-from cornelpin.core.configstore import Snapshot
+from cornelpin.core.configstore import HistoryEntry, Snapshot
+from cornelpin.core.sections import digest_of, split
 
 if TYPE_CHECKING:
     from cornelpin.core.configstore import ConfigStore
@@ -39,12 +41,16 @@
         with self._lock:
             loaded = self._store.load()
             if isinstance(loaded, Snapshot) and loaded.number > self._view.number:
-                self._spread.publish(loaded.head, loaded.sections)
+                self._publish(loaded)
+
+    def _publish(self, loaded: Snapshot) -> None:
+        sections = split(loaded.document).values()
+        if loaded.head is not None:
+            self._spread.publish(
+                loaded.head, {digest_of(section): section for section in sections}
+            )
 
     def history(self, first: int, last: int) -> list[dict[str, Any]]:
         """Returns the history entries from ``first`` to ``last``."""
-        return [
-            entry
-            for number in range(first, last + 1)
-            if (entry := self._store.history(number)) is not None
-        ]
+        entries = [self._store.history(number) for number in range(first, last + 1)]
+        return [dataclasses.asdict(e) for e in entries if isinstance(e, HistoryEntry)]
