--- /dev/null
+++ b/cornelpin/core/documents.py
@@ -0,0 +1,37 @@
+"""Reading files in JSON with comments."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import json5
+
+
+@dataclass(frozen=True)
+class Document:
+    """A decoded file."""
+
+    value: Any
+
+
+@dataclass(frozen=True)
+class Unreadable:
+    """A file that can't be read or is not JSON with comments."""
+
+    path: Path
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.reason}"
+
+
+def read_document(path: Path) -> Document | Unreadable:
+    """Reads a file in JSON with comments."""
+    try:
+        return Document(json5.loads(path.read_text(encoding="utf-8")))
+    except OSError as exc:
+        return Unreadable(path, exc.strerror or str(exc))
+    except (ValueError, RecursionError) as exc:
+        return Unreadable(path, f"not JSON with comments: {exc}")
