Say at once which process ended while the testbed starts

Cause: a daemon that ends at its start made the testbed wait for its time-out and hid the reason; folders of passed runs stayed behind.

Change: the start fails with the last output of the ended process. Folders are removed after a run without violations and kept, and named, after one with.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -152,7 +152,10 @@
             operate(testbed)
         finally:
             load.join()
-        return report(testbed)
+        exit_code = report(testbed)
+    if exit_code == 0:
+        testbed.remove_folder()
+    return exit_code
 
 
 if __name__ == "__main__":
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -18,7 +18,7 @@
 from benchmarks.checker import Violation
 from benchmarks.deployments import DEPLOYMENTS
 from benchmarks.scenario_run import STEPS, Run, Scenario, ScenarioError, Step
-from benchmarks.testbed import Testbed
+from benchmarks.testbed import Testbed, TestbedError
 
 MAX_STEPS = 100
 
@@ -61,8 +61,11 @@
         run_steps(run)
         violations = testbed.violations()
         if violations:
+            print(f"files: {testbed.folder}", file=sys.stderr)
             print(format_timeline(testbed.timeline()), file=sys.stderr)
-        return violations
+    if not violations:
+        testbed.remove_folder()
+    return violations
 
 
 def run_steps(run: Run) -> None:
@@ -98,7 +101,7 @@
     for path in map(Path, arguments):
         try:
             found = run_scenario(load_scenario(path))
-        except ScenarioError as exc:
+        except (ScenarioError, TestbedError) as exc:
             print(exc, file=sys.stderr)
             failed += 1
             continue
--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import shutil
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -95,6 +96,10 @@
         """Ends every process that was started."""
         stop_all(list(self.processes.values()))
 
+    def remove_folder(self) -> None:
+        """Removes settings, run logs and output, once nobody needs them."""
+        shutil.rmtree(self.folder, ignore_errors=True)
+
     # Stand-ins
 
     def start_standins(self) -> None:
@@ -143,10 +148,10 @@
             self._add_daemon(entry, "entry", {})
         for name, side in self.sides.items():
             self._add_daemon(side, "side", {"backend": self._backend(name)})
-        wait_until(self._answers_status, CONFIG_TIMEOUT_S, "an entry answers status")
+        wait_until(self._answers_status, CONFIG_TIMEOUT_S, "entries answer status")
         document = configuration(self.described, LOOPBACK, self.entries, self.sides)
         self.patch(document)
-        wait_until(self.ready, CONFIG_TIMEOUT_S, "all entries are ready")
+        wait_until(self._all_ready, CONFIG_TIMEOUT_S, "all entries are ready")
 
     def _place(self) -> None:
         for name in self.described.entries:
@@ -281,7 +286,19 @@
     def _entry_ready(self, name: str) -> bool:
         return _quietly(lambda: self.client(name).call("GET", "/readyz").status == OK)
 
+    def _all_ready(self) -> bool:
+        self._check_running()
+        return _quietly(self.ready)
+
+    def _check_running(self) -> None:
+        """Fails at once, with its last output, when a process ended at its start."""
+        for process in self.processes.values():
+            if not process.running:
+                raise TestbedError(f"{process.name} ended: {process.last_errors()}")
+
     def _answers_status(self) -> bool:
+        self._check_running()
+
         def answers() -> bool:
             path = "/admin/v1/config/status"
             return all(
