Run the host list and the weight store in the testbed

Cause: hosts leave by a lagging host list, too, and versions are loaded at the rate of the weight store; the demonstration also asked for two moves of one route.

Change: the testbed starts both stand-ins and fills the host list before any daemon starts; step "host" changes a host's state. No weight store is named in the settings, as no kind of client is registered. The demonstration takes its first move out of the configuration before it starts the second.

--- a/benchmarks/cluster_settings.py
+++ b/benchmarks/cluster_settings.py
@@ -26,6 +26,14 @@
     http_port: int
 
 
+@frozen
+class PlatformUrls:
+    """Where the services of the platform listen."""
+
+    objects: str
+    host_list: str
+
+
 def sha256_hex(text: str) -> str:
     """Returns the SHA-256 of a text in hexadecimal."""
     return hashlib.sha256(text.encode()).hexdigest()
@@ -41,7 +49,7 @@
     role: str,
     described: Deployment,
     address: str,
-    objects_url: str,
+    platform: PlatformUrls,
     seeds: list[str],
 ) -> dict[str, Any]:
     """Returns the settings that entries and sides have in common."""
@@ -54,8 +62,9 @@
         "peer_port": placement.peer_port,
         "http_port": placement.http_port,
         "shared_key": SHARED_KEY,
-        "objects": {"kind": "http", "url": objects_url},
-        "host_list": None,
+        "objects": {"kind": "http", "url": platform.objects},
+        "host_list": {"kind": "http", "url": platform.host_list},
+        # Engines fetch weights themselves; no client of the store is registered.
         "weight_store": None,
         "seeds": seeds,
         "log": {"format": "text", "level": "INFO"},
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -35,7 +35,9 @@
 GOOD_VERSION = "v2"
 BAD_VERSION = "v3"
 BAD_VERSION_FAULT = {"fail_rate": 0.6}
-FINAL_MOVE_STATES = frozenset({"done", "taken_back", "late"})
+VERDICT_GRACE_S = 2.0
+DONE = "done"
+FINAL_MOVE_STATES = frozenset({DONE, "taken_back", "late"})
 BUILD_FOLDER = Path(__file__).resolve().parent.parent / "build"
 
 
@@ -57,16 +59,22 @@
     """Does what operators and faults do while the load runs."""
     _say("patch: shop-b gets a larger share")
     testbed.patch({"workspaces": {"shop-b": {"share": 2.0}}})
-    _move(testbed, "good", FIRST_VERSION, GOOD_VERSION)
+    version = FIRST_VERSION
+    if _move(testbed, "good", version, GOOD_VERSION) == DONE:
+        version = GOOD_VERSION
     _make_bad(testbed)
-    _move(testbed, "bad", GOOD_VERSION, BAD_VERSION)
+    # A route has one unfinished move, so the first one leaves with this patch.
+    route = {testbed.described.model_route: {"version": version}}
+    testbed.patch({"routes": route, "moves": {"good": None}})
+    _move(testbed, "bad", version, BAD_VERSION)
     _say("drain: host-f3")
     testbed.patch({"hosts": {"host-f3": {"leaving": True}}})
     _say("kill: side-f2")
     testbed.processes["side-f2"].kill()
 
 
-def _move(testbed: Testbed, name: str, old: str, new: str) -> None:
+def _move(testbed: Testbed, name: str, old: str, new: str) -> str:
+    """Starts a move, waits for its verdict and returns its last state."""
     _say(f"move {name}: {old} to {new}")
     move = {
         "route": testbed.described.model_route,
@@ -82,11 +90,14 @@
     try:
         wait_until(
             lambda: move_state(testbed, name) in FINAL_MOVE_STATES,
-            MOVE_TIME_S,
+            MOVE_TIME_S + VERDICT_GRACE_S,
             f"move {name} states its end",
         )
     except WaitTimeoutError as exc:
         _say(str(exc))
+    state = move_state(testbed, name)
+    _say(f"verdict on move {name}: {state or 'none'}")
+    return state
 
 
 def move_state(testbed: Testbed, name: str) -> str:
@@ -116,8 +127,6 @@
         )
     prefill = prefill_work(testbed.run_events())
     print(f"wasted prefill: {prefill.wasted} of {prefill.computed} tokens")
-    for move in moves(testbed):
-        print(f"move {move.get('name')}: {move.get('state')} {move.get('reason', '')}")
     _write_timeline(testbed)
     violations = testbed.violations()
     doubled = sum(found.check.startswith("doubled") for found in violations)
--- a/benchmarks/scenario_steps.py
+++ b/benchmarks/scenario_steps.py
@@ -88,6 +88,11 @@
     run.testbed.patch(dict(arguments["patch"]))
 
 
+@step("host")
+def _host(run: Run, arguments: Mapping[str, Any]) -> None:
+    run.testbed.set_host_state(arguments["host"], arguments["state"])
+
+
 # Load
 
 
--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -17,6 +17,7 @@
     FIRST_VERSION,
     OPERATOR_TOKEN,
     Placement,
+    PlatformUrls,
     configuration,
     process_settings,
     sha256_hex,
@@ -35,6 +36,10 @@
 from benchmarks.waiting import wait_until
 
 OBJECTS = "objects"
+HOST_LIST = "hosts"
+WEIGHTS = "weights"
+HOST_OPTIONS = {"lag-s": 2.0}
+WEIGHT_OPTIONS = {"loads-per-s": 2.0}
 CONFIG_TIMEOUT_S = 20.0
 OK = 200
 
@@ -103,13 +108,37 @@
     # Stand-ins
 
     def start_standins(self) -> None:
-        """Starts the object store, the engines and the services."""
+        """Starts the platform's services, the engines and the plain services."""
         self._add_standin(OBJECTS, "standins.objects", [])
+        self._add_standin(HOST_LIST, "standins.hosts", _as_arguments(HOST_OPTIONS))
+        self._add_standin(WEIGHTS, "standins.weights", _as_arguments(WEIGHT_OPTIONS))
         for engine in self.described.engines:
             self._add_standin(engine.name, "standins.engine", self._engine(engine))
         for service in self.described.services:
             self._add_standin(service.name, "standins.service", self._service(service))
         self.wait_ready()
+        for host in self.described.hosts:
+            self.set_host_state(host, "live")
+        # A daemon that starts on a list still empty would see every host as gone.
+        wait_until(self._hosts_listed, CONFIG_TIMEOUT_S, "the host list is filled")
+
+    def _hosts_listed(self) -> bool:
+        listed = self.client(HOST_LIST).call("GET", "/hosts").body
+        return len(listed) == len(self.described.hosts)
+
+    def set_host_state(self, host: str, state: str) -> None:
+        """Makes the host list say that a host is ``live`` or ``leaving``."""
+        listed = {
+            "address": LOOPBACK,
+            "data_centre": self.described.hosts[host],
+            "state": state,
+        }
+        reply = self.client(HOST_LIST).call("PUT", f"/hosts/{host}", listed)
+        if reply.status != OK:
+            raise TestbedError(f"host {host}: {reply.status} {reply.body}")
+
+    def _url(self, name: str) -> str:
+        return f"http://{LOOPBACK}:{self.ports[name]}"
 
     def _add_standin(self, name: str, module: str, arguments: list[str]) -> None:
         port = self.ports[name] = self.allocator.allocate()
@@ -127,6 +156,7 @@
             "cache-tokens": engine.cache_tokens,
             "run-log": self.run_log(engine.name),
             "checks-fence": int(engine.checks_fence),
+            "weights-url": self._url(WEIGHTS),
             "seed": self.seed,
         }
         return _as_arguments(options)
@@ -174,9 +204,9 @@
         self, placement: Placement, role: str, extra: dict[str, Any]
     ) -> None:
         seeds = [f"{LOOPBACK}:{entry.peer_port}" for entry in self.entries]
-        objects_url = f"http://{LOOPBACK}:{self.ports[OBJECTS]}"
+        platform = PlatformUrls(self._url(OBJECTS), self._url(HOST_LIST))
         settings = process_settings(
-            placement, role, self.described, LOOPBACK, objects_url, seeds
+            placement, role, self.described, LOOPBACK, platform, seeds
         )
         if role == "entry":
             settings["bootstrap_operator_sha256"] = sha256_hex(OPERATOR_TOKEN)
@@ -185,7 +215,7 @@
         self._add(placement.name, ["cornelpin.daemon", "--settings", str(path)])
 
     def _backend(self, name: str) -> dict[str, Any]:
-        url = f"http://{LOOPBACK}:{self.ports[name]}"
+        url = self._url(name)
         for engine in self.described.engines:
             if engine.name == name:
                 return {
