Add the operators' command line

Operators need check, config, status, moves, drain, timeline and send with exit codes that tell refused, stale, unreachable and undecided apart. Click commands call an entry by one small client; errors say what to do next. Settings now show faults of the role and key beside other faults, and a key that appears twice in a file is refused.

--- /dev/null
+++ b/cornelpin/cli/client.py
@@ -0,0 +1,115 @@
+"""Client of an entry's HTTP interface."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import urlencode
+
+from cornelpin.platform.http_caller import HttpCaller, NotSent, Response
+
+DEFAULT_TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The entry did as it was asked."""
+
+    value: Any
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """The entry refused, with the members of its problem document."""
+
+    status: int
+    problem: Mapping[str, Any] = field(default_factory=dict)
+
+    @property
+    def reason(self) -> str:
+        """What the entry says about the refusal."""
+        for key in ("detail", "reason", "title"):
+            if self.problem.get(key):
+                return str(self.problem[key])
+        return f"HTTP status {self.status}"
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the order or request may have taken effect."""
+        # A server that fails without a statement may have failed at any point.
+        unstated = self.status >= 500 and self.status != 503
+        return bool(self.problem.get("may_have_run", unstated))
+
+
+@dataclass(frozen=True)
+class Unreachable:
+    """No connection was made, so that nothing was done."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class NoAnswer:
+    """The request may have reached the entry but no whole answer came back."""
+
+    reason: str
+
+
+Outcome = Answer | Refusal | Unreachable | NoAnswer
+
+
+class Client:
+    """Calls one entry.
+
+    Args:
+        url: Base URL of the entry.
+        token: Bearer token of an operator or a workspace.
+        timeout_s: Timeout of each wait for the entry.
+    """
+
+    def __init__(
+        self, url: str, *, token: str | None, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> None:
+        self._http = HttpCaller(url, timeout_s=timeout_s)
+        self._headers = {"Accept": "application/json"}
+        if token is not None:
+            self._headers["Authorization"] = f"Bearer {token}"
+
+    def get(self, path: str, **query: object) -> Outcome:
+        """Reads a resource; query members that are None are left out."""
+        given = {key: value for key, value in query.items() if value is not None}
+        full = f"{path}?{urlencode(given)}" if given else path
+        return self._call("GET", full, None, {})
+
+    def post(
+        self, path: str, body: Any, *, headers: Mapping[str, str] | None = None
+    ) -> Outcome:
+        """Posts a JSON document."""
+        return self._call("POST", path, json.dumps(body).encode(), headers or {})
+
+    def _call(
+        self, method: str, path: str, body: bytes | None, headers: Mapping[str, str]
+    ) -> Outcome:
+        sent = {**self._headers, **headers}
+        if body is not None:
+            sent["Content-Type"] = "application/json"
+        resp = self._http.call(method, path, body=body, headers=sent)
+        if isinstance(resp, NotSent):
+            return Unreachable(resp.reason)
+        if not isinstance(resp, Response):
+            return NoAnswer(resp.reason)
+        return _decode(resp)
+
+
+def _decode(resp: Response) -> Outcome:
+    try:
+        value = json.loads(resp.body)
+    except ValueError:
+        if resp.status < 400:
+            return NoAnswer(f"status {resp.status} with a body that is not JSON")
+        value = None
+    if resp.status < 300:
+        return Answer(value)
+    return Refusal(resp.status, value if isinstance(value, dict) else {})
--- /dev/null
+++ b/cornelpin/cli/drain.py
@@ -0,0 +1,52 @@
+"""The command that drains a host."""
+
+from __future__ import annotations
+
+import click
+
+from cornelpin.cli import exit_codes
+from cornelpin.cli._context import entry_options, output_option, read, wants_json
+from cornelpin.cli._help import examples
+from cornelpin.cli._output import echo_json
+from cornelpin.cli._patches import accepted_number, is_stale, submit
+from cornelpin.cli.errors import CommandError
+from cornelpin.core._checking import listed
+
+MAX_ATTEMPTS = 5
+
+
+@click.command(epilog=examples("cornelpin drain furnace-host-3"))
+@entry_options()
+@output_option
+@click.argument("host")
+def drain(host: str) -> None:
+    """Marks HOST as leaving, so that it receives no new work.
+
+    The patch is repeated against the current number if another one comes first.
+    """
+    number, changed = _drain(host)
+    if wants_json():
+        echo_json({"host": host, "number": number, "changed": changed})
+    elif changed:
+        click.echo(f"{host} is leaving as of number {number}")
+    else:
+        click.echo(f"{host} was leaving already at number {number}")
+
+
+def _drain(host: str) -> tuple[int, bool]:
+    for attempt in range(MAX_ATTEMPTS):
+        current = read("/admin/v1/config")
+        base = current["number"]
+        hosts = current["document"].get("hosts", {})
+        if host not in hosts:
+            raise CommandError(
+                f"the configuration has no host {host!r}; it has: {listed(hosts)}",
+                exit_code=exit_codes.INVALID,
+                advice="give one of these hosts",
+            )
+        if hosts[host].get("leaving"):
+            return base, False
+        outcome = submit(base, {"hosts": {host: {"leaving": True}}})
+        if not is_stale(outcome) or attempt == MAX_ATTEMPTS - 1:
+            break
+    return accepted_number(outcome, base=base), True
--- /dev/null
+++ b/cornelpin/cli/exit_codes.py
@@ -0,0 +1,19 @@
+"""Exit codes of the command line."""
+
+from __future__ import annotations
+
+OK = 0
+FAILED = 1
+INVALID = 2
+STALE = 3
+UNREACHABLE = 4
+UNDECIDED = 5
+
+MEANINGS = {
+    OK: "done",
+    FAILED: "refused or failed",
+    INVALID: "bad usage or invalid input",
+    STALE: "the patch was made against a stale number",
+    UNREACHABLE: "the entry can't be reached, nothing was done",
+    UNDECIDED: "undecided: the order or request may have taken effect",
+}
--- a/cornelpin/core/documents.py
+++ b/cornelpin/core/documents.py
@@ -30,8 +30,18 @@
 def read_document(path: Path) -> Document | Unreadable:
     """Reads a file in JSON with comments."""
     try:
-        return Document(json5.loads(path.read_text(encoding="utf-8")))
+        text = path.read_text(encoding="utf-8")
+        return Document(json5.loads(text, object_pairs_hook=_object))
     except OSError as exc:
         return Unreadable(path, exc.strerror or str(exc))
     except (ValueError, RecursionError) as exc:
         return Unreadable(path, f"not JSON with comments: {exc}")
+
+
+def _object(pairs: list[tuple[Any, Any]]) -> dict[str, Any]:
+    members: dict[str, Any] = {}
+    for key, value in pairs:
+        if key in members:
+            raise ValueError(f"the key {str(key)!r} appears twice in an object")
+        members[str(key)] = value
+    return members
--- a/cornelpin/daemon/settings.py
+++ b/cornelpin/daemon/settings.py
@@ -71,34 +71,36 @@
     """Checks a settings document; the file of the shared key is not read."""
     faults: Faults = []
     settings = build(Settings, document, faults)
-    if settings is not None:
-        faults.extend(_key_faults(settings))
-        faults.extend(_role_faults(settings))
+    if isinstance(document, dict):
+        # These look at the document, so that they also show beside other faults.
+        faults.extend(_key_faults(document))
+        faults.extend(_role_faults(document))
     if settings is None or faults:
         return SettingsFaults(tuple(sorted(faults, key=lambda fault: fault.path)))
     return settings
 
 
-def _key_faults(settings: Settings) -> Iterator[Fault]:
-    given = (settings.shared_key, settings.shared_key_file)
+def _key_faults(document: dict[str, Any]) -> Iterator[Fault]:
+    given = (document.get("shared_key"), document.get("shared_key_file"))
     if given.count(None) == 1:
         return
     value = "(both)" if None not in given else "(missing)"
     yield Fault("$.shared_key", value, "either shared_key or shared_key_file")
 
 
-def _role_faults(settings: Settings) -> Iterator[Fault]:
-    if settings.role == "entry":
-        if settings.http_port is None:
+def _role_faults(document: dict[str, Any]) -> Iterator[Fault]:
+    backend = document.get("backend")
+    digest = document.get("bootstrap_operator_sha256")
+    if document.get("role") == "entry":
+        if document.get("http_port") is None:
             yield Fault("$.http_port", None, "a port: an entry needs one")
-        if settings.backend is not None:
-            yield Fault("$.backend", settings.backend.name, "null for an entry")
-        return
-    if settings.backend is None:
-        yield Fault("$.backend", None, "an object: a side needs its backend server")
-    if settings.bootstrap_operator_sha256 is not None:
-        value = settings.bootstrap_operator_sha256
-        yield Fault("$.bootstrap_operator_sha256", value, "null for a side")
+        if backend is not None:
+            yield Fault("$.backend", backend, "null for an entry")
+    elif document.get("role") == "side":
+        if backend is None:
+            yield Fault("$.backend", None, "an object: a side needs its backend server")
+        if digest is not None:
+            yield Fault("$.bootstrap_operator_sha256", digest, "null for a side")
 
 
 def _with_key(settings: Settings, path: Path) -> Settings | SettingsFaults:
--- a/cornelpin/platform/hosts.py
+++ b/cornelpin/platform/hosts.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from cornelpin.platform._http import DEFAULT_TIMEOUT_S, HttpCaller, Response
+from cornelpin.platform.http_caller import DEFAULT_TIMEOUT_S, HttpCaller, Response
 from cornelpin.platform.objects import Unavailable
 from cornelpin.platform.registry import host_list
 
--- a/cornelpin/platform/http_objects.py
+++ b/cornelpin/platform/http_objects.py
@@ -5,7 +5,7 @@
 import json
 from urllib.parse import quote, urlencode
 
-from cornelpin.platform._http import (
+from cornelpin.platform.http_caller import (
     DEFAULT_TIMEOUT_S,
     HttpCaller,
     NoResponse,
--- a/cornelpin/tests/test_settings.py
+++ b/cornelpin/tests/test_settings.py
@@ -71,7 +71,7 @@
     assert "short" not in str(result)
 
 
-@pytest.mark.parametrize("text", ["", "{", "{} {}", '{"a": }'])
+@pytest.mark.parametrize("text", ["", "{", "{} {}", '{"a": }', "{a: 1, a: 2}"])
 def test_malformed_file(tmp_path: Path, text: str) -> None:
     path = tmp_path / "settings.jsonc"
     path.write_text(text)
