Show broken references beside other faults

An operator should see all faults at once, but references were checked only once every field was valid. They are now checked on the document itself by a table of references.

--- a/cornelpin/core/config.py
+++ b/cornelpin/core/config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -38,6 +38,15 @@
     "parse_config",
 ]
 
+# Section, key of its entries, and the section whose names the key refers to.
+_REFERENCES = (
+    ("routes", "tier", "tiers"),
+    ("routes", "backend_servers", "backend_servers"),
+    ("workspaces", "routes", "routes"),
+    ("workspaces", "tiers", "tiers"),
+    ("moves", "route", "routes"),
+)
+
 
 @dataclass(frozen=True)
 class ConfigFaults:
@@ -61,23 +70,43 @@
     """
     faults: Faults = []
     config = build(Config, document, faults, number=number)
+    if isinstance(document, dict):
+        # These look at the document, so that they also show beside other faults.
+        faults.extend(_reference_faults(document))
     if config is not None:
-        faults.extend(_reference_faults(config))
+        faults.extend(_conflict_faults(config))
     if config is None or faults:
         return ConfigFaults(tuple(sorted(faults, key=lambda fault: fault.path)))
     return config
 
 
-def _reference_faults(config: Config) -> Iterator[Fault]:
-    for route in config.routes.values():
-        path = member("$.routes", route.name)
-        yield from _unknown(f"{path}.tier", [route.tier], config.tiers)
-        where = f"{path}.backend_servers"
-        yield from _unknown(where, route.backend_servers, config.backend_servers)
-    for workspace in config.workspaces.values():
-        path = member("$.workspaces", workspace.name)
-        yield from _unknown(f"{path}.routes", workspace.routes, config.routes)
-        yield from _unknown(f"{path}.tiers", workspace.tiers, config.tiers)
+def _reference_faults(document: dict[str, Any]) -> Iterator[Fault]:
+    for section, key, target in _REFERENCES:
+        known = _entries(document, target)
+        for name, entry in _entries(document, section).items():
+            value = entry.get(key) if isinstance(entry, dict) else None
+            path = member(member(f"$.{section}", name), key)
+            for where, reference in _named(path, value):
+                if reference not in known:
+                    valid = f"a defined name: {listed(known)}"
+                    yield Fault(where, reference, valid)
+
+
+def _entries(document: dict[str, Any], section: str) -> dict[str, Any]:
+    entries = document.get(section)
+    return entries if isinstance(entries, dict) else {}
+
+
+def _named(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    """Returns the names in a text or an array of texts with their paths."""
+    if isinstance(value, str):
+        yield path, value
+    for index, item in enumerate(value if isinstance(value, list) else ()):
+        if isinstance(item, str):
+            yield member(path, index), item
+
+
+def _conflict_faults(config: Config) -> Iterator[Fault]:
     for move in config.moves.values():
         yield from _move_faults(config, move)
     yield from _shared_moves(config)
@@ -85,16 +114,6 @@
     yield from _shared_tokens("$.operators", config.operators)
 
 
-def _unknown(
-    path: str, names: Collection[str], known: Mapping[str, object]
-) -> Iterator[Fault]:
-    single = not path.endswith("s")
-    for index, name in enumerate(names):
-        if name not in known:
-            where = path if single else member(path, index)
-            yield Fault(where, name, f"a defined name: {listed(known)}")
-
-
 def _move_faults(config: Config, move: Move) -> Iterator[Fault]:
     path = member("$.moves", move.name)
     if move.from_version == move.to_version:
@@ -102,7 +121,6 @@
         yield Fault(f"{path}.to_version", move.to_version, valid)
     route = config.routes.get(move.route)
     if route is None:
-        yield from _unknown(f"{path}.route", [move.route], config.routes)
         return
     if route.version not in (None, move.from_version, move.to_version):
         valid = f"the version of route {route.name} ({route.version}) as one end"
--- a/cornelpin/tests/test_config.py
+++ b/cornelpin/tests/test_config.py
@@ -86,8 +86,13 @@
 
 
 def test_all_faults_are_reported() -> None:
-    doc = {"tiers": 1, "retention": {"answers_s": 0, "answer_s": 1}}
+    doc = {
+        "tiers": 1,
+        "routes": {"r": {"tier": "x"}},
+        "retention": {"answers_s": 0, "answer_s": 1},
+    }
     result = parse_config(doc)
     assert isinstance(result, ConfigFaults)
     paths = [fault.path for fault in result.faults]
-    assert paths == ["$.retention.answer_s", "$.retention.answers_s", "$.tiers"]
+    expected = ["$.retention.answer_s", "$.retention.answers_s"]
+    assert paths == [*expected, "$.routes.r.tier", "$.tiers"]
