Keep the engine's step cheap with many ended runs

Cause: each step went through all runs kept for resume, and a negative offset was taken; the role was set outside the lock. Change: ended runs wait in a queue by age; a negative offset is a 400; the role is set under the lock; min_running has a case that fails.

--- a/cornelpin/tests/test_standins_engine.py
+++ b/cornelpin/tests/test_standins_engine.py
@@ -102,6 +102,7 @@
         parts = events(engine.call("GET", "/v1/streams/r1?offset=30"))
         assert [part["choices"][0]["text"] for part in parts[:-2]] == want[30:]
         assert engine.call("GET", "/v1/streams/none?offset=0").status == 404
+        assert engine.call("GET", "/v1/streams/r1?offset=-1").status == 400
         slow = completion("slow #out=100000", stream=True)
         answers: list[Answer] = []
         reader = threading.Thread(
@@ -260,6 +261,9 @@
         FaultCase(
             {"bad_versions": {"v1": {"fail_rate": 1, "min_running": 2}}}, alone_is_fine
         ),
+        FaultCase(
+            {"bad_versions": {"v1": {"fail_rate": 1, "min_running": 1}}}, whole_fails
+        ),
         FaultCase({"crash_text": "POISON"}, crashes),
         FaultCase({"hang": True}, hangs_until_mended),
     ],
--- a/standins/engine/batch.py
+++ b/standins/engine/batch.py
@@ -93,6 +93,7 @@
         self._waiting: deque[Run] = deque()
         self._running: list[Run] = []
         self._latest: dict[str, Run] = {}
+        self._ended: deque[Run] = deque()
         self._submitted: Counter[str] = Counter()
         self._attempts: Counter[str] = Counter()
         self._prefill_free_s = 0.0
@@ -233,9 +234,11 @@
             self._end(run, "done")
 
     def _drop_abandoned(self, now_s: float) -> None:
-        for run in list(self._latest.values()):
-            if run.ended and now_s - run.ended_s > KEEP_ENDED_S:
-                del self._latest[run.request_id]
+        while self._ended and now_s - self._ended[0].ended_s > KEEP_ENDED_S:
+            old = self._ended.popleft()
+            # A double of the request may have taken its place.
+            if self._latest.get(old.request_id) is old:
+                del self._latest[old.request_id]
         for run in [*self._running, *self._waiting]:
             left_s = run.detached_s
             if left_s is not None and now_s - left_s > RESUME_WINDOW_S:
@@ -245,6 +248,7 @@
         started = run.state == "running"
         run.state = outcome
         run.ended_s = time.monotonic()
+        self._ended.append(run)
         if started:
             self._running.remove(run)
             self._write_log("end", run)
--- a/standins/engine/http.py
+++ b/standins/engine/http.py
@@ -128,6 +128,8 @@
         if run is None:
             return problem(404, f"no stream {request_id}")
         offset = int(request.query.get("offset", 0))
+        if offset < 0:
+            return problem(400, "offset is negative")
         return self._stream(request, run, offset)
 
     def _cancel(self, request: Request, request_id: str) -> Response:
--- a/standins/engine/versions.py
+++ b/standins/engine/versions.py
@@ -83,7 +83,8 @@
         elif operation == "unload":
             self._unload(str(order["version"]))
         elif operation == "role":
-            self._role = str(order["role"])
+            with self._lock:
+                self._role = str(order["role"])
         else:
             raise OrderRefusedError(400, f"unknown op {operation!r}")
 
