--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -16,11 +16,17 @@
 from cornelpin.daemon.http.callers import CallerApi
 from cornelpin.daemon.http.server import HttpServer
 from cornelpin.daemon.http.wsgi import as_wsgi
-from cornelpin.daemon.links import Link, LinkTable
+from cornelpin.daemon.links import (
+    Link,
+    LinkTable,
+    neighbour_endpoints,
+    side_endpoints,
+)
 from cornelpin.daemon.listener import PeerListener
-from cornelpin.daemon.messages import EventsAsk, EventsReply
+from cornelpin.daemon.messages import EventsAsk, EventsReply, Heartbeat
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.spread import ConfigSpread
+from cornelpin.daemon.supervisor import every
 from cornelpin.daemon.watcher import ConfigWatcher
 from cornelpin.platform import object_store
 
@@ -28,7 +34,9 @@
     from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
+    from cornelpin.daemon.view import ConfigView
 
+HEARTBEAT_S = 0.5
 TIMELINE_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 
@@ -45,10 +53,18 @@
         self._store = ConfigStore(self._objects)
         self._links = LinkTable(
             process,
+            wanted=side_endpoints,
             on_open=self._on_open,
             on_message=self._on_message,
             on_lost=self._on_lost,
         )
+        self._neighbours = LinkTable(
+            process,
+            wanted=lambda config: neighbour_endpoints(config, settings.name),
+            on_open=self._on_open,
+            on_message=self._on_message,
+            on_lost=lambda link: None,
+        )
         self._dispatcher = Dispatcher(
             process, self._links, settings.limits.held_requests
         )
@@ -56,8 +72,10 @@
         self._watcher = ConfigWatcher(self._store, self._spread, process.view)
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
         self._inbound: dict[str, Peer] = {}
+        self._states: dict[str, tuple[str, Heartbeat]] = {}
         self._lock = threading.Lock()
         process.view.on_change(self._links.on_config)
+        process.view.on_change(self._neighbours.on_config)
         process.view.on_change(self._on_config)
         app = EntryApp(process, CallerApi(process, self._dispatcher), AdminApi(self))
         self._http = HttpServer(
@@ -78,6 +96,7 @@
         )
         sup.start("peer-listener", listener.run)
         sup.start("config-watcher", self._watcher.run)
+        sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
         self._http.start()
 
     def leave(self) -> None:
@@ -102,7 +121,8 @@
     def _peers(self) -> list[Peer]:
         with self._lock:
             inbound = list(self._inbound.values())
-        outbound = [link.peer for link in self._links.all()]
+        links = [*self._links.all(), *self._neighbours.all()]
+        outbound = [link.peer for link in links]
         return [peer for peer in (*outbound, *inbound) if peer is not None]
 
     def _on_open(self, link: Link, peer: Peer) -> None:
@@ -113,7 +133,24 @@
             return
         self._handle(peer, msg)
 
+    def _heartbeat(self) -> None:
+        state = self._state()
+        for peer in self._peers():
+            peer.send(state)
+
+    def _state(self) -> Heartbeat:
+        return Heartbeat(
+            number=self.process.view.number,
+            leaving=self.process.leaving.is_set(),
+            slots=0,
+            free=0,
+            waiting=len(self._dispatcher.tickets),
+            versions=[],
+            token_s=0.0,
+        )
+
     def _on_lost(self, link: Link) -> None:
+        self._states.pop(link.process_name, None)
         self._dispatcher.tickets.tell_lost(link)
 
     def _serve(self, peer: Peer) -> None:
@@ -132,6 +169,8 @@
 
     def _handle(self, peer: Peer, msg: Any) -> None:
         match msg:
+            case Heartbeat():
+                self._states[peer.name] = (peer.role, msg)
             case EventsAsk():
                 answer_events(self.process.ring, peer, msg)
             case EventsReply():
@@ -165,27 +204,10 @@
                 "held": len(self._dispatcher.tickets),
             }
         ]
-        rows += [self._side_row(link) for link in self._links.all()]
+        states = dict(self._states)
+        rows += [_row(name, *states[name], view) for name in sorted(states)]
         return rows
 
-    def _side_row(self, link: Link) -> dict[str, Any]:
-        view = self.process.view
-        state = link.state
-        number = state.number if state is not None else 0
-        behind = number < view.number
-        return {
-            "name": link.name,
-            "role": "side",
-            "number": number,
-            "lag_s": round(time.monotonic() - view.since, 3) if behind else 0.0,
-            "connected": state is not None,
-            "leaving": state.leaving if state is not None else False,
-            "slots": state.slots if state is not None else 0,
-            "free": state.free if state is not None else 0,
-            "waiting": state.waiting if state is not None else 0,
-            "versions": list(state.versions) if state is not None else [],
-        }
-
     def routes(self) -> list[dict[str, Any]]:
         """Returns the routes and how many of their servers are usable."""
         return [
@@ -249,3 +271,19 @@
         replies = self._collecting.get(msg.ask_id)
         if replies is not None:
             replies.put([Event(*row) for row in msg.events])
+
+
+def _row(name: str, role: str, state: Heartbeat, view: ConfigView) -> dict[str, Any]:
+    """Describes a process as it announced itself last."""
+    behind = state.number < view.number
+    return {
+        "name": name,
+        "role": role,
+        "number": state.number,
+        "lag_s": round(time.monotonic() - view.since, 3) if behind else 0.0,
+        "leaving": state.leaving,
+        "slots": state.slots,
+        "free": state.free,
+        "waiting": state.waiting,
+        "versions": list(state.versions),
+    }
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -5,13 +5,14 @@
 import threading
 from typing import TYPE_CHECKING, Any
 
+import attrs
 from loguru import logger
 
 from cornelpin.daemon.messages import Heartbeat, ProtocolError
 from cornelpin.daemon.peer import PeerClosed, connect
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
@@ -21,13 +22,57 @@
 MAX_BACKOFF_S = 1.0
 
 
+@attrs.frozen
+class Endpoint:
+    """Where a process listens for peers.
+
+    Attributes:
+        address: Address and port as ``ip:port``.
+        data_centre: Data centre of its host.
+    """
+
+    address: str
+    data_centre: str
+
+
+def side_endpoints(config: Config) -> dict[str, Endpoint]:
+    """Returns the sides by backend server."""
+    return _endpoints(config, config.backend_servers)
+
+
+def neighbour_endpoints(config: Config, name: str) -> dict[str, Endpoint]:
+    """Returns the entries that an entry keeps links to.
+
+    The entries form a ring in order of their names; each one is linked to those at
+    distances 1, 2, 4 and so on, so that the links of an entry and the hops to any
+    other both grow with the logarithm of their number.
+    """
+    ring = sorted(config.entries)
+    if name not in ring:
+        return {}
+    start = ring.index(name)
+    distances = [1 << power for power in range(len(ring).bit_length())]
+    chosen = {ring[(start + d) % len(ring)] for d in distances if d < len(ring)}
+    return _endpoints(config, {n: config.entries[n] for n in chosen})
+
+
+def _endpoints(config: Config, listed: Mapping[str, Any]) -> dict[str, Endpoint]:
+    found = {}
+    for name, item in listed.items():
+        host = config.hosts.get(item.host)
+        if host is not None:
+            address = f"{host.address}:{item.peer_port}"
+            found[name] = Endpoint(address, host.data_centre)
+    return found
+
+
 class Link:
     """The link to one side: its current session and last announced state."""
 
-    def __init__(self, name: str, address: str, data_centre: str) -> None:
+    def __init__(self, name: str, endpoint: Endpoint) -> None:
         self.name = name
-        self.address = address
-        self.data_centre = data_centre
+        self.endpoint = endpoint
+        self.process_name = ""
         self.incarnation = ""
         self.state: Heartbeat | None = None
         self.direct = 0
@@ -71,6 +116,7 @@
         """Takes a new session."""
         with self._opened:
             self.state = None
+            self.process_name = peer.name
             self.incarnation = peer.incarnation
             self._peer = peer
             self._opened.notify_all()
@@ -88,17 +134,19 @@
 
 
 class LinkTable:
-    """Keeps a link, with its own task, to each side that routes need."""
+    """Keeps a link, with its own task, to each process that is wanted."""
 
     def __init__(
         self,
         process: Process,
         *,
+        wanted: Callable[[Config], dict[str, Endpoint]],
         on_open: Callable[[Link, Peer], None],
         on_message: Callable[[Link, Peer, Any], None],
         on_lost: Callable[[Link], None],
     ) -> None:
         self._process = process
+        self._wanted = wanted
         self._on_open = on_open
         self._on_message = on_message
         self._on_lost = on_lost
@@ -117,21 +165,15 @@
             return [self._links[name] for name in names if name in self._links]
 
     def on_config(self, config: Config) -> None:
-        """Starts and stops links as the configuration names backend servers."""
-        wanted = {}
-        for name, server in config.backend_servers.items():
-            host = config.hosts.get(server.host)
-            if host is not None:
-                address = f"{host.address}:{server.peer_port}"
-                wanted[name] = (address, host.data_centre)
+        """Starts and stops links as the configuration wants them."""
+        wanted = self._wanted(config)
         with self._lock:
             for name in list(self._links):
-                link = self._links[name]
-                if wanted.get(name) != (link.address, link.data_centre):
+                if wanted.get(name) != self._links[name].endpoint:
                     self._drop(name)
-            new = [name for name in wanted if name not in self._links]
-            for name in new:
-                self._add(Link(name, *wanted[name]))
+            for name, endpoint in wanted.items():
+                if name not in self._links:
+                    self._add(Link(name, endpoint))
 
     def _add(self, link: Link) -> None:
         def child(stop: threading.Event) -> None:
@@ -154,7 +196,9 @@
         while not stop.is_set():
             try:
                 peer = connect(
-                    link.address, self._process.identity, clock=self._process.clock
+                    link.endpoint.address,
+                    self._process.identity,
+                    clock=self._process.clock,
                 )
             except (PeerClosed, ProtocolError) as exc:
                 logger.debug("link {}: {}", link.name, exc)
@@ -173,8 +217,7 @@
                 msg = peer.receive()
                 if isinstance(msg, Heartbeat):
                     link.on_state(msg)
-                else:
-                    self._on_message(link, peer, msg)
+                self._on_message(link, peer, msg)
         except PeerClosed:
             pass
         except ProtocolError as exc:
--- a/cornelpin/daemon/process.py
+++ b/cornelpin/daemon/process.py
@@ -35,7 +35,7 @@
             name=settings.name,
             role=settings.role,
             incarnation=self.incarnation,
-            key=settings.key_bytes(),
+            key=(settings.shared_key or "").encode(),
         )
 
     def host_leaving(self, config: Config) -> bool:
