--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := .venv/ready
 endif
 
-.PHONY: demo test lint format types clean scenarios
+.PHONY: demo test lint format types clean scenarios slopes
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -23,6 +23,9 @@
 scenarios: $(READY)
 	$(PY) -m benchmarks.scenarios cornelpin/tests/scenarios/*.jsonc
 
+slopes: $(READY)
+	$(PY) -m benchmarks.slopes
+
 lint: $(READY)
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,281 @@
+"""Many entries and sides beside one small stand-in of each outside system.
+
+A fleet measures what cornelpin's own processes cost, so all its sides stand before
+the same backend server stand-in.
+"""
+
+from __future__ import annotations
+
+import json
+import shutil
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from attrs import define, field
+
+from benchmarks.cluster_settings import (
+    OPERATOR_TOKEN,
+    SHARED_KEY,
+    sha256_hex,
+    workspace_token,
+)
+from benchmarks.http_json import JsonClient
+from benchmarks.process_usage import Usage, usage_of
+from benchmarks.processes import LOOPBACK, ManagedProcess, PortAllocator, stop_all
+from benchmarks.waiting import wait_until
+
+ROUTE = "furnace"
+TIER = "question"
+VERSION = "v1"
+MODELS = 38
+DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
+START_BATCH = 12
+START_TIMEOUT_S = 120.0
+POLL_S = 0.2
+OK = 200
+SLOTS = 64
+
+
+@define
+class Fleet:
+    """Owns the processes of a fleet; use it as a context manager.
+
+    Attributes:
+        entries: Number of entries.
+        sides: Number of sides.
+        workspaces: Number of workspaces in the first configuration.
+        step_ms: Time of one decoding step of the model engine in milliseconds.
+    """
+
+    entries: int
+    sides: int
+    workspaces: int = 1
+    step_ms: int = 1
+    folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="fleet-")))
+    processes: dict[str, ManagedProcess] = field(factory=dict)
+    ports: dict[str, int] = field(factory=dict)
+    allocator: PortAllocator = field(factory=PortAllocator)
+
+    def __enter__(self) -> Fleet:
+        """Starts everything and waits until one number is in force everywhere."""
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ends every process that was started and removes the folder."""
+        self.close()
+
+    def close(self) -> None:
+        """Ends every process that was started and removes the folder."""
+        stop_all(list(self.processes.values()))
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    @property
+    def entry_names(self) -> list[str]:
+        """Names of the entries."""
+        return [f"e{i}" for i in range(self.entries)]
+
+    @property
+    def side_names(self) -> list[str]:
+        """Names of the sides."""
+        return [f"side-f{i}" for i in range(self.sides)]
+
+    # Starting
+
+    def _start(self) -> None:
+        self._start_standin("objects", "standins.objects")
+        engine = ["--name", "f", "--model", ROUTE, "--versions", VERSION]
+        batch = ["--step-ms", str(self.step_ms), "--max-batch", str(SLOTS)]
+        log = ["--run-log", str(self.folder / "runs.jsonl")]
+        self._start_standin("engine", "standins.engine", [*engine, *batch, *log])
+        for name in ("objects", "engine"):
+            self.processes[name].wait_ready()
+        for name in [*self.entry_names, *self.side_names]:
+            self.ports[name] = self.allocator.allocate()
+            self.ports[f"{name}-http"] = self.allocator.allocate()
+        for position, name in enumerate([*self.entry_names, *self.side_names], 1):
+            self._start_daemon(name)
+            if position == 1:
+                self._submit_first()
+            if position % START_BATCH == 0:
+                time.sleep(1.0)
+        wait_until(self.agreed, START_TIMEOUT_S, "one number in force everywhere")
+
+    def _start_standin(self, name: str, module: str, extra: list[str] = []) -> None:  # noqa: B006
+        port = self.ports[name] = self.allocator.allocate()
+        arguments = [module, "--address", LOOPBACK, "--port", str(port), *extra]
+        self._run(name, arguments)
+
+    def _run(self, name: str, arguments: list[str]) -> None:
+        process = self.processes[name] = ManagedProcess(name, arguments, self.folder)
+        process.start()
+
+    def _start_daemon(self, name: str) -> None:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(self._settings(name)))
+        self._run(name, ["cornelpin.daemon", "--settings", str(path)])
+
+    def _settings(self, name: str) -> dict[str, Any]:
+        settings = {
+            "name": name,
+            "host": f"host-{name}",
+            "data_centre": self.data_centre(name),
+            "address": LOOPBACK,
+            "peer_port": self.ports[name],
+            "http_port": self.ports[f"{name}-http"],
+            "shared_key": SHARED_KEY,
+            "objects": {"url": f"http://{LOOPBACK}:{self.ports['objects']}"},
+            "seeds": [f"{LOOPBACK}:{self.ports['e0']}"],
+        }
+        if not name.startswith("side-"):
+            digest = sha256_hex(OPERATOR_TOKEN)
+            return {**settings, "role": "entry", "bootstrap_operator_sha256": digest}
+        backend = {
+            "name": name.removeprefix("side-"),
+            "kind": "engine",
+            "url": f"http://{LOOPBACK}:{self.ports['engine']}",
+            "slots": SLOTS,
+        }
+        return {**settings, "role": "side", "backend": backend}
+
+    def data_centre(self, name: str) -> str:
+        """Returns the data centre of a process."""
+        index = int("".join(c for c in name if c.isdigit()))
+        return DATA_CENTRES[index % len(DATA_CENTRES)]
+
+    def _submit_first(self) -> None:
+        client = self.client("e0")
+        wait_until(lambda: _answers(client), START_TIMEOUT_S, "the first entry answers")
+        self.patch(self.document())
+
+    def document(self) -> dict[str, Any]:
+        """Returns the first configuration document."""
+        servers = [name.removeprefix("side-") for name in self.side_names]
+        names = [*self.entry_names, *self.side_names]
+        return {
+            "tiers": {TIER: {"shed_order": 1}},
+            "routes": {ROUTE: {"tier": TIER, "backend_servers": servers}},
+            "workspaces": dict(workspaces(0, self.workspaces)),
+            "backend_servers": {
+                server: {
+                    "host": f"host-side-{server}",
+                    "peer_port": self.ports[f"side-{server}"],
+                }
+                for server in servers
+            },
+            "entries": {
+                name: {
+                    "host": f"host-{name}",
+                    "peer_port": self.ports[name],
+                    "http_port": self.ports[f"{name}-http"],
+                }
+                for name in self.entry_names
+            },
+            "hosts": {
+                f"host-{name}": {
+                    "address": LOOPBACK,
+                    "data_centre": self.data_centre(name),
+                }
+                for name in names
+            },
+            "operators": {"bench": {"token_sha256": [sha256_hex(OPERATOR_TOKEN)]}},
+        }
+
+    # Operating
+
+    def client(self, name: str, timeout_s: float = 30.0) -> JsonClient:
+        """Returns a JSON client of an entry or a stand-in."""
+        port = self.ports.get(f"{name}-http", self.ports.get(name, 0))
+        return JsonClient(LOOPBACK, port, OPERATOR_TOKEN, timeout_s)
+
+    def number(self, entry: str = "e0") -> int:
+        """Returns the number in force at an entry."""
+        status = self.client(entry).call("GET", "/admin/v1/config/status").body
+        return int(status["number"])
+
+    def patch(self, patch: dict[str, Any], entry: str = "e0") -> int:
+        """Submits a patch at an entry and returns the new number."""
+        body = {"base": self.number(entry), "patch": patch}
+        reply = self.client(entry).call("POST", "/admin/v1/config/patches", body)
+        if reply.status != OK:
+            raise RuntimeError(f"patch: {reply.status} {reply.body}")
+        return int(reply.body["number"])
+
+    def agreed(self) -> bool:
+        """Tells whether every process announces the number of the first entry."""
+        try:
+            number = self.number()
+            heard = self._numbers()
+        except (OSError, TypeError, KeyError):
+            time.sleep(POLL_S)
+            return False
+        names = {*self.entry_names, *self.side_names}
+        agreed = all(heard.get(name) == number for name in names)
+        if not agreed:
+            time.sleep(POLL_S)
+        return agreed
+
+    def _numbers(self) -> dict[str, int]:
+        """Returns the number that each process last announced to any entry."""
+        heard: dict[str, int] = {}
+        for entry in self.entry_names:
+            status = self.client(entry).call("GET", "/admin/v1/config/status").body
+            for row in status["processes"]:
+                number = row["number"] or 0
+                heard[row["name"]] = max(number, heard.get(row["name"], 0))
+        return heard
+
+    def events(self, kind: str) -> Iterator[dict[str, Any]]:
+        """Returns the events of one kind over all processes, each once."""
+        seen = set()
+        for entry in self.entry_names:
+            rows = self.client(entry).call("GET", "/admin/v1/timeline").body
+            for row in rows if isinstance(rows, list) else ():
+                key = (row["process"], row["at"], row["logical"])
+                if row["kind"] == kind and key not in seen:
+                    seen.add(key)
+                    yield row
+
+    def usage(self, names: list[str]) -> dict[str, Usage]:
+        """Returns what the named processes have used so far."""
+        pids = {name: self.processes[name].child.pid for name in names}  # type: ignore[union-attr]
+        return usage_of(pids)
+
+    def store_counts(self) -> dict[str, int]:
+        """Returns the calls that the object store has answered."""
+        return dict(self.client("objects").call("GET", "/stats").body)
+
+
+def workspaces(start: int, end: int) -> Iterator[tuple[str, dict[str, Any]]]:
+    """Returns the configuration of workspaces by name."""
+    for index in range(start, end):
+        name = f"workspace-{index}"
+        yield (
+            name,
+            {
+                "token_sha256": [sha256_hex(workspace_token(name))],
+                "routes": [ROUTE],
+                "tiers": [TIER],
+                "share": 1.0,
+            },
+        )
+
+
+def _answers(client: JsonClient) -> bool:
+    try:
+        return client.call("GET", "/admin/v1/config/status").status == OK
+    except OSError:
+        return False
--- /dev/null
+++ b/benchmarks/target.py
@@ -0,0 +1,26 @@
+"""The size that the design is built towards, and the limits at that size."""
+
+from __future__ import annotations
+
+import math
+
+ENTRIES = 1400
+SIDES = 4600
+COUNTS = {"entry": ENTRIES, "side": SIDES}
+WORKSPACES = 13_000
+MODELS = 38
+REQUESTS_PER_S = 62_000
+TOKENS_PER_S = 20_000_000
+CHANGES_PER_DAY = 16_000
+DAY_S = 86_400
+IN_FORCE_S = 5.0
+CONTROL_CORE_SHARE = 0.025
+CONTROL_MEMORY_MB = 128
+CONTROL_BYTES_PER_S = 3000
+STORE_READS_PER_S = 2000
+STORE_WRITES_PER_S = 400
+
+# Links of an entry to sides: a bounded subset, here SUBSET sides for each model.
+SUBSET = 2
+ENTRY_LINKS = MODELS * SUBSET + 2 * math.ceil(math.log2(ENTRIES))
+SIDE_LINKS = round(MODELS * SUBSET * ENTRIES / SIDES)
