Add metrics, TLS on peer streams and a table of bad inputs

Cause: no metric left a process, peer streams could not use TLS, and nothing showed that bad input costs only its own call. Change: OpenTelemetry meters scraped at /metrics of entries and sides or pushed by OTLP; TLS contexts with certificates at both ends; 38 bad calls, 32 bad patches, 20 bad frames at each role, and hypothesis on the codec.

--- a/cornelpin/core/verdict.py
+++ b/cornelpin/core/verdict.py
@@ -77,12 +77,14 @@
         verdict: Whether the request may have run.
         detail: One sentence for the caller.
         retry_after_s: When to come back, in seconds, if known.
+        tier: Name of the request's tier, if it was known.
     """
 
     reason: Reason
     verdict: Verdict = Verdict.NOT_RUN
     detail: str = ""
     retry_after_s: float | None = None
+    tier: str = ""
 
     @property
     def status(self) -> int:
--- a/cornelpin/daemon/__main__.py
+++ b/cornelpin/daemon/__main__.py
@@ -11,11 +11,15 @@
 from loguru import logger
 
 from cornelpin.daemon.entry import Entry
+from cornelpin.daemon.http.health import HealthApi
+from cornelpin.daemon.http.server import HttpServer
+from cornelpin.daemon.http.wsgi import as_wsgi
 from cornelpin.daemon.logs import set_up_logs
 from cornelpin.daemon.process import Process
 from cornelpin.daemon.settings import Settings, SettingsFaults, load_settings
 from cornelpin.daemon.side import Side
 
+HEALTH_THREADS = 2
 EXIT_INVALID = 2
 EXIT_FORCED = 130
 
@@ -61,6 +65,8 @@
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     role.start()
+    if settings.role == "side" and settings.http_port is not None:
+        _serve_health(process, settings.http_port)
     logger.info("started as {} {}", settings.role, process.incarnation)
     while not stopping.wait(1.0):
         pass
@@ -69,8 +75,19 @@
     role.leave()
     role.wait_idle()
     process.supervisor.stop()
+    process.meters.stop()
     logger.info("stopped")
 
 
+def _serve_health(process: Process, port: int) -> None:
+    server = HttpServer(
+        as_wsgi(HealthApi(process).handle),
+        address=process.settings.address,
+        port=port,
+        threads=HEALTH_THREADS,
+    )
+    server.start()
+
+
 if __name__ == "__main__":
     main()
--- a/cornelpin/daemon/http/app.py
+++ b/cornelpin/daemon/http/app.py
@@ -8,12 +8,8 @@
 
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.http.callers import new_request_id
-from cornelpin.daemon.http.wsgi import (
-    HttpRequest,
-    HttpResponse,
-    json_response,
-    problem,
-)
+from cornelpin.daemon.http.health import HEALTH_PATHS, HealthApi
+from cornelpin.daemon.http.wsgi import HttpRequest, HttpResponse, problem
 
 if TYPE_CHECKING:
     from cornelpin.daemon.http.admin import AdminApi
@@ -30,6 +26,7 @@
         self._process = process
         self._callers = callers
         self._admin = admin
+        self._health = HealthApi(process)
 
     def handle(self, http: HttpRequest) -> HttpResponse:
         """Answers any request; refusals become problem documents."""
@@ -40,6 +37,8 @@
             self._process.ring.record(
                 "request.refused", request=request_id, detail=exc.reason.value
             )
+            if not exc.tier:
+                self._process.meters.finished("", exc.reason.value)
             resp = problem(exc, request_id=request_id)
         except Exception:
             logger.exception("request {} failed", request_id)
@@ -61,10 +60,8 @@
             return self._callers.models(http)
         if http.path.startswith("/admin/v1/"):
             return self._admin.handle(http)
-        if http.path == "/healthz":
-            return json_response({"status": "ok"})
-        if http.path == "/readyz":
-            return self._ready()
+        if http.path in HEALTH_PATHS:
+            return self._health.handle(http)
         raise Refusal(Reason.NO_ROUTE, detail=f"nothing is served at {http.path}")
 
     def _need_method(self, http: HttpRequest, method: str) -> None:
@@ -73,10 +70,3 @@
                 Reason.BAD_REQUEST,
                 detail=f"{http.path} takes {method}, not {http.method}",
             )
-
-    def _ready(self) -> HttpResponse:
-        ready = self._process.view.number > 0 and not self._process.leaving.is_set()
-        status = 200 if ready else 503
-        return json_response(
-            {"ready": ready, "number": self._process.view.number}, status=status
-        )
--- a/cornelpin/daemon/http/callers.py
+++ b/cornelpin/daemon/http/callers.py
@@ -292,8 +292,8 @@
 
 def _model_cost(document: dict[str, Any], body_bytes: int) -> int:
     """Estimates the work of a completion in tokens."""
-    limit = document.get("max_completion_tokens") or document.get("max_tokens")
-    if limit is not None and (not isinstance(limit, int) or limit < 1):
+    limit = document.get("max_completion_tokens", document.get("max_tokens"))
+    if limit is not None and (type(limit) is not int or limit < 1):
         raise Refusal(
             Reason.BAD_REQUEST,
             detail=f"max_tokens is {json.dumps(limit)}; valid: an integer of 1 or more",
--- /dev/null
+++ b/cornelpin/daemon/http/health.py
@@ -0,0 +1,45 @@
+"""Health and metrics of any process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cornelpin.core.verdict import Reason, Refusal
+from cornelpin.daemon.http.wsgi import HttpRequest, HttpResponse, json_response, problem
+
+if TYPE_CHECKING:
+    from cornelpin.daemon.process import Process
+
+HEALTH_PATHS = ("/healthz", "/readyz", "/metrics")
+
+
+class HealthApi:
+    """Answers without a token: probes and scrapers."""
+
+    def __init__(self, process: Process) -> None:
+        self._process = process
+
+    def handle(self, http: HttpRequest) -> HttpResponse:
+        """Answers a path of ``HEALTH_PATHS``; any other is a problem."""
+        if http.path == "/healthz":
+            return json_response({"status": "ok"})
+        if http.path == "/readyz":
+            return self._ready()
+        if http.path == "/metrics":
+            return self._metrics()
+        valid = ", ".join(HEALTH_PATHS)
+        return problem(
+            Refusal(Reason.NO_ROUTE, detail=f"nothing at {http.path}; valid: {valid}")
+        )
+
+    def _ready(self) -> HttpResponse:
+        ready = self._process.view.number > 0 and not self._process.leaving.is_set()
+        status = 200 if ready else 503
+        return json_response(
+            {"ready": ready, "number": self._process.view.number}, status=status
+        )
+
+    def _metrics(self) -> HttpResponse:
+        content_type, text = self._process.meters.exposition()
+        headers = {"Content-Type": content_type, "Content-Length": str(len(text))}
+        return HttpResponse(200, headers, [text])
--- /dev/null
+++ b/cornelpin/daemon/metrics.py
@@ -0,0 +1,127 @@
+"""Metrics by OpenTelemetry, scraped in Prometheus form or pushed by OTLP.
+
+docs/operators/metrics.md lists each metric with its unit.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from opentelemetry.metrics import CallbackOptions
+    from opentelemetry.sdk.metrics.export import MetricReader
+
+    from cornelpin.daemon.settings import Settings
+
+PUSH_PERIOD_MS = 10_000
+
+
+class Meters:
+    """The instruments of one process."""
+
+    def __init__(self, settings: Settings) -> None:
+        resource = Resource.create(
+            {
+                "service.name": f"cornelpin-{settings.role}",
+                "service.instance.id": settings.name,
+                "host.name": settings.host,
+            }
+        )
+        self._provider = MeterProvider(
+            metric_readers=_readers(settings), resource=resource
+        )
+        meter = self._provider.get_meter("cornelpin")
+        self._meter = meter
+        self._requests = meter.create_counter(
+            "cornelpin_requests", unit="1", description="Requests by tier and outcome"
+        )
+        self._sheds = meter.create_counter(
+            "cornelpin_sheds", unit="1", description="Requests shed, by tier"
+        )
+        self._wait = meter.create_histogram(
+            "cornelpin_wait", unit="s", description="Acceptance to head of the answer"
+        )
+        self._between = meter.create_histogram(
+            "cornelpin_between_parts", unit="s", description="Time between parts"
+        )
+        self._duration = meter.create_histogram(
+            "cornelpin_duration", unit="s", description="Acceptance to last part"
+        )
+        meter.create_observable_counter(
+            "cornelpin_process_cpu",
+            callbacks=[_observe(time.process_time)],
+            unit="s",
+            description="Processor time of this process",
+        )
+
+    def gauge(self, name: str, unit: str, read: Callable[[], float]) -> None:
+        """Adds a gauge that is read when metrics are collected."""
+        self._meter.create_observable_gauge(name, callbacks=[_observe(read)], unit=unit)
+
+    def counter(self, name: str, unit: str, read: Callable[[], float]) -> None:
+        """Adds a counter that is read when metrics are collected."""
+        self._meter.create_observable_counter(
+            name, callbacks=[_observe(read)], unit=unit
+        )
+
+    def finished(self, tier: str, outcome: str) -> None:
+        """Counts a request that got its final outcome.
+
+        Args:
+            tier: Name of the tier, or an empty string if none was chosen.
+            outcome: ``answered`` or the name of the reason of the refusal.
+        """
+        self._requests.add(1, {"tier": tier, "outcome": outcome})
+        if outcome == "shed":
+            self._sheds.add(1, {"tier": tier})
+
+    def timed(self, tier: str, *, wait_s: float, duration_s: float, parts: int) -> None:
+        """Records the times of an answered request."""
+        labels = {"tier": tier}
+        self._wait.record(wait_s, labels)
+        self._duration.record(duration_s, labels)
+        if parts > 1:
+            self._between.record((duration_s - wait_s) / (parts - 1), labels)
+
+    def exposition(self) -> tuple[str, bytes]:
+        """Returns content type and text of all metrics in Prometheus form."""
+        return CONTENT_TYPE_LATEST, generate_latest(REGISTRY)
+
+    def stop(self) -> None:
+        """Pushes what is left and stops."""
+        self._provider.shutdown()
+
+
+def _readers(settings: Settings) -> list[MetricReader]:
+    readers: list[MetricReader] = [PrometheusMetricReader()]
+    if settings.otlp_url is not None:
+        from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+            OTLPMetricExporter,
+        )
+        from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+
+        exporter = OTLPMetricExporter(endpoint=settings.otlp_url)
+        readers.append(
+            PeriodicExportingMetricReader(
+                exporter, export_interval_millis=PUSH_PERIOD_MS
+            )
+        )
+    return readers
+
+
+def _observe(
+    read: Callable[[], float],
+) -> Callable[[CallbackOptions], Iterable[Observation]]:
+    def callback(options: CallbackOptions) -> Iterable[Observation]:
+        return [Observation(read())]
+
+    return callback
--- a/cornelpin/daemon/process.py
+++ b/cornelpin/daemon/process.py
@@ -8,8 +8,10 @@
 
 from cornelpin.core.clock import HybridClock
 from cornelpin.core.events import EventRing
+from cornelpin.daemon.metrics import Meters
 from cornelpin.daemon.peer import Identity
 from cornelpin.daemon.supervisor import Supervisor
+from cornelpin.daemon.tls import client_context, server_context
 from cornelpin.daemon.view import ConfigView
 
 if TYPE_CHECKING:
@@ -31,11 +33,15 @@
         self.leaving = threading.Event()
         self.stopping = threading.Event()
         self.incarnation = os.urandom(INCARNATION_BYTES).hex()
+        self.meters = Meters(settings)
+        tls = settings.tls
         self.identity = Identity(
             name=settings.name,
             role=settings.role,
             incarnation=self.incarnation,
             key=(settings.shared_key or "").encode(),
+            tls_client=client_context(tls) if tls is not None else None,
+            tls_server=server_context(tls) if tls is not None else None,
         )
 
     def host_leaving(self, config: Config) -> bool:
