Tell a broken stream from a cut one, and stop links at once

Cause: iterating over http.client's response takes a chunked body that breaks between two chunks for one that ended (peek swallows IncompleteRead), so kill_entry reported a broken connection as an answer passed off as whole. Entries waited 5 s for each other's link at every stop, since a task blocked in receive does not see its stop event; the host list showed its hosts only after its lag.

Ruled out: a fault of the entry; the chunked body had no end at the kill.

Change: the sender reads by read1, which raises IncompleteRead. A supervisor's child may name what ends its blocking call; links close their session. The host list stand-in takes its first hosts as an option. The answer of an engine is computed in one place. test_workload.py moves beside the other tests.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -12,11 +12,16 @@
 
 from attrs import define, field, frozen
 
-from benchmarks.answers import expected_answer
 from benchmarks.http_json import decode
 from benchmarks.records import Answer, Kind, SentRecord
-from benchmarks.sse import StreamError, choice_text, completion_texts
+from benchmarks.sse import (
+    StreamError,
+    choice_text,
+    completion_texts,
+    response_lines,
+)
 from benchmarks.workload import CHAT_PREFIX, PlannedRequest
+from standins.answers import expected_answer
 
 OK = 200
 ACCEPTED = 202
@@ -200,7 +205,7 @@
         return
     text = ""
     try:
-        for part in completion_texts(response):
+        for part in completion_texts(response_lines(response)):
             if part is None:
                 record.answer = _compare(text, request)
                 return
@@ -210,6 +215,7 @@
         _record_problem(record, exc.problem)
         record.answer = Answer.FAILED
         return
+    # The body ended as its framing promised, so the caller takes it for whole.
     record.answer = Answer.CUT
 
 
--- a/benchmarks/sse.py
+++ b/benchmarks/sse.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -10,6 +11,7 @@
 
 DONE = "[DONE]"
 DATA_PREFIX = "data:"
+READ_BYTES = 65536
 
 
 @define
@@ -23,6 +25,24 @@
     problem: dict[str, Any]
 
 
+def response_lines(response: http.client.HTTPResponse) -> Iterator[bytes]:
+    """Yields the lines of a response body as they arrive.
+
+    Iterating over the response itself would take a chunked body that breaks
+    between two chunks for one that ended.
+
+    Raises:
+        http.client.IncompleteRead: The body ended before the end that its framing
+            promised.
+    """
+    rest = b""
+    while part := response.read1(READ_BYTES):
+        *lines, rest = (rest + part).split(b"\n")
+        yield from lines
+    if rest:
+        yield rest
+
+
 def completion_texts(lines: Iterable[bytes]) -> Iterator[str | None]:
     """Yields the text of each event, and None for the end marker."""
     for line in lines:
--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -110,29 +110,26 @@
     def start_standins(self) -> None:
         """Starts the platform's services, the engines and the plain services."""
         self._add_standin(OBJECTS, "standins.objects", [])
-        self._add_standin(HOST_LIST, "standins.hosts", _as_arguments(HOST_OPTIONS))
+        self._add_standin(HOST_LIST, "standins.hosts", self._host_list())
         self._add_standin(WEIGHTS, "standins.weights", _as_arguments(WEIGHT_OPTIONS))
         for engine in self.described.engines:
             self._add_standin(engine.name, "standins.engine", self._engine(engine))
         for service in self.described.services:
             self._add_standin(service.name, "standins.service", self._service(service))
         self.wait_ready()
-        for host in self.described.hosts:
-            self.set_host_state(host, "live")
-        # A daemon that starts on a list still empty would see every host as gone.
-        wait_until(self._hosts_listed, CONFIG_TIMEOUT_S, "the host list is filled")
 
-    def _hosts_listed(self) -> bool:
-        listed = self.client(HOST_LIST).call("GET", "/hosts").body
-        return len(listed) == len(self.described.hosts)
+    def _host_list(self) -> list[str]:
+        # Hosts added later would be seen only after the lag of the list.
+        hosts = [{"host": h, **self._listed(h, "live")} for h in self.described.hosts]
+        return _as_arguments({**HOST_OPTIONS, "hosts": json.dumps(hosts)})
+
+    def _listed(self, host: str, state: str) -> dict[str, str]:
+        centre = self.described.hosts[host]
+        return {"address": LOOPBACK, "data_centre": centre, "state": state}
 
     def set_host_state(self, host: str, state: str) -> None:
         """Makes the host list say that a host is ``live`` or ``leaving``."""
-        listed = {
-            "address": LOOPBACK,
-            "data_centre": self.described.hosts[host],
-            "state": state,
-        }
+        listed = self._listed(host, state)
         reply = self.client(HOST_LIST).call("PUT", f"/hosts/{host}", listed)
         if reply.status != OK:
             raise TestbedError(f"host {host}: {reply.status} {reply.body}")
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -127,6 +127,12 @@
             self._peer = None
             self.state = None
 
+    def close(self) -> None:
+        """Ends the current session, if any."""
+        peer = self._peer
+        if peer is not None:
+            peer.close()
+
     def wait_opened(self, timeout_s: float) -> bool:
         """Waits until there is a session."""
         with self._opened:
@@ -181,14 +187,13 @@
 
         self._links[link.name] = link
         self._stops[link.name] = self._process.supervisor.start(
-            f"link-{link.name}", child
+            f"link-{link.name}", child, interrupt=link.close
         )
 
     def _drop(self, name: str) -> None:
         link = self._links.pop(name)
         self._stops.pop(name).set()
-        if link.peer is not None:
-            link.peer.close()
+        link.close()
 
     def _keep_open(self, link: Link, stop: threading.Event) -> None:
         """Connects, serves the session, and connects again, until stopped."""
@@ -206,10 +211,13 @@
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
                 continue
             backoff_s = FIRST_BACKOFF_S
-            self._serve(link, peer)
+            self._serve(link, peer, stop)
 
-    def _serve(self, link: Link, peer: Peer) -> None:
+    def _serve(self, link: Link, peer: Peer, stop: threading.Event) -> None:
         link.opened(peer)
+        if stop.is_set():
+            # Whoever set it may not have seen this session.
+            peer.close()
         self._process.ring.record("link.opened", detail=link.name)
         try:
             self._on_open(link, peer)
--- a/cornelpin/daemon/supervisor.py
+++ b/cornelpin/daemon/supervisor.py
@@ -6,6 +6,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
+import attrs
 from loguru import logger
 
 if TYPE_CHECKING:
@@ -17,6 +18,16 @@
 STOP_TIMEOUT_S = 5.0
 
 
+@attrs.frozen
+class _Child:
+    """A running child and the means to stop it."""
+
+    name: str
+    stop: threading.Event
+    fut: Future[None]
+    interrupt: Callable[[], None] | None
+
+
 class Supervisor:
     """Runs children as tasks of one executor and restarts those that raise.
 
@@ -28,17 +39,22 @@
         self.name = name
         self.restarts = 0
         self._executor = ThreadPoolExecutor(MAX_CHILDREN, thread_name_prefix=name)
-        self._children: list[tuple[str, threading.Event, Future[None]]] = []
+        self._children: list[_Child] = []
         self._lock = threading.Lock()
 
     def start(
-        self, name: str, child: Callable[[threading.Event], None]
+        self,
+        name: str,
+        child: Callable[[threading.Event], None],
+        *,
+        interrupt: Callable[[], None] | None = None,
     ) -> threading.Event:
         """Starts a child.
 
         Args:
             name: Name used in logs.
             child: The task; restarted with backoff if it raises.
+            interrupt: Ends a blocking call of the child, after its stop event is set.
 
         Returns:
             The event that stops this child.
@@ -46,20 +62,24 @@
         stop = threading.Event()
         fut = self._executor.submit(self._run, name, child, stop)
         with self._lock:
-            self._children = [c for c in self._children if not c[2].done()]
-            self._children.append((name, stop, fut))
+            self._children = [c for c in self._children if not c.fut.done()]
+            self._children.append(_Child(name, stop, fut, interrupt))
         return stop
 
     def stop(self) -> None:
         """Stops all children in reverse start order."""
         with self._lock:
             children = list(reversed(self._children))
-        for name, stop, fut in children:
-            stop.set()
+        for child in children:
+            child.stop.set()
+            if child.interrupt is not None:
+                child.interrupt()
             try:
-                fut.result(timeout=STOP_TIMEOUT_S)
+                child.fut.result(timeout=STOP_TIMEOUT_S)
             except TimeoutError:
-                logger.warning("{} did not stop within {} s", name, STOP_TIMEOUT_S)
+                logger.warning(
+                    "{} did not stop within {} s", child.name, STOP_TIMEOUT_S
+                )
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _run(
--- a/cornelpin/tests/scenarios/test_workload.py
+++ b/cornelpin/tests/test_workload.py
@@ -9,7 +9,6 @@
 import pytest
 
 from benchmarks import demo
-from benchmarks.answers import expected_answer
 from benchmarks.cluster_settings import workspace_token
 from benchmarks.deployments import DEPLOYMENTS, capacity_per_s
 from benchmarks.load import Sender, Target
@@ -17,6 +16,7 @@
 from benchmarks.records import Answer, Kind, RunEvent, SentRecord
 from benchmarks.timeline_page import timeline_page
 from benchmarks.workload import PlannedRequest, Shape, plan
+from standins.answers import expected_answer
 
 SHAPE = Shape(seed=7, rate_per_s=200.0, duration_s=5.0, burst_every_s=2.0)
 SMALL = DEPLOYMENTS["small"]()
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -25,6 +25,11 @@
     ]
 
 
+def expected_answer(prompt: str, count: int) -> str:
+    """Returns the text of the first ``count`` tokens of the answer."""
+    return "".join(expected_tokens(prompt, count))
+
+
 def _content_text(content: Any) -> str:
     if isinstance(content, list):
         return "\n".join(str(part.get("text", "")) for part in content)
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -36,13 +37,16 @@
     """The hosts with their past, of which readers see a late state."""
 
     def __init__(
-        self, lag_s: float, clock: Callable[[], float] = time.monotonic
+        self,
+        lag_s: float,
+        clock: Callable[[], float] = time.monotonic,
+        hosts: Iterable[Host] = (),
     ) -> None:
         self._lag_s = lag_s
         self._clock = clock
         self._lock = threading.Lock()
-        self._now: dict[str, Host] = {}
-        self._past: list[tuple[float, dict[str, Host]]] = [(clock(), {})]
+        self._now = {host.host: host for host in hosts}
+        self._past: list[tuple[float, dict[str, Host]]] = [(clock(), self._now)]
 
     def put(self, host: Host) -> None:
         """Adds or replaces a host."""
@@ -116,8 +120,10 @@
     """Serves the host list until SIGTERM."""
     parser = argument_parser("A stand-in of the host list.")
     parser.add_argument("--lag-s", type=float, default=0.0)
+    parser.add_argument("--hosts", default="[]", help="first hosts as a JSON list")
     arguments = parser.parse_args()
-    api = HostApi(HostList(arguments.lag_s))
+    hosts = [Host(**values) for values in json.loads(arguments.hosts)]
+    api = HostApi(HostList(arguments.lag_s, hosts=hosts))
     serve(api.router(), arguments.address, arguments.port)
 
 
