--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -16,6 +16,7 @@
     Resume,
     Withdraw,
 )
+from cornelpin.daemon.metrics import RequestTimes
 from cornelpin.daemon.placement import NoServer, Placement
 from cornelpin.daemon.ticket_table import DEFAULT_RETRY_AFTER_S, Evicted, Lost
 
@@ -45,6 +46,7 @@
         self._received = 0
         self._complete = False
         self._tries = 0
+        self._times = RequestTimes(process.meters, self._req.tier)
         self._placement = Placement(process, ticket, dispatcher.candidates)
         self.caller_gone: Callable[[], bool] = lambda: False
 
@@ -58,6 +60,7 @@
         while True:
             msg, link = self._next()
             if isinstance(msg, Head):
+                self._times.head()
                 return msg
             self._before_head(msg, link)
 
@@ -94,6 +97,7 @@
         for link in ticket.reserved():
             link.send(Withdraw(request_id))
         self._dispatcher.tickets.remove(request_id)
+        self._times.close(complete=self._complete)
 
     # Events
 
@@ -189,6 +193,7 @@
             raise self._failed("a part of the answer is missing")
         fresh = msg.parts[self._received - msg.offset :]
         self._received += len(fresh)
+        self._times.parts += len(fresh)
         return fresh
 
     def _check_end(self, msg: End) -> None:
@@ -209,17 +214,28 @@
     # Refusals
 
     def _failed(self, detail: str) -> Refusal:
-        return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail)
+        return self._noted(Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, detail))
 
     def _refusal(self, reason: Reason, detail: str) -> Refusal:
         """Builds a refusal; "not run" only if the request was never granted."""
         if self._ticket.close():
-            return Refusal(
-                reason, Verdict.NOT_RUN, detail, retry_after_s=self._retry_after_s()
+            return self._noted(
+                Refusal(
+                    reason,
+                    Verdict.NOT_RUN,
+                    detail,
+                    retry_after_s=self._retry_after_s(),
+                )
             )
         if reason is Reason.SHED:
             reason = Reason.SERVER_LOST
-        return Refusal(reason, Verdict.MAY_HAVE_RUN, detail)
+        return self._noted(Refusal(reason, Verdict.MAY_HAVE_RUN, detail))
+
+    def _noted(self, refusal: Refusal) -> Refusal:
+        """Makes the refusal count as the outcome of this request's tier."""
+        refusal.tier = self._req.tier
+        self._times.outcome = refusal.reason.value
+        return refusal
 
     def _retry_after_s(self) -> float:
         states = [
--- a/cornelpin/daemon/metrics.py
+++ b/cornelpin/daemon/metrics.py
@@ -101,6 +101,38 @@
         self._provider.shutdown()
 
 
+class RequestTimes:
+    """Times one request from its acceptance and reports it once."""
+
+    def __init__(self, meters: Meters, tier: str) -> None:
+        self._meters = meters
+        self._tier = tier
+        self._accepted = time.monotonic()
+        self._head: float | None = None
+        self._closed = False
+        self.parts = 0
+        self.outcome = "broken"
+
+    def head(self) -> None:
+        """Notes that the head of the answer has come."""
+        self._head = time.monotonic()
+
+    def close(self, *, complete: bool) -> None:
+        """Reports the outcome, and the times of a complete answer."""
+        if self._closed:
+            return
+        self._closed = True
+        self._meters.finished(self._tier, "answered" if complete else self.outcome)
+        if complete and self._head is not None:
+            now = time.monotonic()
+            self._meters.timed(
+                self._tier,
+                wait_s=self._head - self._accepted,
+                duration_s=now - self._accepted,
+                parts=self.parts,
+            )
+
+
 def _readers(settings: Settings) -> list[MetricReader]:
     readers: list[MetricReader] = [PrometheusMetricReader()]
     if settings.otlp_url is not None:
--- a/cornelpin/tests/test_bad_inputs.py
+++ b/cornelpin/tests/test_bad_inputs.py
@@ -288,3 +288,14 @@
         unknown = call(running, "GET", "/v1/requests/r-none", b"", theirs)[0]
         answers |= {known, unknown}
     assert answers == {404}
+
+
+def test_answers_and_refusals_are_counted(running: Testbed) -> None:
+    assert_serving(running)
+    call(running, "POST", COMPLETIONS, b"{}", {})
+    _, fields, text = call(running, "GET", "/metrics", b"", {})
+    lines = text.decode().splitlines()
+    counted = [line for line in lines if line.startswith("cornelpin_requests_total{")]
+    assert any('outcome="answered"' in line for line in counted)
+    assert any('outcome="unauthorized"' in line for line in counted)
+    assert fields["Content-Type"].startswith("text/plain")
