--- a/cornelpin/backends/_engine.py
+++ b/cornelpin/backends/_engine.py
@@ -20,6 +20,7 @@
     UNKNOWN,
     Call,
     CancelToken,
+    OrderEnd,
     RunEnd,
     Sink,
     backend,
@@ -30,6 +31,7 @@
 
 EVENT_PREFIX = b"data: "
 END_OF_STREAM = b"[DONE]"
+ORDER_TIMEOUT_S = 600.0
 
 
 @backend("engine")
@@ -70,6 +72,25 @@
             loaded = loaded.get("versions", [])
         return [str(version) for version in loaded]
 
+    def order(self, op: str, version: str, fence: int) -> OrderEnd:
+        """Loads or unloads a version; returns when that is done."""
+        order = {"op": op, "version": version, "fence": fence}
+        exchange = Exchange(self._url, read_timeout_s=ORDER_TIMEOUT_S)
+        try:
+            exchange.open()
+            headers = {"Content-Type": "application/json"}
+            body = json.dumps(order).encode()
+            resp = exchange.send("POST", "/orders", headers, body)
+            detail = resp.read().decode(errors="replace")
+        except (Unreachable, OSError, http.client.HTTPException) as exc:
+            return OrderEnd(done=False, detail=f"{type(exc).__name__}: {exc}")
+        finally:
+            exchange.close()
+        gone = op == "unload" and resp.status == 404
+        if resp.status == 200 or gone:
+            return OrderEnd(done=True)
+        return OrderEnd(False, _retry_after_s(resp), f"status {resp.status}: {detail}")
+
     def _stream(
         self,
         method: str,
@@ -117,6 +138,13 @@
     return json.dumps(document).encode()
 
 
+def _retry_after_s(resp: http.client.HTTPResponse) -> float:
+    try:
+        return max(0.0, float(resp.headers.get("Retry-After") or 0))
+    except ValueError:
+        return 0.0
+
+
 def _answer_headers(resp: http.client.HTTPResponse) -> dict[str, str]:
     return {"Content-Type": resp.headers.get("Content-Type", "application/json")}
 
--- a/cornelpin/backends/_registry.py
+++ b/cornelpin/backends/_registry.py
@@ -56,6 +56,21 @@
     unreachable: bool = False
 
 
+@attrs.frozen
+class OrderEnd:
+    """What became of an order to a backend server.
+
+    Attributes:
+        done: Whether it was carried out.
+        retry_after_s: When the server asks to be tried again, 0 if it does not say.
+        detail: What went wrong.
+    """
+
+    done: bool
+    retry_after_s: float = 0.0
+    detail: str = ""
+
+
 class Sink(Protocol):
     """Takes an answer as it arrives."""
 
@@ -107,6 +122,9 @@
     def versions(self) -> list[str]:
         """Returns the versions loaded; empty if the server is unreachable."""
 
+    def order(self, op: str, version: str, fence: int) -> OrderEnd:
+        """Loads or unloads a version; returns when that is done."""
+
 
 B = TypeVar("B")
 
--- a/cornelpin/backends/_service.py
+++ b/cornelpin/backends/_service.py
@@ -13,6 +13,7 @@
     UNKNOWN,
     Call,
     CancelToken,
+    OrderEnd,
     RunEnd,
     Sink,
     backend,
@@ -62,6 +63,10 @@
         """Plain services have no versions."""
         return []
 
+    def order(self, op: str, version: str, fence: int) -> OrderEnd:
+        """Plain services take no orders."""
+        return OrderEnd(done=False, detail="a plain service has no versions")
+
 
 def _passed_headers(resp: http.client.HTTPResponse) -> dict[str, str]:
     return {
--- /dev/null
+++ b/cornelpin/core/judgement.py
@@ -0,0 +1,198 @@
+"""Sequential judgement of a new version against the old one on like work.
+
+Runs are tallied by tier. Failures and slowness each get cumulative sums of log
+likelihood ratios that restart at zero (Page's test), so that a fault that sets in
+late is seen as soon as one that was there at once. Each sum raises a false alarm at
+most once in ``1 / ALPHA`` judged runs on average; a version is accepted once a
+fault of the tolerated size would have shown with probability ``1 - BETA``.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+ALPHA = 1e-5
+BETA = 0.05
+# An old version without failures still gets this rate, which bounds the weight of
+# one failure.
+MIN_FAILURE_RATE = 0.01
+PRIOR_RUNS = 100
+SEVERE_RATES = (0.3, 0.6)
+ALL_TIERS = "*"
+HOLD_SHARE = 0.4
+
+
+@attrs.frozen
+class Tally:
+    """Cumulative counts of one source on one tier.
+
+    Attributes:
+        tier: Name of the tier.
+        old_runs: Ended runs of the old version.
+        old_failures: Failed ones among them.
+        new_runs: Ended runs of the new version.
+        new_failures: Failed ones among them.
+        timed: Runs of the new version whose speed was compared.
+        slow: Sum of log likelihood ratios for a longer time per token.
+        slow_first: The same for the time to the first part.
+    """
+
+    tier: str
+    old_runs: int = 0
+    old_failures: int = 0
+    new_runs: int = 0
+    new_failures: int = 0
+    timed: int = 0
+    slow: float = 0.0
+    slow_first: float = 0.0
+
+    def minus(self, other: Tally) -> Tally:
+        """Returns the difference of two cumulative tallies."""
+        values = {
+            name: getattr(self, name) - getattr(other, name) for name in _COUNTERS
+        }
+        return Tally(self.tier, **values)
+
+    def plus(self, other: Tally) -> Tally:
+        """Returns the sum of two tallies."""
+        values = {
+            name: getattr(self, name) + getattr(other, name) for name in _COUNTERS
+        }
+        return Tally(self.tier, **values)
+
+
+_COUNTERS = tuple(f.name for f in attrs.fields(Tally) if f.name != "tier")
+
+
+@attrs.define
+class _Sums:
+    """Restarting sums of one tier, by suspected fault."""
+
+    total: Tally
+    values: dict[str, float] = attrs.field(factory=dict)
+
+    def add(self, fault: str, ratio: float) -> None:
+        self.values[fault] = max(0.0, self.values.get(fault, 0.0) + ratio)
+
+
+@attrs.frozen
+class Opinion:
+    """What the evidence says so far.
+
+    Attributes:
+        bad: Whether the new version is judged bad.
+        accepted: Whether a fault would have shown by now.
+        suspicious: Whether the share should not grow for now.
+        reason: The strongest suspicion, for operators.
+        runs: Runs of the new version judged.
+    """
+
+    bad: bool
+    accepted: bool
+    suspicious: bool
+    reason: str
+    runs: int
+
+
+class Judgement:
+    """Judges one attempt of a move from tallies of many sources.
+
+    Args:
+        max_bad_share: Tolerated increase of the share of failures.
+    """
+
+    def __init__(self, max_bad_share: float) -> None:
+        self._rise = max(max_bad_share, MIN_FAILURE_RATE)
+        self._latest: dict[tuple[str, str], tuple[str, Tally]] = {}
+        self._sums: dict[str, _Sums] = {}
+        self._verdict = ""
+
+    def take(self, source: str, incarnation: str, tallies: Iterable[Tally]) -> None:
+        """Takes cumulative tallies; repeated and reordered ones do no harm."""
+        for tally in tallies:
+            key = (source, tally.tier)
+            known = self._latest.get(key)
+            if known is None or known[0] != incarnation:
+                before = Tally(tally.tier)
+            else:
+                before = known[1]
+            if tally.new_runs + tally.old_runs < before.new_runs + before.old_runs:
+                continue
+            self._latest[key] = (incarnation, tally)
+            change = tally.minus(before)
+            self._add(tally.tier, change)
+            self._add(ALL_TIERS, change)
+
+    def opinion(self) -> Opinion:
+        """Returns the judgement on all evidence so far."""
+        scores = [
+            (value, tier, fault)
+            for tier, sums in self._sums.items()
+            for fault, value in sums.values.items()
+        ]
+        score, tier, fault = max(scores, default=(0.0, ALL_TIERS, ""))
+        threshold = math.log(max(1, len(scores)) / ALPHA)
+        if score >= threshold and not self._verdict:
+            self._verdict = self._describe(tier, fault)
+        total = self._total(ALL_TIERS)
+        return Opinion(
+            bad=bool(self._verdict),
+            accepted=self._accepted(total),
+            suspicious=score >= HOLD_SHARE * threshold,
+            reason=self._verdict or (self._describe(tier, fault) if score else ""),
+            runs=total.new_runs,
+        )
+
+    def _total(self, tier: str) -> Tally:
+        sums = self._sums.get(tier)
+        return sums.total if sums is not None else Tally(tier)
+
+    def _accepted(self, total: Tally) -> bool:
+        needed = math.log(BETA) / math.log(1 - min(0.5, self._severe()))
+        return total.new_runs >= needed and total.timed >= needed / 2
+
+    def _severe(self) -> float:
+        return max(SEVERE_RATES[0], self._rise)
+
+    def _add(self, tier: str, change: Tally) -> None:
+        sums = self._sums.setdefault(tier, _Sums(Tally(tier)))
+        sums.total = sums.total.plus(change)
+        base = failure_rate(sums.total.old_runs, sums.total.old_failures)
+        for rate in (base + self._rise, *SEVERE_RATES):
+            if rate <= base or rate >= 1:
+                continue
+            ratio = failure_ratio(change.new_runs, change.new_failures, base, rate)
+            sums.add(f"failures at {rate:.2f}", ratio)
+        sums.add("time per token", change.slow)
+        sums.add("time to the first part", change.slow_first)
+
+    def _describe(self, tier: str, fault: str) -> str:
+        total = self._total(tier)
+        where = "" if tier == ALL_TIERS else f" on tier {tier}"
+        if fault.startswith("failures"):
+            return (
+                f"{total.new_failures} of {total.new_runs} runs failed{where}, "
+                f"with the old version {total.old_failures} of {total.old_runs}"
+            )
+        return f"longer {fault}{where} than the old version on like work"
+
+
+def failure_rate(runs: int, failures: int) -> float:
+    """Returns the failure rate to expect, given the old version's counts."""
+    prior = MIN_FAILURE_RATE * PRIOR_RUNS
+    return max(MIN_FAILURE_RATE, (failures + prior) / (runs + PRIOR_RUNS))
+
+
+def failure_ratio(runs: int, failures: int, base: float, rate: float) -> float:
+    """Returns the log likelihood ratio of two failure rates."""
+    return failures * math.log(rate / base) + (runs - failures) * math.log(
+        (1 - rate) / (1 - base)
+    )
+
+
+def tallies_of(rows: Iterable[Mapping | list]) -> list[Tally]:
+    """Builds tallies from the fields of a message."""
+    return [Tally(*row) for row in rows]
--- /dev/null
+++ b/cornelpin/core/lease.py
@@ -0,0 +1,197 @@
+"""Lease over the object store, with a fencing number for each acquisition.
+
+No clock is compared between hosts. A contender takes the lease only after it has
+itself watched the lease object keep one version for the whole term; the holder
+relies on the lease for a shorter time, counted from before its last renewal. A
+holder that was paused past the term does no harm: its fencing number is lower than
+the next holder's, and its conditional writes fail.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Callable
+
+from attrs import frozen
+
+from cornelpin.platform.objects import (
+    Conflict,
+    Found,
+    Missing,
+    ObjectStore,
+    Unavailable,
+    Unchanged,
+    Unknown,
+    Written,
+)
+
+TERM_S = 4.0
+HOLD_SHARE = 0.6
+RENEW_SHARE = 0.25
+JITTER = 0.3
+
+
+@frozen
+class LeaseValue:
+    """Content of the lease object.
+
+    Attributes:
+        holder: Name and incarnation of the holder.
+        fence: Fencing number of this acquisition.
+        renewal: Number of renewals since the acquisition.
+    """
+
+    holder: str
+    fence: int
+    renewal: int = 0
+
+    def encode(self) -> bytes:
+        """Returns the stored form."""
+        return json.dumps([self.holder, self.fence, self.renewal]).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> LeaseValue:
+        """Reads the stored form.
+
+        Raises:
+            ValueError: If the value is malformed.
+        """
+        holder, fence, renewal = json.loads(value)
+        return cls(str(holder), int(fence), int(renewal))
+
+
+@frozen
+class _Seen:
+    """The lease object as last read, and since when it has that version."""
+
+    value: LeaseValue | None
+    version: int
+    since: float
+
+
+class Lease:
+    """Acquires and renews one lease; call :meth:`step` after each :attr:`pause_s`.
+
+    Args:
+        objects: The object store.
+        key: Key of the lease object.
+        holder: Name of this contender, unique to this run of the process.
+        term_s: Time without a change after which the lease may be taken.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        objects: ObjectStore,
+        key: str,
+        holder: str,
+        *,
+        term_s: float = TERM_S,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._objects = objects
+        self._key = key
+        self._holder = holder
+        self._term_s = term_s
+        self._clock = clock
+        self._seen: _Seen | None = None
+        self._held: LeaseValue | None = None
+        self._held_version = 0
+        self._reliable_until = 0.0
+
+    @property
+    def fence(self) -> int:
+        """Fencing number of the current acquisition, 0 without one."""
+        return self._held.fence if self._held is not None else 0
+
+    @property
+    def held(self) -> bool:
+        """Whether this contender may act as the holder now."""
+        return self._held is not None and self._clock() < self._reliable_until
+
+    @property
+    def pause_s(self) -> float:
+        """Jittered time until the next step."""
+        return self._term_s * RENEW_SHARE * random.uniform(1 - JITTER, 1 + JITTER)
+
+    def step(self) -> bool:
+        """Renews the lease, or acquires it if nobody renews it.
+
+        Returns:
+            Whether it is held.
+        """
+        if self._held is not None:
+            self._renew(self._held)
+        else:
+            self._contend()
+        return self.held
+
+    def release(self) -> None:
+        """Gives the lease up, so that a successor need not wait for the term."""
+        if self._held is None:
+            return
+        free = LeaseValue("", self._held.fence, self._held.renewal + 1)
+        self._objects.put(self._key, free.encode(), if_version=self._held_version)
+        self._held = None
+
+    def _renew(self, held: LeaseValue) -> None:
+        value = LeaseValue(held.holder, held.fence, held.renewal + 1)
+        self._write(value, self._held_version)
+
+    def _contend(self) -> None:
+        seen = self._look()
+        if seen is None:
+            return
+        free = seen.value is None or seen.value.holder == ""
+        if not free and self._clock() - seen.since < self._term_s:
+            return
+        fence = seen.value.fence + 1 if seen.value is not None else 1
+        self._write(LeaseValue(self._holder, fence), seen.version)
+
+    def _look(self) -> _Seen | None:
+        """Reads the object; a failed read restarts the wait for its term."""
+        known = self._seen.version if self._seen is not None else None
+        found = self._objects.get(self._key, unless_version=known)
+        if isinstance(found, Unavailable):
+            self._seen = None
+        elif isinstance(found, Missing):
+            self._seen = _Seen(None, 0, self._clock())
+        elif isinstance(found, Found):
+            same = self._seen is not None and found.version == self._seen.version
+            if not same:
+                value = LeaseValue.decode(found.value)
+                self._seen = _Seen(value, found.version, self._clock())
+        elif isinstance(found, Unchanged):
+            pass
+        return self._seen
+
+    def _write(self, value: LeaseValue, version: int) -> None:
+        started = self._clock()
+        outcome = self._objects.put(self._key, value.encode(), if_version=version)
+        if isinstance(outcome, Unknown):
+            outcome = self._resolve(value)
+        if isinstance(outcome, Written):
+            self._held = value
+            self._held_version = outcome.version
+            self._reliable_until = started + self._term_s * HOLD_SHARE
+        elif isinstance(outcome, Conflict):
+            self._held = None
+            self._seen = None
+
+    def _resolve(self, value: LeaseValue) -> Written | Conflict | Unavailable:
+        """Reads back a write whose answer was lost."""
+        found = self._objects.get(self._key)
+        if isinstance(found, Found):
+            if found.value == value.encode():
+                return Written(found.version)
+            mine = LeaseValue.decode(found.value)
+            held = self._held
+            if held is not None and (mine.holder, mine.fence) == (
+                held.holder,
+                held.fence,
+            ):
+                return Unavailable("the renewal was lost")
+            return Conflict(found.version)
+        return Unavailable("the answer to the write was lost")
--- /dev/null
+++ b/cornelpin/core/move_plan.py
@@ -0,0 +1,134 @@
+"""The next step of a move, from its stored record and what is known now."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cornelpin.core.move_state import MoveRecord, MoveState
+
+if TYPE_CHECKING:
+    from cornelpin.core.config import Move
+    from cornelpin.core.judgement import Opinion
+
+MIN_SERVERS = 2
+SERVERS_PER_SHARE = 2.0
+# Part of the time left that the stages may spend waiting for evidence.
+SCHEDULE_SHARE = 0.8
+
+
+@attrs.frozen
+class Facts:
+    """What the controller knows about one move.
+
+    Attributes:
+        brake: Reason of a brake on this attempt, or an empty string.
+        opinion: The judgement so far.
+        servers: Reachable servers of the route.
+        loaded: Those among them that hold the new version.
+        stage_age_s: Time since this controller saw the current stage begin.
+        left_s: Time left until the move has to be finished.
+        switched: Whether the route's version is the new one.
+    """
+
+    brake: str
+    opinion: Opinion
+    servers: int
+    loaded: int
+    stage_age_s: float
+    left_s: float
+    switched: bool = False
+
+
+def servers_wanted(servers: int, share: float) -> int:
+    """Returns how many servers should hold the new version for a share."""
+    grown = math.ceil(servers * min(1.0, share * SERVERS_PER_SHARE))
+    return min(servers, max(MIN_SERVERS, grown))
+
+
+def next_share(record: MoveRecord, move: Move) -> float:
+    """Returns the share of the stage after the current one."""
+    stage = min(record.stage + 1, len(move.stages) - 1)
+    return move.stages[stage]
+
+
+def next_record(record: MoveRecord, move: Move, facts: Facts) -> MoveRecord:
+    """Returns the record after one step; equal to the old one if nothing changes."""
+    if record.state.final:
+        return record
+    reason = _reason_to_take_back(move, facts)
+    if reason:
+        return attrs.evolve(
+            record, state=MoveState.TAKEN_BACK, share=0.0, reason=reason
+        )
+    if facts.switched:
+        return attrs.evolve(record, state=MoveState.DONE, share=1.0, reason=_done(move))
+    if move.state == "pause":
+        return attrs.evolve(
+            record, state=MoveState.PAUSED, reason="paused by an operator"
+        )
+    return _advance(record, move, facts)
+
+
+def ready_to_switch(record: MoveRecord, move: Move, facts: Facts) -> bool:
+    """Whether the last stage has passed, so that the route may be patched."""
+    if record.state.final or facts.switched or move.state != "run":
+        return False
+    last = record.stage == len(move.stages) - 1
+    stopped = facts.brake or facts.left_s <= 0
+    return last and not stopped and _passed(record, move, facts)
+
+
+def _done(move: Move) -> str:
+    return f"all stages passed; the route serves {move.to_version}"
+
+
+def _reason_to_take_back(move: Move, facts: Facts) -> str:
+    if facts.brake:
+        return facts.brake
+    if move.state == "take_back":
+        return "taken back by an operator"
+    return facts.opinion.reason if facts.opinion.bad else ""
+
+
+def _advance(record: MoveRecord, move: Move, facts: Facts) -> MoveRecord:
+    going = MoveState.RUNNING if record.stage >= 0 else MoveState.LOADING
+    if facts.left_s <= 0:
+        return attrs.evolve(record, state=MoveState.LATE, reason=_late(record, facts))
+    record = attrs.evolve(record, state=going, reason="")
+    last = record.stage == len(move.stages) - 1
+    if last or not _loaded(record, move, facts):
+        return record
+    if record.stage >= 0 and not _passed(record, move, facts):
+        return record
+    return attrs.evolve(
+        record,
+        state=MoveState.RUNNING,
+        stage=record.stage + 1,
+        share=next_share(record, move),
+    )
+
+
+def _late(record: MoveRecord, facts: Facts) -> str:
+    if record.stage < 0:
+        return f"the version is loaded on {facts.loaded} of {facts.servers} servers"
+    if facts.opinion.suspicious:
+        return f"held at {record.share:.0%}: {facts.opinion.reason}"
+    return f"reached {record.share:.0%} with {facts.opinion.runs} runs judged"
+
+
+def _loaded(record: MoveRecord, move: Move, facts: Facts) -> bool:
+    wanted = servers_wanted(facts.servers, next_share(record, move))
+    return facts.servers > 0 and facts.loaded >= wanted
+
+
+def _passed(record: MoveRecord, move: Move, facts: Facts) -> bool:
+    if facts.stage_age_s < move.stage_s or facts.opinion.suspicious:
+        return False
+    if facts.opinion.accepted:
+        return True
+    stages_left = len(move.stages) - record.stage
+    patience_s = SCHEDULE_SHARE * facts.left_s / stages_left
+    return facts.stage_age_s >= patience_s
--- /dev/null
+++ b/cornelpin/core/move_state.py
@@ -0,0 +1,110 @@
+"""State of the moves, as stored and spread."""
+
+from __future__ import annotations
+
+import enum
+import json
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+import attrs
+
+
+class MoveState(enum.Enum):
+    """States of a move."""
+
+    PLANNED = "planned"
+    LOADING = "loading"
+    RUNNING = "running"
+    PAUSED = "paused"
+    DONE = "done"
+    TAKEN_BACK = "taken_back"
+    LATE = "late"
+
+    @property
+    def final(self) -> bool:
+        """Whether the move has ended; a late one still goes on."""
+        return self in (MoveState.DONE, MoveState.TAKEN_BACK)
+
+
+@attrs.frozen
+class MoveRecord:
+    """State of one attempt of a move.
+
+    Attributes:
+        name: Name of the move.
+        route: Name of the route.
+        from_version: Version before the move.
+        to_version: Version after the move.
+        attempt: Id of this attempt; a brake holds for one attempt.
+        state: State of the move.
+        stage: Index of the stage reached, -1 before the first.
+        share: Share of the route's requests for the new version.
+        reason: Why the move is in its state, for operators.
+    """
+
+    name: str
+    route: str
+    from_version: str
+    to_version: str
+    attempt: str
+    state: MoveState = MoveState.PLANNED
+    stage: int = -1
+    share: float = 0.0
+    reason: str = ""
+
+    @property
+    def splits(self) -> bool:
+        """Whether the route's requests are split by share."""
+        return self.share > 0 and not self.state.final
+
+
+def _no_records() -> Mapping[str, MoveRecord]:
+    return MappingProxyType({})
+
+
+@attrs.frozen
+class MoveBook:
+    """The state of all moves under one rising number.
+
+    Attributes:
+        number: Rises with each write.
+        fence: Fencing number of the controller that wrote it.
+        records: Records by move name.
+    """
+
+    number: int = 0
+    fence: int = 0
+    records: Mapping[str, MoveRecord] = attrs.field(factory=_no_records)
+
+    def encode(self) -> bytes:
+        """Returns the stored form."""
+        rows = [
+            {**attrs.asdict(record), "state": record.state.value}
+            for record in self.records.values()
+        ]
+        document = {"number": self.number, "fence": self.fence, "moves": rows}
+        return json.dumps(document, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> MoveBook:
+        """Reads the stored form.
+
+        Raises:
+            ValueError: If the value is malformed.
+        """
+        try:
+            document = json.loads(value)
+            records = [_record(row) for row in document["moves"]]
+            return cls(
+                int(document["number"]),
+                int(document["fence"]),
+                {record.name: record for record in records},
+            )
+        except (KeyError, TypeError) as exc:
+            raise ValueError(f"malformed move state: {exc!r}") from exc
+
+
+def _record(row: dict[str, Any]) -> MoveRecord:
+    return MoveRecord(**{**row, "state": MoveState(row["state"])})
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -30,6 +30,7 @@
     from collections.abc import Callable, Iterator
 
     from cornelpin.daemon.links import Link, LinkTable
+    from cornelpin.daemon.move_view import MoveView
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
 
@@ -110,6 +111,7 @@
         self._process = process
         self.links = links
         self.tickets = TicketTable(limit)
+        self.moves: MoveView | None = None
 
     def on_message(self, link: Link, peer: Peer, msg: Any) -> bool:
         """Handles a side's message about a request.
@@ -130,6 +132,8 @@
 
     def _on_ask(self, link: Link, peer: Peer, request_id: str) -> None:
         ticket = self.tickets.find(request_id)
+        if ticket is not None and ticket.waiting:
+            self.choose_version(ticket, [link])
         if ticket is not None and ticket.grant(link, peer.incarnation):
             self._process.ring.record(
                 "request.granted", request=request_id, detail=link.name
@@ -150,6 +154,16 @@
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
+    def choose_version(self, ticket: Ticket, links: list[Link]) -> None:
+        """Sets the version that the moves give a request at some of the links."""
+        if self.moves is None or ticket.req.kind != "model":
+            return
+        route = ticket.req.route
+        version = self.moves.version(route, ticket.req.request_id)
+        if not any(link.has_version(version) for link in links):
+            version = self.moves.other_version(route, version)
+        ticket.version = version
+
     def _shed_order(self, tier: str) -> int:
         cfg = self._process.view.config.tiers.get(tier)
         return cfg.shed_order if cfg is not None else -1
@@ -234,6 +248,9 @@
         if not links:
             raise self._refusal(Reason.NO_SERVER, "the route has no backend server")
         usable = [link for link in links if link.usable and link not in self._shed_by]
+        self._dispatcher.choose_version(self._ticket, usable)
+        version = self._ticket.version
+        usable = [link for link in usable if not link.lacks_version(version)]
         if direct and self._grant_direct(usable):
             return
         room = RESERVATIONS - len(self._ticket.reserved())
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -11,6 +11,7 @@
 from cornelpin.core.configstore import Accepted, ConfigStore
 from cornelpin.core.events import Event, merge_events
 from cornelpin.daemon.dispatch import Dispatcher
+from cornelpin.daemon.entry_moves import EntryMoves
 from cornelpin.daemon.http.admin import AdminApi
 from cornelpin.daemon.http.app import EntryApp
 from cornelpin.daemon.http.callers import CallerApi
@@ -69,6 +70,14 @@
             process, self._links, settings.limits.held_requests
         )
         self._spread = ConfigSpread(process, self._peers)
+        self._moves = EntryMoves(
+            process,
+            self._objects,
+            self._peers,
+            links_of=self._links.of_servers,
+            submit=self.submit_patch,
+        )
+        self._dispatcher.moves = self._moves.view
         self._watcher = ConfigWatcher(self._store, self._spread, process.view)
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
         self._inbound: dict[str, Peer] = {}
@@ -97,6 +106,7 @@
         sup.start("peer-listener", listener.run)
         sup.start("config-watcher", self._watcher.run)
         sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
+        sup.start("moves", self._moves.controller.run)
         self._http.start()
 
     def leave(self) -> None:
@@ -126,12 +136,16 @@
         return [peer for peer in (*outbound, *inbound) if peer is not None]
 
     def _on_open(self, link: Link, peer: Peer) -> None:
+        self._greet(peer)
+
+    def _greet(self, peer: Peer) -> None:
         self._spread.greet(peer)
+        self._moves.view.greet(peer)
 
     def _on_message(self, link: Link, peer: Peer, msg: Any) -> None:
         if self._dispatcher.on_message(link, peer, msg):
             return
-        self._handle(peer, msg)
+        self._handle(peer, msg, link)
 
     def _heartbeat(self) -> None:
         state = self._state()
@@ -151,13 +165,14 @@
 
     def _on_lost(self, link: Link) -> None:
         self._states.pop(link.process_name, None)
+        self._moves.controller.loader.on_lost(link)
         self._dispatcher.tickets.tell_lost(link)
 
     def _serve(self, peer: Peer) -> None:
         """Serves a session that another process opened."""
         with self._lock:
             self._inbound[peer.name] = peer
-        self._spread.greet(peer)
+        self._greet(peer)
         try:
             while True:
                 self._handle(peer, peer.receive())
@@ -167,7 +182,7 @@
                 if self._inbound.get(peer.name) is peer:
                     del self._inbound[peer.name]
 
-    def _handle(self, peer: Peer, msg: Any) -> None:
+    def _handle(self, peer: Peer, msg: Any, link: Link | None = None) -> None:
         match msg:
             case Heartbeat():
                 self._states[peer.name] = (peer.role, msg)
@@ -175,7 +190,7 @@
                 answer_events(self.process.ring, peer, msg)
             case EventsReply():
                 self._on_events(msg)
-            case _:
+            case _ if not self._moves.handle(peer, msg, link):
                 self._spread.handle(peer, msg)
 
     # Operators
@@ -233,18 +248,7 @@
 
     def moves(self) -> list[dict[str, Any]]:
         """Returns the moves of the configuration and their state."""
-        return [
-            {
-                "name": name,
-                "route": move.route,
-                "from": move.from_version,
-                "to": move.to_version,
-                "state": "planned",
-                "share": 0.0,
-                "reason": "",
-            }
-            for name, move in self.process.view.config.moves.items()
-        ]
+        return self._moves.rows()
 
     # Time line
 
--- /dev/null
+++ b/cornelpin/daemon/entry_moves.py
@@ -0,0 +1,93 @@
+"""The part of an entry that takes part in moves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from cornelpin.core.judgement import tallies_of
+from cornelpin.daemon.move_controller import MoveController
+from cornelpin.daemon.move_judges import MoveJudges
+from cornelpin.daemon.move_messages import MoveEvidence, VersionReply
+from cornelpin.daemon.move_view import MoveView
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornelpin.core.config import Move
+    from cornelpin.core.configstore import Submission
+    from cornelpin.daemon.links import Link
+    from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.process import Process
+    from cornelpin.platform.objects import ObjectStore
+
+
+class EntryMoves:
+    """Follows the moves, judges them and takes part in controlling them.
+
+    Args:
+        process: The process.
+        objects: The object store.
+        peers: Returns the sessions with all peers.
+        links_of: Returns the links to given backend servers.
+        submit: Submits a patch under a base number and an author.
+    """
+
+    def __init__(
+        self,
+        process: Process,
+        objects: ObjectStore,
+        peers: Callable[[], list[Peer]],
+        *,
+        links_of: Callable[[tuple[str, ...]], list[Link]],
+        submit: Callable[..., Submission],
+    ) -> None:
+        self._process = process
+        self.view = MoveView(process, peers)
+        self._judges = MoveJudges(process, self.view)
+        self.controller = MoveController(
+            process, objects, self.view, self._judges, links_of=links_of, submit=submit
+        )
+
+    def handle(self, peer: Peer, msg: Any, link: Link | None = None) -> bool:
+        """Handles a message about moves; returns whether it was one."""
+        match msg:
+            case MoveEvidence():
+                tallies = tallies_of(msg.rows)
+                self._judges.take(msg.attempt, peer.name, peer.incarnation, tallies)
+            case VersionReply():
+                if link is not None:
+                    self.controller.loader.on_reply(link, msg)
+            case _:
+                return self.view.handle(msg)
+        return True
+
+    def rows(self) -> list[dict[str, Any]]:
+        """Returns the moves of the configuration and their state."""
+        moves = self._process.view.config.moves.values()
+        return [self._row(move) for move in moves]
+
+    def _row(self, move: Move) -> dict[str, Any]:
+        record = self.view.book.records.get(move.name)
+        row = {
+            "name": move.name,
+            "route": move.route,
+            "from": move.from_version,
+            "to": move.to_version,
+            "finish_by": move.finish_by,
+            "state": "planned",
+            "share": 0.0,
+            "reason": "",
+            "runs_judged": 0,
+            "evidence": "",
+        }
+        if record is None or record.to_version != move.to_version:
+            return row
+        brake = "" if record.state.final else self.view.braked(record.attempt)
+        opinion = self._judges.opinion(record.attempt)
+        return row | {
+            "state": record.state.value,
+            "share": 0.0 if brake else record.share,
+            "reason": f"braked: {brake}" if brake else record.reason,
+            "runs_judged": opinion.runs,
+            "evidence": opinion.reason,
+        }
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -94,6 +94,15 @@
             return 0
         return state.free - self.direct
 
+    def has_version(self, version: str) -> bool:
+        """Whether the side announced the version as loaded."""
+        return self.state is not None and version in self.state.versions
+
+    def lacks_version(self, version: str) -> bool:
+        """Whether the side announced other versions only."""
+        loaded = self.state.versions if self.state is not None else []
+        return bool(version and loaded) and version not in loaded
+
     @property
     def peer(self) -> Peer | None:
         """The current session, if any."""
--- /dev/null
+++ b/cornelpin/daemon/move_evidence.py
@@ -0,0 +1,118 @@
+"""Evidence on moves at a side: ended runs, tallied and reported."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cornelpin.backends import DONE, FAILED, RunEnd
+from cornelpin.core.observations import (
+    MIN_PARTS,
+    Comparison,
+    Sample,
+    load_class,
+    size_class,
+)
+from cornelpin.daemon.move_messages import MoveEvidence
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornelpin.core.move_state import MoveRecord
+    from cornelpin.daemon.move_judges import MoveJudges
+    from cornelpin.daemon.move_view import MoveView
+    from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.process import Process
+    from cornelpin.daemon.runs import Run
+
+# Runs that fail together because their server died count as one failure.
+CRASH_WINDOW_S = 2.0
+
+
+class EvidenceCollector:
+    """Compares the runs of old and new versions at one backend server."""
+
+    def __init__(
+        self,
+        process: Process,
+        view: MoveView,
+        judges: MoveJudges,
+        peers: Callable[[], list[Peer]],
+    ) -> None:
+        self._process = process
+        self._view = view
+        self._judges = judges
+        self._peers = peers
+        self._comparisons: dict[str, Comparison] = {}
+        self._crashes: dict[str, float] = {}
+
+    def observe(self, run: Run, end: RunEnd, running: int) -> None:
+        """Takes an ended run.
+
+        Args:
+            run: The run.
+            end: How it ended.
+            running: Runs on the server when it ended.
+        """
+        if end.outcome not in (DONE, FAILED):
+            return
+        for record in self._view.active():
+            if record.route == run.grant.route:
+                self._add(record, run, end, running)
+
+    def report(self) -> None:
+        """Judges the evidence here and sends it to all entries."""
+        active = {record.attempt for record in self._view.active()}
+        for attempt, comparison in list(self._comparisons.items()):
+            if attempt not in active:
+                del self._comparisons[attempt]
+                continue
+            tallies = comparison.tallies()
+            self._judges.take(
+                attempt,
+                self._process.settings.name,
+                self._process.incarnation,
+                tallies,
+            )
+            rows = [list(attrs.astuple(tally)) for tally in tallies]
+            for peer in self._peers():
+                peer.send(MoveEvidence(attempt, rows))
+
+    def _add(self, record: MoveRecord, run: Run, end: RunEnd, running: int) -> None:
+        version = run.grant.version
+        if version not in (record.from_version, record.to_version):
+            return
+        if end.outcome == FAILED and end.unreachable and self._same_crash(version):
+            return
+        comparison = self._comparisons.setdefault(record.attempt, Comparison())
+        sample = _sample(run, end, running)
+        if version == record.to_version:
+            comparison.add_new(sample)
+            if sample.failed:
+                self.report()
+        else:
+            comparison.add_old(sample)
+
+    def _same_crash(self, version: str) -> bool:
+        now = time.monotonic()
+        latest = self._crashes.get(version, -CRASH_WINDOW_S)
+        self._crashes[version] = now
+        return now - latest < CRASH_WINDOW_S
+
+
+def _sample(run: Run, end: RunEnd, running: int) -> Sample:
+    ended = run.ended or time.monotonic()
+    first = run.first_part or ended
+    count = run.part_count
+    timed = end.outcome == DONE and count >= MIN_PARTS
+    return Sample(
+        tier=run.grant.tier,
+        size_class=size_class(run.grant.cost),
+        load_class=load_class(running),
+        at=time.monotonic(),
+        failed=end.outcome == FAILED,
+        token_s=(ended - first) / (count - 1) if timed else 0.0,
+        first_s=first - run.started if end.outcome == DONE else 0.0,
+    )
--- /dev/null
+++ b/cornelpin/daemon/move_orders.py
@@ -0,0 +1,101 @@
+"""Orders of the moves' controller, carried out at a side."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from cornelpin.daemon.move_messages import VersionOrder, VersionReply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from concurrent.futures import Executor
+
+    from cornelpin.backends import Backend
+    from cornelpin.daemon.move_view import MoveView
+    from cornelpin.daemon.peer import Peer
+
+UNLOAD = "unload"
+DONE = "done"
+BUSY = "busy"
+FAILED = "failed"
+OLD_FENCE = "old_fence"
+BUSY_RETRY_S = 1.0
+FAILED_RETRY_S = 2.0
+
+
+class OrderDesk:
+    """Passes orders to the backend server and refuses lower fencing numbers.
+
+    Args:
+        backend: Driver of the backend server.
+        executor: Runs the orders, which may take minutes.
+        view: State of the moves, whose fencing number counts too.
+        in_use: Whether runs of a version are on the server.
+        on_done: Called after an order was carried out.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        executor: Executor,
+        view: MoveView,
+        *,
+        in_use: Callable[[str], bool],
+        on_done: Callable[[], None],
+    ) -> None:
+        self._backend = backend
+        self._executor = executor
+        self._view = view
+        self._in_use = in_use
+        self._on_done = on_done
+        self._lock = threading.Lock()
+        self._fence = 0
+        self._current: set[str] = set()
+        self.unloading: set[str] = set()
+
+    def handle(self, peer: Peer, order: VersionOrder) -> None:
+        """Starts an order unless its fencing number is old or one is under way."""
+        with self._lock:
+            self._fence = max(self._fence, self._view.book.fence)
+            if order.fence < self._fence:
+                detail = f"fence {order.fence} is below {self._fence}"
+                peer.send(_reply(order, OLD_FENCE, 0.0, detail))
+                return
+            self._fence = order.fence
+            if order.version in self._current:
+                peer.send(_reply(order, BUSY, BUSY_RETRY_S, "under way"))
+                return
+            self._current.add(order.version)
+        self._executor.submit(self._perform, peer, order)
+
+    def _perform(self, peer: Peer, order: VersionOrder) -> None:
+        try:
+            peer.send(self._carry_out(order))
+        except Exception as exc:
+            logger.exception("order {} {} failed", order.op, order.version)
+            peer.send(_reply(order, FAILED, FAILED_RETRY_S, str(exc)))
+        finally:
+            with self._lock:
+                self._current.discard(order.version)
+                self.unloading.discard(order.version)
+
+    def _carry_out(self, order: VersionOrder) -> VersionReply:
+        if order.op == UNLOAD:
+            self.unloading.add(order.version)
+            if self._in_use(order.version):
+                return _reply(order, BUSY, BUSY_RETRY_S, "runs are on it")
+        result = self._backend.order(order.op, order.version, order.fence)
+        if result.done:
+            self._on_done()
+            return _reply(order, DONE, 0.0, "")
+        retry_after_s = result.retry_after_s or FAILED_RETRY_S
+        return _reply(order, FAILED, retry_after_s, result.detail)
+
+
+def _reply(
+    order: VersionOrder, outcome: str, retry_after_s: float, detail: str
+) -> VersionReply:
+    return VersionReply(order.op, order.version, outcome, retry_after_s, detail)
--- a/cornelpin/daemon/runs.py
+++ b/cornelpin/daemon/runs.py
@@ -42,6 +42,11 @@
         """Id of the request."""
         return self.grant.request_id
 
+    @property
+    def part_count(self) -> int:
+        """Number of parts received so far."""
+        return len(self._parts)
+
     def begin_at(self, offset: int) -> None:
         """Sets the position of the first part of a run resumed at the engine."""
         self._base = offset
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -39,6 +39,7 @@
 )
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.runs import Run, RunTable
+from cornelpin.daemon.side_moves import REPORT_S, SideMoves
 from cornelpin.daemon.spread import ConfigSpread
 from cornelpin.daemon.supervisor import every
 
@@ -90,6 +91,14 @@
         self._versions: list[str] = []
         self._token_s = 0.0
         self.spread = ConfigSpread(process, self._peers)
+        self._moves = SideMoves(
+            process,
+            self._backend,
+            self._executor,
+            self._runs,
+            self._peers,
+            on_loaded=self._on_loaded,
+        )
         process.view.on_change(self._on_config)
 
     def start(self) -> None:
@@ -104,6 +113,7 @@
         sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
         sup.start("sweep", every(SWEEP_S, self._sweep))
         sup.start("versions", every(VERSIONS_S, self._poll_versions))
+        sup.start("move-evidence", every(REPORT_S, self._moves.report))
         self._poll_versions()
 
     def leave(self) -> None:
@@ -178,6 +188,7 @@
         self._ring.record("session.opened", detail=peer.name)
         peer.send(self._state())
         self.spread.greet(peer)
+        self._moves.view.greet(peer)
 
     def _close(self, peer: Peer) -> None:
         peer.close()
@@ -214,7 +225,7 @@
                 answer_events(self._ring, peer, msg)
             case Heartbeat():
                 pass
-            case _:
+            case _ if not self._moves.handle(peer, msg):
                 self.spread.handle(peer, msg)
 
     # Reservations and grants
@@ -242,6 +253,11 @@
     def _on_grant(self, peer: Peer, grant: Grant) -> None:
         """Starts a run if this session may start it; otherwise says "not run"."""
         release = self._slot_for(peer, grant)
+        if release is not None and self._moves.refuses(grant, self._versions):
+            self._release(release)
+            detail = f"version {grant.version} is not served here"
+            peer.send(NotRun(grant.request_id, Reason.NO_SERVER.value, detail))
+            return
         if release is None:
             reason = Reason.LEAVING if self._process.leaving.is_set() else Reason.SHED
             peer.send(NotRun(grant.request_id, reason.value, "no free slot"))
@@ -269,6 +285,11 @@
                 return None
             return self._slots.acquire(grant.tier)
 
+    def _release(self, release: Callable[[], None]) -> None:
+        with self._cond:
+            release()
+            self._cond.notify_all()
+
     def _on_gone(self, request_id: str) -> None:
         with self._cond:
             asked = self._asked.pop(request_id, None)
@@ -355,9 +376,7 @@
             logger.exception("run {} failed", run.request_id)
             end = RunEnd(FAILED, f"{type(exc).__name__}: {exc}")
         finally:
-            with self._cond:
-                release()
-                self._cond.notify_all()
+            self._release(release)
         self._finish(run, end)
 
     def _finish(self, run: Run, end: RunEnd) -> None:
@@ -367,6 +386,7 @@
             self._runs.forget(run.request_id)
             return
         run.end(end.outcome, end.detail)
+        self._moves.observe(run, end)
         if end.outcome != CANCELLED:
             self._heartbeat_if_idle()
 
@@ -408,6 +428,10 @@
         with contextlib.suppress(OSError):
             self._versions = self._backend.versions()
 
+    def _on_loaded(self) -> None:
+        self._poll_versions()
+        self._heartbeat()
+
 
 def _call(grant: Grant) -> Call:
     return Call(
--- /dev/null
+++ b/cornelpin/daemon/side_moves.py
@@ -0,0 +1,81 @@
+"""The part of a side that takes part in moves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from cornelpin.daemon.move_evidence import EvidenceCollector
+from cornelpin.daemon.move_judges import MoveJudges
+from cornelpin.daemon.move_messages import VersionOrder
+from cornelpin.daemon.move_orders import OrderDesk
+from cornelpin.daemon.move_view import MoveView
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from concurrent.futures import Executor
+
+    from cornelpin.backends import Backend, RunEnd
+    from cornelpin.daemon.messages import Grant
+    from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.process import Process
+    from cornelpin.daemon.runs import Run, RunTable
+
+REPORT_S = 0.5
+
+
+class SideMoves:
+    """Carries out orders, reports evidence and refuses braked versions.
+
+    Args:
+        process: The process.
+        backend: Driver of the backend server.
+        executor: Runs orders.
+        runs: Runs on the backend server.
+        peers: Returns the sessions with entries.
+        on_loaded: Called when the loaded versions have changed.
+    """
+
+    def __init__(
+        self,
+        process: Process,
+        backend: Backend,
+        executor: Executor,
+        runs: RunTable,
+        peers: Callable[[], list[Peer]],
+        *,
+        on_loaded: Callable[[], None],
+    ) -> None:
+        self.view = MoveView(process, peers)
+        self._runs = runs
+        judges = MoveJudges(process, self.view)
+        self._evidence = EvidenceCollector(process, self.view, judges, peers)
+        self._desk = OrderDesk(
+            backend, executor, self.view, in_use=self._in_use, on_done=on_loaded
+        )
+
+    def handle(self, peer: Peer, msg: Any) -> bool:
+        """Handles a message about moves; returns whether it was one."""
+        if isinstance(msg, VersionOrder):
+            self._desk.handle(peer, msg)
+            return True
+        return self.view.handle(msg)
+
+    def refuses(self, grant: Grant, loaded: list[str]) -> bool:
+        """Whether a granted request may not start on its version."""
+        version = grant.version
+        if not version:
+            return False
+        missing = bool(loaded) and version not in loaded
+        gone = missing or version in self._desk.unloading
+        return gone or self.view.refused(grant.route, version)
+
+    def observe(self, run: Run, end: RunEnd) -> None:
+        """Takes an ended run as evidence."""
+        self._evidence.observe(run, end, len(self._runs.running()))
+
+    def report(self) -> None:
+        """Sends the evidence to the entries."""
+        self._evidence.report()
+
+    def _in_use(self, version: str) -> bool:
+        return any(run.grant.version == version for run in self._runs.running())
--- /dev/null
+++ b/cornelpin/tests/test_moves.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+import random
+
+import attrs
+import pytest
+
+from cornelpin.core.config import Move
+from cornelpin.core.judgement import Judgement, Opinion, Tally
+from cornelpin.core.move_plan import Facts, next_record, ready_to_switch
+from cornelpin.core.move_state import MoveBook, MoveRecord, MoveState
+from cornelpin.core.observations import Comparison, Sample
+
+MOVE = Move(
+    name="m",
+    route="furnace",
+    from_version="v1",
+    to_version="v2",
+    finish_by=100.0,
+    stages=(0.05, 0.5, 1.0),
+    stage_s=2.0,
+)
+RECORD = MoveRecord("m", "furnace", "v1", "v2", "m-1")
+GOOD = Opinion(bad=False, accepted=True, suspicious=False, reason="", runs=50)
+UNSURE = attrs.evolve(GOOD, accepted=False)
+SUSPICIOUS = attrs.evolve(UNSURE, suspicious=True, reason="slow")
+BAD = attrs.evolve(SUSPICIOUS, bad=True)
+FACTS = Facts("", GOOD, servers=3, loaded=3, stage_age_s=3.0, left_s=60.0)
+STAGE_0 = attrs.evolve(RECORD, state=MoveState.RUNNING, stage=0, share=0.05)
+LAST = attrs.evolve(RECORD, state=MoveState.RUNNING, stage=2, share=1.0)
+
+
+@pytest.mark.parametrize(
+    ("record", "move", "facts", "state", "share"),
+    [
+        (RECORD, {}, {"loaded": 1}, MoveState.LOADING, 0.0),
+        (RECORD, {}, {"servers": 0, "loaded": 0}, MoveState.LOADING, 0.0),
+        (RECORD, {}, {"loaded": 2}, MoveState.RUNNING, 0.05),
+        (STAGE_0, {}, {}, MoveState.RUNNING, 0.5),
+        (STAGE_0, {}, {"loaded": 2}, MoveState.RUNNING, 0.05),
+        (STAGE_0, {}, {"stage_age_s": 1.0}, MoveState.RUNNING, 0.05),
+        (STAGE_0, {}, {"opinion": SUSPICIOUS}, MoveState.RUNNING, 0.05),
+        (STAGE_0, {}, {"opinion": UNSURE}, MoveState.RUNNING, 0.05),
+        (STAGE_0, {}, {"opinion": UNSURE, "left_s": 9.0}, MoveState.RUNNING, 0.5),
+        (STAGE_0, {}, {"opinion": BAD}, MoveState.TAKEN_BACK, 0.0),
+        (STAGE_0, {}, {"brake": "fault"}, MoveState.TAKEN_BACK, 0.0),
+        (STAGE_0, {}, {"left_s": 0.0}, MoveState.LATE, 0.05),
+        (STAGE_0, {"state": "pause"}, {}, MoveState.PAUSED, 0.05),
+        (STAGE_0, {"state": "pause"}, {"brake": "x"}, MoveState.TAKEN_BACK, 0.0),
+        (STAGE_0, {"state": "take_back"}, {}, MoveState.TAKEN_BACK, 0.0),
+        (LAST, {}, {"switched": True}, MoveState.DONE, 1.0),
+        (LAST, {}, {"switched": True, "brake": "x"}, MoveState.TAKEN_BACK, 0.0),
+        (LAST, {}, {"left_s": 0.0}, MoveState.LATE, 1.0),
+    ],
+)
+def test_next_record(record, move, facts, state, share):
+    result = next_record(
+        record, attrs.evolve(MOVE, **move), attrs.evolve(FACTS, **facts)
+    )
+    assert (result.state, result.share) == (state, share)
+
+
+@pytest.mark.parametrize(
+    ("record", "facts", "ready"),
+    [
+        (LAST, {}, True),
+        (STAGE_0, {}, False),
+        (LAST, {"brake": "x"}, False),
+        (LAST, {"left_s": -1.0}, False),
+        (LAST, {"opinion": SUSPICIOUS}, False),
+        (LAST, {"switched": True}, False),
+    ],
+)
+def test_switch_only_after_the_last_stage(record, facts, ready):
+    assert ready_to_switch(record, MOVE, attrs.evolve(FACTS, **facts)) is ready
+
+
+def test_book_survives_its_stored_form():
+    book = MoveBook(7, 3, {"m": STAGE_0})
+    assert MoveBook.decode(book.encode()) == book
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"number":1}', b'{"moves":[{}]}'])
+def test_malformed_book(value):
+    with pytest.raises(ValueError):
+        MoveBook.decode(value)
+
+
+@pytest.mark.parametrize("repeat", [1, 2, 5])
+def test_repeated_and_reordered_tallies_count_once(repeat):
+    judge = Judgement(0.1)
+    early = Tally("t", old_runs=10, new_runs=1, new_failures=1)
+    late = Tally("t", old_runs=20, new_runs=2, new_failures=2)
+    for tally in [late, early] * repeat:
+        judge.take("side-f1", "a", [tally])
+    assert judge.opinion().runs == 2
+    assert not judge.opinion().bad
+
+
+def test_restarted_source_counts_anew():
+    judge = Judgement(0.1)
+    judge.take("side-f1", "a", [Tally("t", new_runs=5)])
+    judge.take("side-f1", "b", [Tally("t", new_runs=3)])
+    assert judge.opinion().runs == 8
+
+
+@pytest.mark.parametrize(
+    ("factor", "slow"), [(1.0, False), (1.15, False), (2.0, True), (4.0, True)]
+)
+def test_comparison_finds_slow_versions(factor, slow):
+    rng = random.Random(3)
+    now = 0.0
+    compared = Comparison(clock=lambda: now)
+    for i in range(400):
+        now = i * 0.1
+        sample = Sample("t", 2, 0, now, False, rng.lognormvariate(-4, 0.2), 0.0)
+        compared.add_old(sample)
+        if i % 10 == 9:
+            slowed = attrs.evolve(sample, token_s=sample.token_s * factor)
+            compared.add_new(slowed)
+    now += 2.0
+    tally = compared.tallies()[0]
+    assert tally.timed == 40
+    assert (tally.slow > 0) is slow
--- /dev/null
+++ b/properties/test_leases.py
@@ -0,0 +1,119 @@
+"""Contenders for one lease under pauses, outages and lost answers."""
+
+from __future__ import annotations
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from cornelpin.core.lease import HOLD_SHARE, TERM_S, Lease
+from cornelpin.platform.memory_objects import MemoryObjectStore
+from cornelpin.platform.objects import Found, Written
+
+CONTENDERS = 3
+LEASE_KEY = "lease"
+STATE_KEY = "state"
+names = st.integers(min_value=0, max_value=CONTENDERS - 1)
+
+
+class Side:
+    """Accepts orders by fencing number, as a side process does."""
+
+    def __init__(self) -> None:
+        self.highest = 0
+        self.accepted: list[tuple[int, int]] = []
+
+    def order(self, contender: int, fence: int) -> None:
+        if fence >= self.highest:
+            self.highest = fence
+            self.accepted.append((fence, contender))
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    @initialize()
+    def start(self) -> None:
+        self.now = 0.0
+        self.store = MemoryObjectStore()
+        self.side = Side()
+        # Hosts do not share a clock: each contender's has its own offset.
+        self.leases = [
+            Lease(
+                self.store,
+                LEASE_KEY,
+                f"c{i}",
+                clock=lambda offset=1000.0 * i: self.now + offset,
+            )
+            for i in range(CONTENDERS)
+        ]
+        self.known: dict[int, int] = {}
+        self.fences: dict[int, int] = {}
+        self.writers: dict[int, int] = {}
+
+    @rule(contender=names)
+    def step(self, contender: int) -> None:
+        self.leases[contender].step()
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, TERM_S * HOLD_SHARE, TERM_S, 60.0]))
+    def pass_time(self, seconds: float) -> None:
+        """Time passes; a contender that takes no step in it was paused."""
+        self.now += seconds
+
+    @rule(outage=st.booleans())
+    def set_outage(self, outage: bool) -> None:
+        self.store.outage = outage
+
+    @rule()
+    def lose_answer(self) -> None:
+        self.store.lose_answers = 1
+
+    @rule()
+    def lose_write(self) -> None:
+        self.store.lose_writes = 1
+
+    @rule(contender=names)
+    def release(self, contender: int) -> None:
+        self.leases[contender].release()
+
+    @rule(contender=names)
+    def read_state(self, contender: int) -> None:
+        found = self.store.get(STATE_KEY)
+        self.known[contender] = found.version if isinstance(found, Found) else 0
+
+    @rule(contender=names, paused_s=st.sampled_from([0.0, 60.0]))
+    def write_state(self, contender: int, paused_s: float) -> None:
+        """Writes on what was read, possibly after a pause past the lease."""
+        lease = self.leases[contender]
+        if not lease.held or contender not in self.known:
+            return
+        self.now += paused_s
+        version = self.known.pop(contender)
+        outcome = self.store.put(STATE_KEY, b"", if_version=version)
+        if isinstance(outcome, Written):
+            assert version not in self.writers, "two writers replaced one state"
+            self.writers[version] = contender
+
+    @rule(contender=names)
+    def order(self, contender: int) -> None:
+        self.side.order(contender, self.leases[contender].fence)
+
+    @invariant()
+    def one_holder(self) -> None:
+        held = [i for i, lease in enumerate(self.leases) if lease.held]
+        assert len(held) <= 1
+
+    @invariant()
+    def one_contender_for_each_fence(self) -> None:
+        for contender, lease in enumerate(self.leases):
+            if lease.fence:
+                owner = self.fences.setdefault(lease.fence, contender)
+                assert owner == contender
+
+    @invariant()
+    def fences_at_the_side_never_fall(self) -> None:
+        fences = [fence for fence, _ in self.side.accepted]
+        assert fences == sorted(fences)
+
+
+LeaseMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=60, deadline=None
+)
+TestLeases = LeaseMachine.TestCase
