--- a/cornelpin/daemon/side_moves.py
+++ b/cornelpin/daemon/side_moves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.daemon.move_evidence import EvidenceCollector
@@ -12,7 +13,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from concurrent.futures import Executor
 
     from cornelpin.backends import Backend, RunEnd
     from cornelpin.daemon.messages import Grant
@@ -21,6 +21,7 @@
     from cornelpin.daemon.runs import Run, RunTable
 
 REPORT_S = 0.5
+ORDER_THREADS = 4
 
 
 class SideMoves:
@@ -29,7 +30,6 @@
     Args:
         process: The process.
         backend: Driver of the backend server.
-        executor: Runs orders.
         runs: Runs on the backend server.
         peers: Returns the sessions with entries.
         on_loaded: Called when the loaded versions have changed.
@@ -39,7 +39,6 @@
         self,
         process: Process,
         backend: Backend,
-        executor: Executor,
         runs: RunTable,
         peers: Callable[[], list[Peer]],
         *,
@@ -49,6 +48,7 @@
         self._runs = runs
         judges = MoveJudges(process, self.view)
         self._evidence = EvidenceCollector(process, self.view, judges, peers)
+        executor = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="order")
         self._desk = OrderDesk(
             backend, executor, self.view, in_use=self._in_use, on_done=on_loaded
         )
