--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -47,7 +47,9 @@
         self._complete = False
         self._tries = 0
         self._times = RequestTimes(process.meters, self._req.tier)
-        self._placement = Placement(process, ticket, dispatcher.candidates)
+        self._placement = Placement(
+            process, ticket, dispatcher.candidates, dispatcher.choose_version
+        )
         self.caller_gone: Callable[[], bool] = lambda: False
 
     def head(self) -> Head:
