--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := .venv/ready
 endif
 
-.PHONY: demo test lint format types clean scenarios
+.PHONY: demo test lint format types clean scenarios experiment soak
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -23,6 +23,12 @@
 scenarios: $(READY)
 	$(PY) -m benchmarks.scenarios cornelpin/tests/scenarios/*.jsonc
 
+experiment: $(READY)
+	$(PY) -m benchmarks.experiment
+
+soak: $(READY)
+	$(PY) -m benchmarks.soak
+
 lint: $(READY)
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -112,6 +112,11 @@
             return tuple(engine.name for engine in self.engines)
         return tuple(service.name for service in self.services)
 
+    @property
+    def servers(self) -> tuple[str, ...]:
+        """Names of all backend servers."""
+        return (*self.servers_of(Kind.MODEL), *self.servers_of(Kind.SERVICE))
+
     def tier(self, name: str) -> Tier:
         """Returns a tier by name."""
         return next(tier for tier in self.tiers if tier.name == name)
@@ -334,15 +339,21 @@
     )
 
 
-def capacity_per_s(described: Deployment) -> float:
-    """Estimates the arrival rate that just fills the engines of a deployment."""
+def mean_output_tokens(described: Deployment) -> float:
+    """Returns the mean length of the answers of a deployment's engines."""
     tiers = [tier for tier in described.tiers if tier.kind is Kind.MODEL]
     share = sum(tier.share for tier in tiers)
     tokens = sum(_log_mean(tier.output_tokens) * tier.share for tier in tiers)
+    return tokens / share
+
+
+def capacity_per_s(described: Deployment) -> float:
+    """Estimates the arrival rate that just fills the engines of a deployment."""
+    share = sum(tier.share for tier in described.tiers if tier.kind is Kind.MODEL)
     tokens_per_s = sum(
         engine.max_batch * 1000 / engine.step_ms for engine in described.engines
     )
-    return tokens_per_s / (tokens / share) / share
+    return tokens_per_s / mean_output_tokens(described) / share
 
 
 def _log_mean(bounds: tuple[int, int]) -> float:
--- /dev/null
+++ b/benchmarks/experiment.py
@@ -0,0 +1,216 @@
+"""Runs both deployments by cornelpin, the naive baseline and the bound.
+
+``python -m benchmarks.experiment`` writes build/experiment.json and
+build/experiment.html; ``QUICK=1`` shortens it to under five minutes;
+``--compare A B`` compares two saved results. docs/design/experiments.md says how
+the figures are defined.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+import threading
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+from attrs import define, field
+
+from benchmarks.bound import engine_tokens_per_s
+from benchmarks.cluster_settings import workspace_token
+from benchmarks.deployments import DEPLOYMENTS, Deployment, mean_output_tokens
+from benchmarks.experiment_compare import compare
+from benchmarks.experiment_report import Latencies, write_report
+from benchmarks.experiment_rows import (
+    LATENCY_BOUND_S,
+    Cell,
+    Row,
+    bound_rows,
+    is_good,
+    measured_rows,
+)
+from benchmarks.naive_testbed import NaiveTestbed
+from benchmarks.parallel_load import send_parallel
+from benchmarks.records import Kind
+from benchmarks.scenario_run import Run, Scenario
+from benchmarks.scenarios import load_scenario, run_steps
+from benchmarks.testbed import Testbed
+from benchmarks.workload import PlannedRequest, Shape, plan
+
+BUILD_FOLDER = Path(__file__).resolve().parent.parent / "build"
+DEPLOYMENT_NAMES = ("furnace", "certificates")
+LOADS = (0.7, 1.0, 1.5, 2.5)
+SYSTEMS: dict[str, type[Testbed]] = {"cornelpin": Testbed, "naive": NaiveTestbed}
+# Slower engines keep the processes of one machine from being the bottleneck.
+ENGINE_SLOWDOWN = 2
+DURATION_S = 20.0
+QUICK_DURATION_S = 6.0
+QUICK_BOUND_S = 10.0
+BURST_EVERY_S = 5.0
+BURST_S = 0.5
+BURST_FACTOR = 2.0
+DEFAULT_SEED = 11
+
+
+@define
+class Experiment:
+    """What to run, and the rows so far."""
+
+    loads: tuple[float, ...]
+    duration_s: float
+    bounds_s: Mapping[str, float]
+    seed: int
+    fault: Scenario | None = None
+    rows: list[Row] = field(factory=list)
+    latencies: Latencies = field(factory=Latencies)
+
+    def run(self, deployment: str) -> None:
+        """Runs all loads of one deployment."""
+        described = scaled(DEPLOYMENTS[deployment](), self.bounds_s)
+        for load in self.loads:
+            shape = Shape(
+                self.seed,
+                load * mean_rate_factor() * capacity(described),
+                self.duration_s,
+                BURST_EVERY_S,
+                BURST_S,
+                BURST_FACTOR,
+            )
+            planned = plan(described, shape)
+            bound = self._cell(described, load, "bound")
+            self.rows += bound_rows(bound, described, planned, self.bounds_s)
+            for system in SYSTEMS:
+                self._measure(self._cell(described, load, system), described, planned)
+
+    def _cell(self, described: Deployment, load: float, system: str) -> Cell:
+        fault = self.fault.name if self.fault else ""
+        return Cell(described.name, load, fault, system, self.seed)
+
+    def _measure(
+        self, cell: Cell, described: Deployment, planned: list[PlannedRequest]
+    ) -> None:
+        started = time.monotonic()
+        with SYSTEMS[cell.system](described, seed=cell.seed) as testbed:
+            faults = self._start_faults(testbed)
+            tokens = {name: workspace_token(name) for name in described.workspaces}
+            collect_s = max(self.bounds_s.values())
+            testbed.records += send_parallel(
+                testbed.targets(), tokens, planned, collect_s
+            )
+            if faults is not None:
+                faults.join()
+        evidence = testbed.evidence()
+        rows = measured_rows(cell, described, planned, evidence, self.bounds_s)
+        self.rows += rows
+        for record in evidence.records:
+            if is_good(record, self.bounds_s):
+                self.latencies.add(cell, record.tier, record.latency_s)
+        testbed.remove_folder()
+        _print_cell(cell, rows, time.monotonic() - started)
+
+    def _start_faults(self, testbed: Testbed) -> threading.Thread | None:
+        """Starts the fault script; steps on processes that a system lacks are left."""
+        if self.fault is None:
+            return None
+        steps = tuple(
+            step
+            for step in self.fault.steps
+            if step.arguments.get("process", "") in ("", *testbed.processes)
+        )
+        run = Run(attrs.evolve(self.fault, steps=steps), testbed)
+        thread = threading.Thread(target=run_steps, args=(run,), name="faults")
+        thread.start()
+        return thread
+
+
+def scaled(described: Deployment, bounds_s: Mapping[str, float]) -> Deployment:
+    """Returns the deployment with slower engines and the bounds as deadlines."""
+    engines = tuple(
+        attrs.evolve(engine, step_ms=engine.step_ms * ENGINE_SLOWDOWN)
+        for engine in described.engines
+    )
+    tiers = tuple(
+        attrs.evolve(
+            tier,
+            timeout_s=bounds_s[tier.name],
+            max_wait_s=min(tier.max_wait_s, bounds_s[tier.name]),
+        )
+        for tier in described.tiers
+    )
+    return attrs.evolve(described, engines=engines, tiers=tiers)
+
+
+def capacity(described: Deployment) -> float:
+    """Returns the arrivals a second that just fill all batches."""
+    tokens_per_s = sum(map(engine_tokens_per_s, described.engines))
+    model_share = sum(t.share for t in described.tiers if t.kind is Kind.MODEL)
+    return tokens_per_s / mean_output_tokens(described) / model_share
+
+
+def mean_rate_factor() -> float:
+    """Returns the factor that keeps the mean rate though there are bursts."""
+    return 1 / (1 + (BURST_FACTOR - 1) * BURST_S / BURST_EVERY_S)
+
+
+def _print_cell(cell: Cell, rows: list[Row], took_s: float) -> None:
+    good = " ".join(f"{row.tier}={row.good:.3f}/{row.offered}" for row in rows)
+    print(
+        f"{cell.deployment} {cell.load} {cell.system}: {good} ({took_s:.0f} s)",
+        flush=True,
+    )
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description="Runs the experiment.")
+    parser.add_argument("--deployment", action="append", choices=DEPLOYMENT_NAMES)
+    parser.add_argument("--load", action="append", type=float)
+    parser.add_argument("--seed", type=int, default=DEFAULT_SEED)
+    parser.add_argument("--duration-s", type=float)
+    parser.add_argument("--faults", type=Path, help="scenario file with fault steps")
+    parser.add_argument("--name", default="experiment", help="name of the results")
+    parser.add_argument("--compare", nargs=2, type=Path, metavar=("A", "B"))
+    return parser.parse_args()
+
+
+def _experiment(arguments: argparse.Namespace) -> Experiment:
+    quick = os.environ.get("QUICK") == "1"
+    bounds_s = {
+        tier: min(bound_s, QUICK_BOUND_S) if quick else bound_s
+        for tier, bound_s in LATENCY_BOUND_S.items()
+    }
+    return Experiment(
+        loads=tuple(arguments.load or LOADS),
+        duration_s=arguments.duration_s or (QUICK_DURATION_S if quick else DURATION_S),
+        bounds_s=bounds_s,
+        seed=arguments.seed,
+        fault=load_scenario(arguments.faults) if arguments.faults else None,
+    )
+
+
+def main() -> int:
+    """Runs or compares; returns the exit code."""
+    arguments = _arguments()
+    if arguments.compare:
+        first, second = (json.loads(path.read_text()) for path in arguments.compare)
+        print(compare(first, second))
+        return 0
+    experiment = _experiment(arguments)
+    BUILD_FOLDER.mkdir(exist_ok=True)
+    for deployment in arguments.deployment or DEPLOYMENT_NAMES:
+        experiment.run(deployment)
+        rows: list[dict[str, Any]] = [attrs.asdict(row) for row in experiment.rows]
+        path = BUILD_FOLDER / f"{arguments.name}.json"
+        path.write_text(json.dumps(rows, indent=1))
+    page = BUILD_FOLDER / f"{arguments.name}.html"
+    write_report(page, experiment.rows, experiment.latencies, experiment.bounds_s)
+    print(f"rows: {path}\nreport: {page}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -57,9 +57,16 @@
     records: list[SentRecord] = field(factory=list)
     _turn: Iterator[int] = field(factory=itertools.count)
 
-    def run(self, planned: Iterable[PlannedRequest]) -> list[SentRecord]:
-        """Sends all requests and returns when each has been concluded."""
-        start = time.time()
+    def run(
+        self, planned: Iterable[PlannedRequest], start_at: float | None = None
+    ) -> list[SentRecord]:
+        """Sends all requests and returns when each has been concluded.
+
+        Args:
+            planned: Requests in order of their times.
+            start_at: Unix time from which their times count; now by default.
+        """
+        start = time.time() if start_at is None else start_at
         with ThreadPoolExecutor(MAX_WORKERS, "caller") as pool:
             futures: list[Future[SentRecord]] = []
             for request in planned:
--- /dev/null
+++ b/benchmarks/naive.py
@@ -0,0 +1,188 @@
+"""The naive baseline: round robin over all servers, no tiers, retries on any error.
+
+It serves the callers' interface of an entry and talks to the backend servers
+directly. Run it with ``python -m benchmarks.naive``; it prints ``ready PORT``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import http.client
+import itertools
+import secrets
+import signal
+import sys
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+from urllib.parse import urlsplit
+
+from attrs import define, field, frozen
+from waitress.server import create_server
+
+THREADS = 96
+TRIES = 3
+DEFAULT_TIMEOUT_S = 60.0
+READ_BYTES = 65536
+SERVER_ERROR = 500
+BAD_GATEWAY = "502 Bad Gateway"
+SERVICE_PREFIX = "/v1/services/"
+PASSED_HEADERS = ("Content-Type", "Idempotency-Key")
+FAULTS = (OSError, http.client.HTTPException)
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class BackendServerError(Exception):
+    """A backend server answered with a server error."""
+
+
+@frozen
+class Call:
+    """One caller's request, as it is sent to a backend server."""
+
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    timeout_s: float
+
+
+@frozen
+class Reply:
+    """A response whose body has not been read yet."""
+
+    conn: http.client.HTTPConnection
+    response: http.client.HTTPResponse
+
+    def parts(self) -> Iterator[bytes]:
+        """Yields the body as it arrives."""
+        try:
+            while part := self.response.read1(READ_BYTES):
+                yield part
+        finally:
+            self.conn.close()
+
+
+@define
+class RoundRobin:
+    """Backend servers of one kind, used in turn."""
+
+    urls: list[str]
+    _turn: Iterator[int] = field(factory=itertools.count)
+
+    def call(self, call: Call) -> Reply:
+        """Sends a call to the next servers until one answers.
+
+        Raises:
+            BackendServerError: Every try failed with a server error.
+            OSError: The last try failed without an answer.
+        """
+        for _ in range(TRIES - 1):
+            try:
+                return self._try_next(call)
+            except (BackendServerError, *FAULTS):
+                continue
+        return self._try_next(call)
+
+    def _try_next(self, call: Call) -> Reply:
+        url = urlsplit(self.urls[next(self._turn) % len(self.urls)])
+        conn = http.client.HTTPConnection(
+            url.hostname or "", url.port, timeout=call.timeout_s
+        )
+        try:
+            conn.request(call.method, call.path, call.body, call.headers)
+            response = conn.getresponse()
+            if response.status >= SERVER_ERROR:
+                raise BackendServerError(f"status {response.status}")
+        except BaseException:
+            conn.close()
+            raise
+        return Reply(conn, response)
+
+
+@frozen
+class NaiveApp:
+    """The WSGI application."""
+
+    models: RoundRobin
+    services: RoundRobin
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Relays one request to a backend server."""
+        request_id = f"n-{secrets.token_hex(12)}"
+        pool, call = self._route(environ, request_id)
+        try:
+            reply = pool.call(call)
+        except (BackendServerError, *FAULTS):
+            start_response(BAD_GATEWAY, [("X-Request-Id", request_id)])
+            return [b""]
+        response = reply.response
+        headers = [
+            ("X-Request-Id", request_id),
+            ("Content-Type", response.headers.get("Content-Type") or "text/plain"),
+        ]
+        start_response(f"{response.status} {response.reason}", headers)
+        return reply.parts()
+
+    def _route(
+        self, environ: dict[str, Any], request_id: str
+    ) -> tuple[RoundRobin, Call]:
+        path = environ["PATH_INFO"]
+        headers = {name: _header(environ, name) for name in PASSED_HEADERS}
+        call = Call(
+            method=environ["REQUEST_METHOD"],
+            path=path,
+            body=environ["wsgi.input"].read(),
+            headers={
+                "X-Request-Id": request_id,
+                **{name: value for name, value in headers.items() if value},
+            },
+            timeout_s=float(
+                _header(environ, "X-Cornelpin-Timeout-S") or DEFAULT_TIMEOUT_S
+            ),
+        )
+        is_service = path.startswith(SERVICE_PREFIX)
+        return (self.services if is_service else self.models), call
+
+
+def _header(environ: dict[str, Any], name: str) -> str:
+    key = name.upper().replace("-", "_")
+    prefix = "" if key == "CONTENT_TYPE" else "HTTP_"
+    return str(environ.get(f"{prefix}{key}", ""))
+
+
+def _stop(*_: object) -> None:
+    sys.exit(0)
+
+
+def main() -> None:
+    """Serves until SIGTERM."""
+    parser = argparse.ArgumentParser(description="The naive baseline.")
+    parser.add_argument("--address", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--models", required=True, help="URLs separated by commas")
+    parser.add_argument("--services", required=True, help="URLs separated by commas")
+    arguments = parser.parse_args()
+    app = NaiveApp(
+        RoundRobin(arguments.models.split(",")),
+        RoundRobin(arguments.services.split(",")),
+    )
+    server = create_server(
+        app,
+        host=arguments.address,
+        port=arguments.port,
+        threads=THREADS,
+        send_bytes=1,
+        asyncore_use_poll=True,
+        connection_limit=4000,
+        backlog=1024,
+    )
+    signal.signal(signal.SIGTERM, _stop)
+    print(f"ready {arguments.port}", flush=True)
+    server.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,126 @@
+"""Sends many requests while processes are killed and paused, then checks the logs.
+
+Run it with ``python -m benchmarks.soak --requests 20000 --seed N``. The exit code is
+1 when a promise was broken; the time line of each such request is printed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+
+from benchmarks.checker import CHECKS, Violation, run_checks
+from benchmarks.cluster_settings import workspace_token
+from benchmarks.deployments import DEPLOYMENTS
+from benchmarks.disturbance import Disturber
+from benchmarks.parallel_load import send_parallel
+from benchmarks.records import SentRecord
+from benchmarks.testbed import Testbed, TestbedError
+from benchmarks.workload import Shape, plan
+
+DEFAULT_REQUESTS = 2000
+DEFAULT_SEED = 1
+DEFAULT_RATE_PER_S = 80.0
+COLLECT_TIMEOUT_S = 60.0
+MAX_SHOWN = 10
+REPOSITORY = Path(__file__).resolve().parent.parent
+
+
+def soak(arguments: argparse.Namespace) -> int:
+    """Runs the soak and returns the exit code."""
+    described = DEPLOYMENTS[arguments.deployment]()
+    duration_s = arguments.requests / arguments.rate_per_s
+    planned = plan(described, Shape(arguments.seed, arguments.rate_per_s, duration_s))
+    started = time.monotonic()
+    with Testbed(described, seed=arguments.seed) as testbed:
+        disturber = Disturber(testbed, arguments.seed)
+        disturber.start()
+        try:
+            tokens = {name: workspace_token(name) for name in described.workspaces}
+            testbed.records += send_parallel(
+                testbed.targets(), tokens, planned, COLLECT_TIMEOUT_S
+            )
+        finally:
+            disturber.stop()
+        violations = run_checks(testbed.evidence())
+        for found in violations[:MAX_SHOWN]:
+            _show(testbed, found)
+    result = _result(arguments, testbed.records, disturber, violations)
+    result["took_s"] = round(time.monotonic() - started, 1)
+    _write(result, f"soak-{arguments.deployment}-{arguments.seed}.json")
+    if not violations:
+        testbed.remove_folder()
+    else:
+        print(f"files: {testbed.folder}")
+    return 1 if violations else 0
+
+
+def _show(testbed: Testbed, found: Violation) -> None:
+    """Prints a violation, its record and the time line of its request."""
+    print(found)
+    for record in testbed.records:
+        names = (record.request_id, record.call_id, record.digest, record.key)
+        if found.subject in names:
+            print("  record", json.dumps(attrs.asdict(record)))
+            for event in _timeline(testbed, record.request_id):
+                print("  event", json.dumps(event))
+
+
+def _timeline(testbed: Testbed, request_id: str) -> list[dict[str, Any]]:
+    path = f"/admin/v1/timeline?request={quote(request_id)}"
+    try:
+        body = testbed.ask_entries("GET", path).body
+    except TestbedError:
+        return []
+    return list(body.get("events", []) if isinstance(body, dict) else body or [])
+
+
+def _result(
+    arguments: argparse.Namespace,
+    records: list[SentRecord],
+    disturber: Disturber,
+    violations: list[Violation],
+) -> dict[str, Any]:
+    by_check = Counter(found.check for found in violations)
+    actions = Counter(disturbance.action for _, disturbance in disturber.done)
+    answers = Counter(record.answer.value for record in records)
+    refusals = Counter(record.reason for record in records if record.reason)
+    return {
+        "deployment": arguments.deployment,
+        "seed": arguments.seed,
+        "rate_per_s": arguments.rate_per_s,
+        "requests": len(records),
+        "disturbances": dict(actions),
+        "answers": dict(answers),
+        "refusals": dict(refusals),
+        "violations": {check: by_check[check] for check in CHECKS},
+    }
+
+
+def _write(result: dict[str, Any], name: str) -> None:
+    folder = REPOSITORY / "build"
+    folder.mkdir(exist_ok=True)
+    (folder / name).write_text(json.dumps(result, indent=1))
+    print(json.dumps(result, indent=1))
+
+
+def main() -> int:
+    """Reads the arguments and runs the soak."""
+    parser = argparse.ArgumentParser(description="Runs the soak.")
+    parser.add_argument("--requests", type=int, default=DEFAULT_REQUESTS)
+    parser.add_argument("--seed", type=int, default=DEFAULT_SEED)
+    parser.add_argument("--rate-per-s", type=float, default=DEFAULT_RATE_PER_S)
+    parser.add_argument("--deployment", default="furnace", choices=sorted(DEPLOYMENTS))
+    return soak(parser.parse_args())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -82,7 +82,7 @@
         """Starts everything and submits the first configuration."""
         try:
             self.start_standins()
-            self.start_cornelpin()
+            self.start_system()
         except BaseException:
             self.close()
             raise
@@ -168,7 +168,7 @@
 
     # Processes of cornelpin
 
-    def start_cornelpin(self) -> None:
+    def start_system(self) -> None:
         """Starts entries and sides and waits until the configuration is in force."""
         self._place()
         for entry in self.entries:
@@ -355,7 +355,7 @@
         """Reads the run logs of all backend servers."""
         return [
             event
-            for server in self.sides
+            for server in self.described.servers
             for event in read_run_log(server, self.run_log(server))
         ]
 
