--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -31,11 +31,13 @@
         process: Process,
         ticket: Ticket,
         candidates: Callable[[str], list[Link]],
+        choose_version: Callable[[Ticket, list[Link]], None],
     ) -> None:
         self._process = process
         self._ticket = ticket
         self._req = ticket.req
         self._candidates = candidates
+        self._choose_version = choose_version
         self.shed_by: set[Link] = set()
         self.wait_until = time.monotonic() + ticket.req.max_wait_s
 
@@ -47,6 +49,9 @@
         if not links:
             raise NoServer
         usable = [link for link in links if link.usable and link not in self.shed_by]
+        self._choose_version(self._ticket, usable)
+        version = self._ticket.version
+        usable = [link for link in usable if not link.lacks_version(version)]
         if direct and self._grant_direct(usable):
             return
         room = RESERVATIONS - len(self._ticket.reserved())
--- a/cornelpin/daemon/runner.py
+++ b/cornelpin/daemon/runner.py
@@ -39,7 +39,7 @@
         ring: EventRing,
         *,
         slots: int,
-        on_end: Callable[[], None],
+        on_end: Callable[[Run, RunEnd], None],
     ) -> None:
         self.runs = RunTable()
         self._backend = backend
@@ -79,7 +79,7 @@
             return
         run.end(end.outcome, end.detail)
         if end.outcome != CANCELLED:
-            self._on_end()
+            self._on_end(run, end)
 
     def _resume_at_engine(self, peer: Peer, msg: Resume) -> None:
         grant = _grant_of(msg)
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -29,10 +29,12 @@
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.runner import Runner
 from cornelpin.daemon.runs import Run
+from cornelpin.daemon.side_moves import REPORT_S, SideMoves
 from cornelpin.daemon.spread import ConfigSpread
 from cornelpin.daemon.supervisor import every
 
 if TYPE_CHECKING:
+    from cornelpin.backends import RunEnd
     from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
@@ -59,12 +61,19 @@
             self._backend,
             self._ring,
             slots=backend_cfg.slots,
-            on_end=self._heartbeat_if_idle,
+            on_end=self._on_end,
         )
         self._runs = self._runner.runs
         self._versions: list[str] = []
         self._token_s = 0.0
         self.spread = ConfigSpread(process, self._admission.peers)
+        self._moves = SideMoves(
+            process,
+            self._backend,
+            self._runs,
+            self._admission.peers,
+            on_loaded=self._on_loaded,
+        )
         process.view.on_change(self._on_config)
 
     def start(self) -> None:
@@ -79,6 +88,7 @@
         sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
         sup.start("sweep", every(SWEEP_S, self._sweep))
         sup.start("versions", every(VERSIONS_S, self._poll_versions))
+        sup.start("move-evidence", every(REPORT_S, self._moves.report))
         self._poll_versions()
 
     def leave(self) -> None:
@@ -143,6 +153,7 @@
         self._ring.record("session.opened", detail=peer.name)
         peer.send(self._state())
         self.spread.greet(peer)
+        self._moves.view.greet(peer)
 
     def _close(self, peer: Peer) -> None:
         peer.close()
@@ -172,7 +183,7 @@
                 answer_events(self._ring, peer, msg)
             case Heartbeat():
                 pass
-            case _:
+            case _ if not self._moves.handle(peer, msg):
                 self.spread.handle(peer, msg)
 
     # Reservations and grants
@@ -202,6 +213,11 @@
             reason = Reason.LEAVING if self._process.leaving.is_set() else Reason.SHED
             peer.send(NotRun(grant.request_id, reason.value, "no free slot"))
             return
+        if self._moves.refuses(grant, self._versions):
+            release()
+            detail = f"version {grant.version} is not served here"
+            peer.send(NotRun(grant.request_id, Reason.NO_SERVER.value, detail))
+            return
         self._runner.start(Run(grant, peer), release)
 
     def _on_withdraw(self, request_id: str) -> None:
@@ -255,6 +271,10 @@
         for peer in self._admission.peers():
             peer.send(state)
 
+    def _on_end(self, run: Run, end: RunEnd) -> None:
+        self._moves.observe(run, end)
+        self._heartbeat_if_idle()
+
     def _heartbeat_if_idle(self) -> None:
         if not len(self._admission):
             self._heartbeat()
@@ -267,3 +287,7 @@
     def _poll_versions(self) -> None:
         with contextlib.suppress(OSError):
             self._versions = self._backend.versions()
+
+    def _on_loaded(self) -> None:
+        self._poll_versions()
+        self._heartbeat()
