--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := .venv/ready
 endif
 
-.PHONY: demo test lint format types clean scenarios slopes
+.PHONY: demo test lint format types clean scenarios experiment soak slopes
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -26,6 +26,12 @@
 slopes: $(READY)
 	$(PY) -m benchmarks.slopes
 
+experiment: $(READY)
+	$(PY) -m benchmarks.experiment
+
+soak: $(READY)
+	$(PY) -m benchmarks.soak
+
 lint: $(READY)
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
