--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -296,9 +296,9 @@
 def _measure_document(size: int) -> dict[str, Usage]:
     """Returns by role what one change of one workspace costs, and the memory."""
     with Fleet(2, 2, workspaces=1) as fleet:
-        for start in range(0, size, WORKSPACES_PER_PATCH):
-            end = min(size, start + WORKSPACES_PER_PATCH)
-            fleet.patch({"workspaces": dict(workspaces(start, end))})
+        for first in range(0, size, WORKSPACES_PER_PATCH):
+            end = min(size, first + WORKSPACES_PER_PATCH)
+            fleet.patch({"workspaces": dict(workspaces(first, end))})
         time.sleep(SETTLE_S)
         observed = {"entry": "e1", "side": "side-f0"}
         names = list(observed.values())
