Number grants so that a request is dispatched at most once

Cause, by reading: the side answered "never granted" for a run it had dropped after 60 s, or whose part it did not hold, and the entry then dispatched again; a grant on a fenced session could still start between the check of the session and the entry in the run table; a Gone or Withdraw of an old session freed the slot of a new one; a late NotRun could take back a newer grant; an evicted ticket that was granted meanwhile lost its answer; a refused run was announced before it was forgotten, so the next grant of it went unanswered; a repeated idempotent call could end as "not run"; a run resumed at the engine held no slot.

Change: grants carry an attempt number that answers, refusals and resumes repeat; the side decides on sessions, slots and runs under one lock and remembers ids of dropped runs; reservations elsewhere are withdrawn with the grant.

Ruled out: trusting the order of messages alone, as two losses of one link leave two resumes under way.

Closing as "not run" after a grant makes it fail.

--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -119,9 +119,12 @@
         self._served[best.workspace] += best.cost / share
         return best
 
-    def withdraw(self, request_id: str) -> Reservation | None:
-        """Removes a reservation by request id."""
-        return self._waiting.pop(request_id, None)
+    def withdraw(self, request_id: str, *, owner: object) -> Reservation | None:
+        """Removes a reservation by request id if the owner placed it."""
+        res = self._waiting.get(request_id)
+        if res is None or res.owner is not owner:
+            return None
+        return self._waiting.pop(request_id)
 
     def drop(self, unwanted: Callable[[Reservation], bool]) -> list[Reservation]:
         """Removes and returns all reservations that a predicate selects."""
--- a/cornelpin/core/tickets.py
+++ b/cornelpin/core/tickets.py
@@ -77,6 +77,19 @@
         self._state = State.WAITING
         self._holder: Any = None
         self._reserved: set[Any] = set()
+        self._attempt = 0
+        self._granted = 0.0
+        self._ran = False
+
+    @property
+    def attempt(self) -> int:
+        """Number of grants so far; it names the latest one."""
+        return self._attempt
+
+    @property
+    def granted_s(self) -> float:
+        """Seconds since the latest grant."""
+        return time.monotonic() - self._granted
 
     @property
     def holder(self) -> Any:
@@ -101,6 +114,12 @@
         with self._lock:
             return set(self._reserved)
 
+    def take_reserved(self) -> set[Any]:
+        """Forgets all reservations and returns the sessions that held them."""
+        with self._lock:
+            reserved, self._reserved = self._reserved, set()
+            return reserved
+
     def release(self, session: Any) -> None:
         """Forgets a reservation."""
         with self._lock:
@@ -113,22 +132,53 @@
                 return False
             self._state = State.GRANTED
             self._holder = session
+            self._attempt += 1
+            self._granted = time.monotonic()
             self._reserved.discard(session)
             self.incarnation = incarnation
             return True
 
-    def take_back(self, session: Any) -> bool:
-        """Returns a granted request to waiting after the holder's "not run"."""
+    def held_by(self, session: Any, attempt: int) -> bool:
+        """Whether a grant is the one in force."""
+        with self._lock:
+            return (
+                self._state is State.GRANTED
+                and self._holder is session
+                and self._attempt == attempt
+            )
+
+    def take_back(self, session: Any, attempt: int, *, ran: bool = False) -> bool:
+        """Returns a granted request to waiting.
+
+        Args:
+            session: The session it was granted to.
+            attempt: Number of the grant; an older one changes nothing.
+            ran: Whether it may have run, as an idempotent call that is repeated.
+        """
         with self._lock:
-            if self._state is not State.GRANTED or self._holder is not session:
+            if (
+                self._state is not State.GRANTED
+                or self._holder is not session
+                or self._attempt != attempt
+            ):
                 return False
             self._state = State.WAITING
             self._holder = None
+            self._ran = self._ran or ran
+            return True
+
+    def evict(self) -> bool:
+        """Closes a waiting ticket; returns whether it was waiting."""
+        with self._lock:
+            if self._state is not State.WAITING:
+                return False
+            self._state = State.CLOSED
             return True
 
     def close(self) -> bool:
-        """Closes the ticket; returns whether the request was never granted."""
+        """Closes the ticket; returns whether the request surely never ran."""
         with self._lock:
-            never = self._state is State.WAITING
+            if self._state is State.GRANTED:
+                self._ran = True
             self._state = State.CLOSED
-            return never
+            return not self._ran
--- a/cornelpin/daemon/admission.py
+++ b/cornelpin/daemon/admission.py
@@ -10,6 +10,7 @@
 
 from cornelpin.core.reservations import Reservation, ReservationQueue
 from cornelpin.core.slots import SlotTable
+from cornelpin.daemon.runs import Run
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -17,6 +18,7 @@
     from cornelpin.core.reservations import TierPolicy
     from cornelpin.daemon.messages import Grant
     from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.runs import RunTable
 
 ASK_TIMEOUT_S = 2.0
 
@@ -30,10 +32,29 @@
     since: float
 
 
+@attrs.frozen
+class Started:
+    """A run that may start now, with the function that gives its slot back."""
+
+    run: Run
+    release: Callable[[], None]
+
+
+@attrs.frozen
+class Refused:
+    """The grant does not and will not start a run."""
+
+
+@attrs.frozen
+class Duplicate:
+    """The grant, or a later one of the same request, is known already."""
+
+
 class Admission:
     """Decides under one lock what may start on the backend server."""
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, runs: RunTable) -> None:
+        self._runs = runs
         self._cond = threading.Condition()
         self._queue = ReservationQueue()
         self._slots = SlotTable(slots)
@@ -108,42 +129,71 @@
     # Reservations and slots
 
     def reserve(self, res: Reservation) -> list[Reservation]:
-        """Queues a reservation; returns those that are shed for it."""
+        """Queues a reservation; returns those that are refused or shed for it."""
         with self._cond:
+            if self._closed:
+                return [res]
             shed = self._queue.place(res)
             self._cond.notify_all()
         return shed
 
-    def withdraw(self, request_id: str) -> None:
-        """Removes a reservation."""
+    def withdraw(self, peer: Peer, request_id: str) -> None:
+        """Removes a session's reservation."""
         with self._cond:
-            self._queue.withdraw(request_id)
+            self._queue.withdraw(request_id, owner=peer)
 
-    def gone(self, request_id: str) -> None:
+    def gone(self, peer: Peer, request_id: str) -> None:
         """Gives back the slot of a request that its entry does not grant."""
         with self._cond:
-            asked = self._asked.pop(request_id, None)
-            if asked is not None:
-                asked.release()
+            if self._take_asked(peer, request_id) is not None:
                 self._cond.notify_all()
 
-    def slot_for(self, peer: Peer, grant: Grant) -> Callable[[], None] | None:
-        """Returns the release of a grant's slot, or None if it may not start."""
+    def start(self, peer: Peer, grant: Grant) -> Started | Refused | Duplicate:
+        """Decides on a grant and, if it may start, adds its run.
+
+        Both happen under one lock with the change of sessions: once a newer session
+        of the entry is open, a grant on an older one no longer starts anything.
+        """
         with self._cond:
-            asked = self._asked.pop(grant.request_id, None)
-            current = self._sessions.get(peer.name) is peer
-            if asked is not None and current:
-                return self._notifying(asked.release)
-            if asked is not None:
-                asked.release()
-            if not grant.direct or not current or self._closed:
-                return None
-            policy = self._queue.policy(grant.tier)
-            if len(self._queue) or not self._slots.allows(
-                grant.tier, policy.slot_share
-            ):
-                return None
-            return self._notifying(self._slots.acquire(grant.tier))
+            release = self._slot_for(peer, grant)
+            if release is None:
+                return Refused()
+            run = Run(grant, peer)
+            if self._runs.add(run):
+                return Started(run, self._notifying(release))
+            release()
+            return Duplicate()
+
+    def resume(self, run: Run, peer: Peer) -> Started | Refused | Duplicate:
+        """Adds a run that the backend server carries already; it takes a slot."""
+        with self._cond:
+            if self._sessions.get(peer.name) is not peer:
+                return Refused()
+            if not self._runs.add(run):
+                return Duplicate()
+            release = self._slots.acquire(run.grant.tier)
+            return Started(run, self._notifying(release))
+
+    def _take_asked(self, peer: Peer, request_id: str) -> Reservation | None:
+        """Ends the wait for a grant; only the session that was asked may."""
+        asked = self._asked.get(request_id)
+        if asked is None or asked.res.owner is not peer:
+            return None
+        del self._asked[request_id]
+        asked.release()
+        return asked.res
+
+    def _slot_for(self, peer: Peer, grant: Grant) -> Callable[[], None] | None:
+        if self._sessions.get(peer.name) is not peer:
+            return None
+        if self._take_asked(peer, grant.request_id) is not None:
+            return self._slots.acquire(grant.tier)
+        if not grant.direct or self._closed or len(self._queue):
+            return None
+        policy = self._queue.policy(grant.tier)
+        if not self._slots.allows(grant.tier, policy.slot_share):
+            return None
+        return self._slots.acquire(grant.tier)
 
     def next_asked(self, timeout_s: float) -> Reservation | None:
         """Takes the reservation that goes first and holds a slot for it."""
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -6,7 +6,7 @@
 
 from cornelpin.core.tickets import Request, Ticket
 from cornelpin.daemon.exchange import Exchange
-from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun
+from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun, Withdraw
 from cornelpin.daemon.placement import grant_message
 from cornelpin.daemon.ticket_table import TicketTable
 
@@ -50,6 +50,8 @@
                 "request.granted", request=request_id, detail=link.name
             )
             peer.send(grant_message(ticket, direct=False))
+            for other in ticket.take_reserved():
+                other.send(Withdraw(request_id))
         else:
             peer.send(Gone(request_id))
 
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -43,6 +43,7 @@
         self._ticket = ticket
         self._req = ticket.req
         self._received = 0
+        self._head_taken = False
         self._complete = False
         self._tries = 0
         self._placement = Placement(process, ticket, dispatcher.candidates)
@@ -58,6 +59,7 @@
         while True:
             msg, link = self._next()
             if isinstance(msg, Head):
+                self._head_taken = True
                 return msg
             self._before_head(msg, link)
 
@@ -67,31 +69,35 @@
         Raises:
             Refusal: If the answer breaks off.
         """
-        while True:
-            msg, link = self._next()
-            match msg:
-                case Chunk():
-                    fresh = self._fresh(msg)
-                    if fresh:
-                        yield fresh
-                case End():
-                    self._check_end(msg)
-                    return
-                case Lost():
-                    self._resume(link)
-                case NotRun():
-                    raise self._failed("the backend server lost the request")
+        while not self._complete:
+            fresh = self._on_part(*self._next())
+            if fresh:
+                yield fresh
+
+    def _on_part(self, msg: Any, link: Any) -> list[bytes]:
+        """Handles an event after the head; returns the new parts."""
+        match msg:
+            case Chunk():
+                return self._fresh(msg)
+            case End():
+                self._check_end(msg)
+            case Lost() if self._ticket.holder is link:
+                self._resume(link)
+            case NotRun() if self._ticket.held_by(link, msg.attempt):
+                raise self._failed("the backend server lost the request")
+        return []
 
     def close(self) -> None:
         """Ends the exchange; cancels what still runs or waits."""
         ticket = self._ticket
-        holder = ticket.holder
         request_id = self._req.request_id
-        if not ticket.close() and holder is not None:
+        ticket.close()
+        holder = ticket.holder
+        if holder is not None:
             if not self._complete:
-                holder.send(Cancel(request_id))
+                holder.send(Cancel(request_id, ticket.attempt))
             holder.send(Withdraw(request_id))
-        for link in ticket.reserved():
+        for link in ticket.take_reserved():
             link.send(Withdraw(request_id))
         self._dispatcher.tickets.remove(request_id)
 
@@ -101,12 +107,21 @@
         """Returns the next event; refuses at the deadline or without a caller."""
         while True:
             try:
-                return self._ticket.events.get(timeout=POLL_S)
+                msg, link = self._ticket.events.get(timeout=POLL_S)
             except queue.Empty:
                 self._check_time()
+            else:
+                if not self._superseded(msg, link):
+                    return msg, link
             if self._ticket.waiting:
                 self._place()
 
+    def _superseded(self, msg: Any, link: Any) -> bool:
+        """Whether an event belongs to a grant that is no longer in force."""
+        if not isinstance(msg, Head | Chunk | End):
+            return False
+        return not self._ticket.held_by(link, msg.attempt)
+
     def _check_time(self) -> None:
         if self.caller_gone() and not self._req.keep:
             raise self._refusal(Reason.CANCELLED, "the caller has gone away")
@@ -128,9 +143,12 @@
 
     def _on_not_run(self, msg: NotRun, link: Link) -> None:
         """The side surely did not run the request; it may go elsewhere."""
-        taken_back = self._ticket.take_back(link)
+        if msg.attempt:
+            self._ticket.take_back(link, msg.attempt)
+            self._place()
+            return
         self._ticket.release(link)
-        if not taken_back and msg.reason == Reason.SHED.value:
+        if msg.reason == Reason.SHED.value:
             self._placement.shed_by.add(link)
             if not self._ticket.reserved() and self._ticket.waiting:
                 self._refuse_if_all_shed()
@@ -156,10 +174,12 @@
         holder = self._ticket.holder
         if (
             self._req.idempotent
+            and not self._head_taken
             and self._tries < SERVICE_TRIES
             and holder is not None
-            and self._ticket.take_back(holder)
+            and self._ticket.take_back(holder, self._ticket.attempt, ran=True)
         ):
+            holder.send(Cancel(self._req.request_id, self._ticket.attempt))
             holder.send(Withdraw(self._req.request_id))
             self._place()
             return
@@ -180,6 +200,8 @@
             route=self._req.route,
             version=self._ticket.version,
             path=self._req.path,
+            attempt=self._ticket.attempt,
+            age_s=self._ticket.granted_s,
         )
         link.send(resume)
 
--- a/cornelpin/daemon/messages.py
+++ b/cornelpin/daemon/messages.py
@@ -156,6 +156,7 @@
         body: Request body.
         fingerprint: Digest of the request's content.
         keep: Whether the run goes on when the entry is lost (durable requests).
+        attempt: Number of this grant of the request, counted from one.
     """
 
     request_id: str
@@ -171,6 +172,7 @@
     body: bytes
     fingerprint: str
     keep: bool
+    attempt: int = 1
 
 
 @message(13)
@@ -198,11 +200,13 @@
         request_id: Id of the request.
         reason: Name of a ``Reason``.
         detail: One sentence for operators.
+        attempt: Number of the grant refused; zero for a reservation.
     """
 
     request_id: str
     reason: str
     detail: str
+    attempt: int = 0
 
 
 @message(16)
@@ -213,6 +217,7 @@
     request_id: str
     status: int
     headers: dict[str, str]
+    attempt: int = 1
 
 
 @message(17)
@@ -224,11 +229,13 @@
         request_id: Id of the request.
         offset: Position of the first part, counted from zero.
         parts: Body parts: stream events of a model, bytes of a service.
+        attempt: Number of the grant that was run.
     """
 
     request_id: str
     offset: int
     parts: list[bytes]
+    attempt: int = 1
 
 
 @message(18)
@@ -241,12 +248,14 @@
         count: Number of parts of the whole answer.
         outcome: ``done``, ``failed`` or ``cancelled``.
         detail: What went wrong, for operators.
+        attempt: Number of the grant that was run.
     """
 
     request_id: str
     count: int
     outcome: str
     detail: str
+    attempt: int = 1
 
 
 @message(19)
@@ -255,6 +264,7 @@
     """The caller has gone away; stop the run."""
 
     request_id: str
+    attempt: int = 1
 
 
 @message(20)
@@ -269,6 +279,8 @@
         route: Name of the route.
         version: Backend server version of the grant.
         path: Path at the backend server.
+        attempt: Number of the grant to resume.
+        age_s: Seconds since the grant.
     """
 
     request_id: str
@@ -277,6 +289,8 @@
     route: str
     version: str
     path: str
+    attempt: int = 1
+    age_s: float = 0.0
 
 
 @message(30)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -113,4 +113,5 @@
         body=req.body,
         fingerprint=req.fingerprint,
         keep=req.keep,
+        attempt=ticket.attempt,
     )
--- a/cornelpin/daemon/runner.py
+++ b/cornelpin/daemon/runner.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
+import attrs
 from loguru import logger
 
 from cornelpin.backends import (
@@ -16,13 +17,13 @@
     RunEnd,
 )
 from cornelpin.core.verdict import Reason
-from cornelpin.daemon.messages import End, Grant
+from cornelpin.daemon.messages import Grant
 from cornelpin.daemon.runs import Run, RunTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cornelpin.backends import Backend
+    from cornelpin.backends import Backend, CancelToken
     from cornelpin.core.events import EventRing
     from cornelpin.daemon.messages import Resume
     from cornelpin.daemon.peer import Peer
@@ -51,19 +52,26 @@
 
     def start(self, run: Run, release: Callable[[], None]) -> None:
         """Starts a granted request; ``release`` gives its slot back."""
-        if not self.runs.add(run):
-            release()
-            return
-        self._executor.submit(self._run, run, release)
+        self._executor.submit(self._run, run, release, self._backend.run)
 
-    def resume(self, peer: Peer, msg: Resume) -> None:
+    def resume(self, run: Run, offset: int, release: Callable[[], None]) -> None:
         """Resumes a stream that an earlier process of this side started."""
-        self._executor.submit(self._resume_at_engine, peer, msg)
 
-    def _run(self, run: Run, release: Callable[[], None]) -> None:
+        def resume(call: Call, sink: Run, cancel: CancelToken) -> RunEnd:
+            end = self._backend.resume(call, offset, sink, cancel)
+            return attrs.evolve(end, outcome=FAILED) if end.outcome == UNKNOWN else end
+
+        self._executor.submit(self._run, run, release, resume)
+
+    def _run(
+        self,
+        run: Run,
+        release: Callable[[], None],
+        action: Callable[[Call, Run, CancelToken], RunEnd],
+    ) -> None:
         self._ring.record("run.started", request=run.request_id)
         try:
-            end = self._backend.run(_call(run.grant), run, run.cancel)
+            end = action(_call(run.grant), run, run.cancel)
         except Exception as exc:
             logger.exception("run {} failed", run.request_id)
             end = RunEnd(FAILED, f"{type(exc).__name__}: {exc}")
@@ -74,28 +82,17 @@
     def _finish(self, run: Run, end: RunEnd) -> None:
         self._ring.record(f"run.{end.outcome}", request=run.request_id)
         if end.outcome == NOT_RUN:
+            self.runs.remove_refused(run)
             run.refuse(Reason.NO_SERVER.value, end.detail)
-            self.runs.forget(run.request_id)
             return
         run.end(end.outcome, end.detail)
         if end.outcome != CANCELLED:
             self._on_end()
 
-    def _resume_at_engine(self, peer: Peer, msg: Resume) -> None:
-        grant = _grant_of(msg)
-        run = Run(grant, peer)
-        run.begin_at(msg.offset)
-        if not self.runs.add(run):
-            peer.send(End(msg.request_id, msg.offset, FAILED, "resumed twice"))
-            return
-        self._ring.record("run.resumed-at-engine", request=msg.request_id)
-        end = self._backend.resume(_call(grant), msg.offset, run, run.cancel)
-        outcome = FAILED if end.outcome == UNKNOWN else end.outcome
-        run.end(outcome, end.detail)
-
 
-def _grant_of(msg: Resume) -> Grant:
-    return Grant(
+def resumed_run(msg: Resume, peer: Peer) -> Run:
+    """Returns the run of a request that an earlier process started."""
+    grant = Grant(
         request_id=msg.request_id,
         direct=False,
         route=msg.route,
@@ -109,7 +106,11 @@
         body=b"",
         fingerprint="",
         keep=False,
+        attempt=msg.attempt,
     )
+    run = Run(grant, peer)
+    run.begin_at(msg.offset)
+    return run
 
 
 def _call(grant: Grant) -> Call:
--- a/cornelpin/daemon/runs.py
+++ b/cornelpin/daemon/runs.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import collections
 import threading
 import time
 from typing import TYPE_CHECKING
 
+import attrs
+
 from cornelpin.backends import CancelToken
 from cornelpin.daemon.messages import Chunk, End, Head, NotRun
 
@@ -18,6 +21,16 @@
 RESUME_WINDOW_S = 10.0
 RETAIN_S = 60.0
 RETAIN_KEPT_S = 600.0
+PAST_RUNS = 100_000
+MESSAGE_DELAY_S = 60.0
+
+
+@attrs.frozen
+class _Past:
+    """What is remembered of a dropped run."""
+
+    attempt: int
+    started: float
 
 
 class Run:
@@ -42,6 +55,11 @@
         """Id of the request."""
         return self.grant.request_id
 
+    @property
+    def attempt(self) -> int:
+        """Number of the grant."""
+        return self.grant.attempt
+
     def begin_at(self, offset: int) -> None:
         """Sets the position of the first part of a run resumed at the engine."""
         self._base = offset
@@ -49,7 +67,7 @@
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Takes status and headers."""
         with self._lock:
-            self._head = Head(self.request_id, status, headers)
+            self._head = Head(self.request_id, status, headers, self.attempt)
             self._send(self._head)
 
     def parts(self, parts: list[bytes]) -> None:
@@ -59,21 +77,21 @@
         with self._lock:
             offset = self._base + len(self._parts)
             self._parts += parts
-            self._send(Chunk(self.request_id, offset, parts))
+            self._send(Chunk(self.request_id, offset, parts, self.attempt))
 
     def end(self, outcome: str, detail: str) -> None:
         """Marks the answer as complete or broken."""
         with self._lock:
             self.ended = time.monotonic()
             count = self._base + len(self._parts)
-            self._end = End(self.request_id, count, outcome, detail)
+            self._end = End(self.request_id, count, outcome, detail, self.attempt)
             self._send(self._end)
 
     def refuse(self, reason: str, detail: str) -> None:
         """Ends the run as one that never reached the backend server."""
         with self._lock:
             self.ended = time.monotonic()
-            self._send(NotRun(self.request_id, reason, detail))
+            self._send(NotRun(self.request_id, reason, detail, self.attempt))
 
     def attach(self, peer: Peer, offset: int) -> bool:
         """Sends the rest of the answer to a new session.
@@ -90,7 +108,7 @@
                 self._send(self._head)
             rest = self._parts[offset - self._base :]
             if rest:
-                self._send(Chunk(self.request_id, offset, rest))
+                self._send(Chunk(self.request_id, offset, rest, self.attempt))
             if self._end is not None:
                 self._send(self._end)
             return True
@@ -122,31 +140,62 @@
 
 
 class RunTable:
-    """All runs of a side, by request id."""
+    """All runs of a side, by request id, and a memory of those it dropped."""
 
-    def __init__(self) -> None:
+    def __init__(self, past_limit: int = PAST_RUNS) -> None:
         self._lock = threading.Lock()
         self._runs: dict[str, Run] = {}
+        self._past: collections.OrderedDict[str, _Past] = collections.OrderedDict()
+        self._past_limit = past_limit
+        self._past_from = 0.0
 
     def add(self, run: Run) -> bool:
-        """Adds a run; returns whether its id was new."""
+        """Adds a run unless this or a later attempt is known already."""
         with self._lock:
-            if run.request_id in self._runs:
+            known = self._runs.get(run.request_id) or self._past.get(run.request_id)
+            if known is not None and known.attempt >= run.attempt:
                 return False
+            older = self._runs.get(run.request_id)
             self._runs[run.request_id] = run
-            return True
+        if older is not None and older.ended is None:
+            older.cancel.cancel()
+        return True
 
     def find(self, request_id: str) -> Run | None:
         """Returns a run by request id."""
         with self._lock:
             return self._runs.get(request_id)
 
+    def never_started(self, request_id: str, attempt: int, age_s: float) -> bool:
+        """Whether a grant of a given age surely did not start a run here."""
+        with self._lock:
+            known = self._runs.get(request_id) or self._past.get(request_id)
+            if known is not None and known.attempt >= attempt:
+                return False
+            granted = time.monotonic() - age_s - MESSAGE_DELAY_S
+            return granted > self._past_from
+
+    def remove_refused(self, run: Run) -> None:
+        """Drops a run that never reached the backend server."""
+        with self._lock:
+            if self._runs.get(run.request_id) is run:
+                del self._runs[run.request_id]
+
     def forget(self, request_id: str) -> None:
         """Drops an ended run whose answer was collected."""
         with self._lock:
             run = self._runs.get(request_id)
             if run is not None and run.ended is not None:
-                del self._runs[request_id]
+                self._drop(run)
+
+    def _drop(self, run: Run) -> None:
+        """Keeps only the id of a run; the oldest ids are given up."""
+        del self._runs[run.request_id]
+        self._past[run.request_id] = _Past(run.attempt, run.started)
+        self._past.move_to_end(run.request_id)
+        while len(self._past) > self._past_limit:
+            _, oldest = self._past.popitem(last=False)
+            self._past_from = max(self._past_from, oldest.started)
 
     def running(self) -> list[Run]:
         """Returns the runs that have not ended."""
@@ -164,8 +213,8 @@
         """Cancels abandoned runs and forgets stale answers."""
         now = time.monotonic()
         with self._lock:
-            for request_id in [i for i, r in self._runs.items() if r.stale(now)]:
-                del self._runs[request_id]
+            for run in [run for run in self._runs.values() if run.stale(now)]:
+                self._drop(run)
             abandoned = [r for r in self._runs.values() if r.abandoned(now)]
         for run in abandoned:
             on_abandoned(run)
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -9,14 +9,15 @@
 
 from loguru import logger
 
-from cornelpin.backends import make_backend
+from cornelpin.backends import FAILED, make_backend
 from cornelpin.core.reservations import Reservation, TierPolicy
 from cornelpin.core.verdict import Reason
-from cornelpin.daemon.admission import Admission
+from cornelpin.daemon.admission import Admission, Duplicate, Refused, Started
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.messages import (
     Ask,
     Cancel,
+    End,
     EventsAsk,
     Gone,
     Grant,
@@ -27,8 +28,7 @@
     Withdraw,
 )
 from cornelpin.daemon.replies import answer_events
-from cornelpin.daemon.runner import Runner
-from cornelpin.daemon.runs import Run
+from cornelpin.daemon.runner import Runner, resumed_run
 from cornelpin.daemon.spread import ConfigSpread
 from cornelpin.daemon.supervisor import every
 
@@ -36,6 +36,7 @@
     from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
+    from cornelpin.daemon.runs import Run
 
 HEARTBEAT_S = 0.5
 SWEEP_S = 0.5
@@ -54,7 +55,6 @@
         self._ring = process.ring
         self._server = backend_cfg.name
         self._backend = make_backend(backend_cfg.kind, url=backend_cfg.url)
-        self._admission = Admission(backend_cfg.slots)
         self._runner = Runner(
             self._backend,
             self._ring,
@@ -62,6 +62,7 @@
             on_end=self._heartbeat_if_idle,
         )
         self._runs = self._runner.runs
+        self._admission = Admission(backend_cfg.slots, self._runs)
         self._versions: list[str] = []
         self._token_s = 0.0
         self.spread = ConfigSpread(process, self._admission.peers)
@@ -161,11 +162,11 @@
             case Grant():
                 self._on_grant(peer, msg)
             case Gone():
-                self._admission.gone(msg.request_id)
+                self._admission.gone(peer, msg.request_id)
             case Withdraw():
-                self._on_withdraw(msg.request_id)
+                self._on_withdraw(peer, msg.request_id)
             case Cancel():
-                self._on_cancel(msg.request_id)
+                self._on_cancel(msg)
             case Resume():
                 self._on_resume(peer, msg)
             case EventsAsk():
@@ -189,41 +190,58 @@
             wait_s=msg.wait_s,
             fingerprint=msg.fingerprint,
         )
-        if self._process.leaving.is_set():
-            self._refuse([res], Reason.LEAVING)
-            return
         shed = self._admission.reserve(res)
-        self._refuse(shed, Reason.SHED)
+        leaving = self._process.leaving.is_set()
+        self._refuse(shed, Reason.LEAVING if leaving else Reason.SHED)
 
     def _on_grant(self, peer: Peer, grant: Grant) -> None:
         """Starts a run if this session may start it; otherwise says "not run"."""
-        release = self._admission.slot_for(peer, grant)
-        if release is None:
-            reason = Reason.LEAVING if self._process.leaving.is_set() else Reason.SHED
-            peer.send(NotRun(grant.request_id, reason.value, "no free slot"))
-            return
-        self._runner.start(Run(grant, peer), release)
-
-    def _on_withdraw(self, request_id: str) -> None:
-        self._admission.withdraw(request_id)
+        match self._admission.start(peer, grant):
+            case Started(run, release):
+                self._runner.start(run, release)
+            case Refused():
+                leaving = self._process.leaving.is_set()
+                reason = Reason.LEAVING if leaving else Reason.SHED
+                refusal = NotRun(
+                    grant.request_id, reason.value, "no free slot", grant.attempt
+                )
+                peer.send(refusal)
+
+    def _on_withdraw(self, peer: Peer, request_id: str) -> None:
+        self._admission.withdraw(peer, request_id)
         self._runs.forget(request_id)
 
-    def _on_cancel(self, request_id: str) -> None:
-        run = self._runs.find(request_id)
-        if run is not None and run.ended is None:
+    def _on_cancel(self, msg: Cancel) -> None:
+        run = self._runs.find(msg.request_id)
+        if run is not None and run.ended is None and run.attempt == msg.attempt:
             run.cancel.cancel()
 
     def _on_resume(self, peer: Peer, msg: Resume) -> None:
         run = self._runs.find(msg.request_id)
-        if run is not None and run.attach(peer, msg.offset):
+        if run is not None and run.attempt == msg.attempt:
+            self._attach(run, peer, msg)
+        elif msg.incarnation != self._process.incarnation:
+            self._resume_at_engine(peer, msg)
+        elif self._runs.never_started(msg.request_id, msg.attempt, msg.age_s):
+            # The session that may have carried the grant is fenced.
+            reason = Reason.SERVER_LOST.value
+            peer.send(NotRun(msg.request_id, reason, "never granted", msg.attempt))
+        else:
+            peer.send(_cut_off(msg, "the answer is no longer kept"))
+
+    def _attach(self, run: Run, peer: Peer, msg: Resume) -> None:
+        if run.attach(peer, msg.offset):
             self._ring.record("run.resumed", request=msg.request_id)
-            return
-        if msg.incarnation == self._process.incarnation:
-            # The session that may have carried the grant is fenced, so a request
-            # unknown here was never started and never will be.
-            peer.send(NotRun(msg.request_id, Reason.SERVER_LOST.value, "never granted"))
-            return
-        self._runner.resume(peer, msg)
+        else:
+            peer.send(_cut_off(msg, "a part of the answer is not kept"))
+
+    def _resume_at_engine(self, peer: Peer, msg: Resume) -> None:
+        match self._admission.resume(resumed_run(msg, peer), peer):
+            case Started(run, release):
+                self._ring.record("run.resumed-at-engine", request=msg.request_id)
+                self._runner.resume(run, msg.offset, release)
+            case Duplicate():
+                peer.send(_cut_off(msg, "the answer is no longer kept"))
 
     def _refuse(self, reservations: list[Reservation], reason: Reason) -> None:
         for res in reservations:
@@ -267,3 +285,7 @@
     def _poll_versions(self) -> None:
         with contextlib.suppress(OSError):
             self._versions = self._backend.versions()
+
+
+def _cut_off(msg: Resume, detail: str) -> End:
+    return End(msg.request_id, msg.offset, FAILED, detail, msg.attempt)
--- a/cornelpin/daemon/ticket_table.py
+++ b/cornelpin/daemon/ticket_table.py
@@ -51,17 +51,22 @@
             self._tickets[ticket.req.request_id] = ticket
 
     def _make_room(self, ticket: Ticket, shed_order: Callable[[str], int]) -> None:
-        waiting = [t for t in self._tickets.values() if t.waiting]
-        victim = min(waiting, key=lambda t: shed_order(t.req.tier), default=None)
         mine = shed_order(ticket.req.tier)
-        if victim is None or shed_order(victim.req.tier) >= mine:
-            raise Refusal(
-                Reason.SHED,
-                detail="this entry holds as many requests as it may",
-                retry_after_s=DEFAULT_RETRY_AFTER_S,
-            )
-        del self._tickets[victim.req.request_id]
-        victim.events.put((Evicted(), None))
+        waiting = [
+            t
+            for t in self._tickets.values()
+            if t.waiting and shed_order(t.req.tier) < mine
+        ]
+        for victim in sorted(waiting, key=lambda t: shed_order(t.req.tier)):
+            if victim.evict():
+                del self._tickets[victim.req.request_id]
+                victim.events.put((Evicted(), None))
+                return
+        raise Refusal(
+            Reason.SHED,
+            detail="this entry holds as many requests as it may",
+            retry_after_s=DEFAULT_RETRY_AFTER_S,
+        )
 
     def find(self, request_id: str) -> Ticket | None:
         """Returns a ticket by request id."""
