--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -12,11 +12,16 @@
 
 from attrs import define, field, frozen
 
-from benchmarks.answers import expected_answer
 from benchmarks.http_json import decode
 from benchmarks.records import Answer, Kind, SentRecord
-from benchmarks.sse import StreamError, choice_text, completion_texts
+from benchmarks.sse import (
+    StreamError,
+    choice_text,
+    completion_texts,
+    response_lines,
+)
 from benchmarks.workload import CHAT_PREFIX, PlannedRequest
+from standins.answers import expected_answer
 
 OK = 200
 ACCEPTED = 202
@@ -52,9 +57,16 @@
     records: list[SentRecord] = field(factory=list)
     _turn: Iterator[int] = field(factory=itertools.count)
 
-    def run(self, planned: Iterable[PlannedRequest]) -> list[SentRecord]:
-        """Sends all requests and returns when each has been concluded."""
-        start = time.time()
+    def run(
+        self, planned: Iterable[PlannedRequest], start_at: float | None = None
+    ) -> list[SentRecord]:
+        """Sends all requests and returns when each has been concluded.
+
+        Args:
+            planned: Requests in order of their times.
+            start_at: Unix time from which their times count; now by default.
+        """
+        start = time.time() if start_at is None else start_at
         with ThreadPoolExecutor(MAX_WORKERS, "caller") as pool:
             futures: list[Future[SentRecord]] = []
             for request in planned:
@@ -200,7 +212,7 @@
         return
     text = ""
     try:
-        for part in completion_texts(response):
+        for part in completion_texts(response_lines(response)):
             if part is None:
                 record.answer = _compare(text, request)
                 return
@@ -210,6 +222,7 @@
         _record_problem(record, exc.problem)
         record.answer = Answer.FAILED
         return
+    # The body ended as its framing promised, so the caller takes it for whole.
     record.answer = Answer.CUT
 
 
--- a/cornelpin/daemon/runner.py
+++ b/cornelpin/daemon/runner.py
@@ -40,7 +40,7 @@
         ring: EventRing,
         *,
         slots: int,
-        on_end: Callable[[], None],
+        on_end: Callable[[Run, RunEnd], None],
     ) -> None:
         self.runs = RunTable()
         self._backend = backend
@@ -87,7 +87,7 @@
             return
         run.end(end.outcome, end.detail)
         if end.outcome != CANCELLED:
-            self._on_end()
+            self._on_end(run, end)
 
 
 def resumed_run(msg: Resume, peer: Peer) -> Run:
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -29,10 +29,12 @@
 )
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.runner import Runner, resumed_run
+from cornelpin.daemon.side_moves import REPORT_S, SideMoves
 from cornelpin.daemon.spread import ConfigSpread
 from cornelpin.daemon.supervisor import every
 
 if TYPE_CHECKING:
+    from cornelpin.backends import RunEnd
     from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
@@ -59,13 +61,20 @@
             self._backend,
             self._ring,
             slots=backend_cfg.slots,
-            on_end=self._heartbeat_if_idle,
+            on_end=self._on_end,
         )
         self._runs = self._runner.runs
         self._admission = Admission(backend_cfg.slots, self._runs)
         self._versions: list[str] = []
         self._token_s = 0.0
         self.spread = ConfigSpread(process, self._admission.peers)
+        self._moves = SideMoves(
+            process,
+            self._backend,
+            self._runs,
+            self._admission.peers,
+            on_loaded=self._on_loaded,
+        )
         process.view.on_change(self._on_config)
 
     def start(self) -> None:
@@ -80,6 +89,7 @@
         sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
         sup.start("sweep", every(SWEEP_S, self._sweep))
         sup.start("versions", every(VERSIONS_S, self._poll_versions))
+        sup.start("move-evidence", every(REPORT_S, self._moves.report))
         self._poll_versions()
 
     def leave(self) -> None:
@@ -144,6 +154,7 @@
         self._ring.record("session.opened", detail=peer.name)
         peer.send(self._state())
         self.spread.greet(peer)
+        self._moves.view.greet(peer)
 
     def _close(self, peer: Peer) -> None:
         peer.close()
@@ -173,7 +184,7 @@
                 answer_events(self._ring, peer, msg)
             case Heartbeat():
                 pass
-            case _:
+            case _ if not self._moves.handle(peer, msg):
                 self.spread.handle(peer, msg)
 
     # Reservations and grants
@@ -196,16 +207,23 @@
 
     def _on_grant(self, peer: Peer, grant: Grant) -> None:
         """Starts a run if this session may start it; otherwise says "not run"."""
+        if self._moves.refuses(grant, self._versions):
+            self._admission.gone(peer, grant.request_id)
+            detail = f"version {grant.version} is not served here"
+            self._refuse_grant(peer, grant, Reason.NO_SERVER, detail)
+            return
         match self._admission.start(peer, grant):
             case Started(run, release):
                 self._runner.start(run, release)
             case Refused():
                 leaving = self._process.leaving.is_set()
                 reason = Reason.LEAVING if leaving else Reason.SHED
-                refusal = NotRun(
-                    grant.request_id, reason.value, "no free slot", grant.attempt
-                )
-                peer.send(refusal)
+                self._refuse_grant(peer, grant, reason, "no free slot")
+
+    def _refuse_grant(
+        self, peer: Peer, grant: Grant, reason: Reason, detail: str
+    ) -> None:
+        peer.send(NotRun(grant.request_id, reason.value, detail, grant.attempt))
 
     def _on_withdraw(self, peer: Peer, request_id: str) -> None:
         self._admission.withdraw(peer, request_id)
@@ -273,6 +291,10 @@
         for peer in self._admission.peers():
             peer.send(state)
 
+    def _on_end(self, run: Run, end: RunEnd) -> None:
+        self._moves.observe(run, end)
+        self._heartbeat_if_idle()
+
     def _heartbeat_if_idle(self) -> None:
         if not len(self._admission):
             self._heartbeat()
@@ -286,6 +308,10 @@
         with contextlib.suppress(OSError):
             self._versions = self._backend.versions()
 
+    def _on_loaded(self) -> None:
+        self._poll_versions()
+        self._heartbeat()
+
 
 def _cut_off(msg: Resume, detail: str) -> End:
     return End(msg.request_id, msg.offset, FAILED, detail, msg.attempt)
--- a/properties/test_dispatch.py
+++ b/properties/test_dispatch.py
@@ -10,6 +10,7 @@
 import random
 import threading
 import types
+from unittest import mock
 
 from hypothesis import HealthCheck, Phase, settings, strategies as st
 from hypothesis.stateful import (
@@ -64,22 +65,20 @@
         routes={"route": route}, tiers={}, workspaces={}, hosts={}
     )
     backend = types.SimpleNamespace(name=name, kind="service", url="", slots=1)
-    return types.SimpleNamespace(
-        settings=types.SimpleNamespace(backend=backend, name=name, host=name),
-        ring=EventRing(HybridClock(), process=name, host=name),
-        view=view,
-        leaving=threading.Event(),
-        stopping=threading.Event(),
-        incarnation=incarnation,
-        host_leaving=lambda config: False,
-    )
+    process = mock.MagicMock(view=view, incarnation=incarnation)
+    process.settings = types.SimpleNamespace(backend=backend, name=name, host=name)
+    process.ring = EventRing(HybridClock(), process=name, host=name)
+    process.leaving = threading.Event()
+    process.stopping = threading.Event()
+    process.host_leaving.return_value = False
+    return process
 
 
 class HeldRunner(Runner):
     """Keeps started runs for the rules instead of running them in threads."""
 
     def __init__(self, world):
-        super().__init__(None, world.ring, slots=1, on_end=lambda: None)
+        super().__init__(None, world.ring, slots=1, on_end=lambda run, end: None)
         self.runs = RunTable(past_limit=1)
         self.held = []
 
