Send changes of the configuration as patches and ping quiet links rarely

Ruled out: heartbeats over UDP (a second transport), longer heartbeats alone (a stopped side would get direct grants for as long). Change: the opener pings a link after 8 s of silence, 1 s if it carries work; a side unheard of for 1.5 s gets reservations, no direct grants. A change travels as its patch to neighbours and to the sides that follow, as a number to the rest; digests catch a difference and whole sections repair it. The document is kept as sections only, once.

--- a/cornelpin/core/_checking.py
+++ b/cornelpin/core/_checking.py
@@ -261,6 +261,13 @@
     return _build(cls, value, "$", faults, given)
 
 
+def check_of(cls: type, key: str) -> Check:
+    """Returns the check of one field of a class."""
+    fields = attrs.fields_dict(cls)
+    check: Check = fields[key].metadata[_CHECK]
+    return check
+
+
 def _build(
     cls: type[T], value: Any, path: str, faults: Faults, given: Mapping[str, Any]
 ) -> T | None:
--- a/cornelpin/core/_config_classes.py
+++ b/cornelpin/core/_config_classes.py
@@ -282,6 +282,12 @@
             for digest in operator.token_sha256
         }
 
+    @property
+    def shares_tokens(self) -> bool:
+        """Whether a token belongs to more than one workspace."""
+        tokens = sum(len(w.token_sha256) for w in self.workspaces.values())
+        return tokens != len(self._workspace_by_digest)
+
     def workspace_by_token(self, token: str) -> Workspace | None:
         """Returns the workspace that a bearer token belongs to, if any."""
         return _by_token(self._workspace_by_digest, token)
--- a/cornelpin/core/_config_outcomes.py
+++ b/cornelpin/core/_config_outcomes.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from cornelpin.core.sections import Head, document_of
+
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from cornelpin.core._checking import Fault
     from cornelpin.core.config import Config
-    from cornelpin.core.sections import Head
 
 
 @dataclass(frozen=True)
@@ -17,17 +20,24 @@
 
     Attributes:
         number: Number of the configuration, 0 before the first patch.
-        document: The JSON document, which must not be changed.
         config: The parsed document.
         head: The stored head, None before the first patch.
+        sections: The sections that the head names, by digest.
         head_version: Version of the head object, 0 before the first patch.
+        patch: Patch that led here from the number before, None if it was not read.
     """
 
     number: int
-    document: dict[str, Any]
     config: Config
     head: Head | None
+    sections: Mapping[str, bytes]
     head_version: int
+    patch: Mapping[str, Any] | None = None
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """The JSON document, decoded anew."""
+        return document_of(self.head, self.sections)
 
 
 @dataclass(frozen=True)
--- a/cornelpin/core/_config_sections.py
+++ b/cornelpin/core/_config_sections.py
@@ -38,6 +38,10 @@
         self._known = {names[name]: value for name, value in sections.items()}
         return sections
 
+    def keep(self, sections: Mapping[str, bytes]) -> None:
+        """Takes sections by digest that are known to be stored."""
+        self._known = dict(sections)
+
     def write(
         self, sections: Mapping[str, bytes]
     ) -> dict[str, str] | Unavailable | Unknown:
--- a/cornelpin/core/config.py
+++ b/cornelpin/core/config.py
@@ -80,6 +80,18 @@
     return config
 
 
+def entry_faults(config: Config, key: str, changed: dict[str, Any]) -> Iterator[Fault]:
+    """Checks the references of the changed entries of one section."""
+    document = {"tiers": dict(config.tiers), "routes": dict(config.routes)}
+    yield from _reference_faults({**document, key: changed})
+
+
+def token_faults(config: Config) -> Iterator[Fault]:
+    """Checks that no token belongs to two workspaces."""
+    if config.shares_tokens:
+        yield from _shared_tokens("$.workspaces", config.workspaces)
+
+
 def _reference_faults(document: dict[str, Any]) -> Iterator[Fault]:
     for section, key, target in _REFERENCES:
         known = _entries(document, target)
--- a/cornelpin/core/configstore.py
+++ b/cornelpin/core/configstore.py
@@ -10,7 +10,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from cornelpin.core._checking import Fault, member
@@ -26,7 +26,8 @@
 )
 from cornelpin.core._config_sections import SectionStore
 from cornelpin.core.config import Config, ConfigFaults, parse_config
-from cornelpin.core.patch import diff, merge_patch
+from cornelpin.core.partial import Change, apply_patch
+from cornelpin.core.patch import diff
 from cornelpin.core.sections import Head, digest_of, join, split
 from cornelpin.platform.objects import (
     MAX_VALUE_BYTES,
@@ -61,7 +62,13 @@
 
 Submission = Accepted | Stale | Invalid | NotStored | Undecided
 
-_EMPTY = Snapshot(0, {}, Config(), None, 0)
+_EMPTY = Snapshot(0, Config(), None, {}, 0)
+
+Known = Callable[[], tuple[Config, Head | None, Mapping[str, bytes]]]
+
+
+def _nothing_known() -> tuple[Config, Head | None, Mapping[str, bytes]]:
+    return Config(), None, {}
 
 
 class ConfigStore:
@@ -71,6 +78,9 @@
         objects: The object store.
         clock: Gives the Unix time in seconds that is kept with a patch.
         sleep: Waits between two attempts to resolve a lost answer.
+        known: Gives a configuration that this process has from elsewhere, with its
+            head and its sections by digest; it is used instead of reading the same
+            one again.
     """
 
     def __init__(
@@ -79,10 +89,12 @@
         *,
         clock: Callable[[], float] = time.time,
         sleep: Callable[[float], object] = time.sleep,
+        known: Known = _nothing_known,
     ) -> None:
         self._objects = objects
         self._clock = clock
         self._sleep = sleep
+        self._known = known
         self._sections = SectionStore(objects)
         self._last = _EMPTY
         self._lock = threading.Lock()
@@ -112,7 +124,7 @@
             head = self._prepare(current, checked, patch, author)
             if isinstance(head, NotStored):
                 return head
-            return self._replace_head(current, head)
+            return self._replace_head(current, head, checked)
 
     def history(self, number: int) -> HistoryEntry | NoSuchNumber | Unavailable:
         """Reads the patch that led to a number."""
@@ -160,14 +172,44 @@
         if head.number < self._last.number:
             reason = f"head number {head.number} is below {self._last.number}"
             return Unavailable(reason)
+        change = self._known_change(head) or self._next_change(head)
+        if change is None:
+            return self._read_whole(head, found.version)
+        self._sections.keep(change.sections)
+        number, version = head.number, found.version
+        return Snapshot(
+            number, change.config, head, change.sections, version, change.patch
+        )
+
+    def _known_change(self, head: Head) -> Change | None:
+        """Returns the configuration of a head if this process has it already."""
+        config, known, sections = self._known()
+        if known is None or known.encode() != head.encode():
+            return None
+        return Change(config, dict(head.sections), dict(sections), {}, None)
+
+    def _next_change(self, head: Head) -> Change | None:
+        """Returns the configuration of a head that follows on the last one."""
+        last = self._last
+        if last.head is None or head.number != last.number + 1:
+            return None
+        patch = self._read_document(head.patch)
+        if isinstance(patch, Unavailable):
+            return None
+        change = apply_patch(last.config, last.head.sections, last.sections, patch)
+        if not isinstance(change, Change) or change.names != head.sections:
+            return None
+        return change
+
+    def _read_whole(self, head: Head, version: int) -> Snapshot | Unavailable:
         sections = self._sections.read(head.sections)
         if isinstance(sections, Unavailable):
             return sections
-        document = join(sections)
-        config = parse_config(document, number=head.number)
+        config = parse_config(join(sections), number=head.number)
         if isinstance(config, ConfigFaults):
             return Unavailable(f"stored configuration {head.number}: {config}")
-        return Snapshot(head.number, document, config, head, found.version)
+        held = {head.sections[name]: value for name, value in sections.items()}
+        return Snapshot(head.number, config, head, held, version)
 
     def _stale(self, base: int, current: Snapshot) -> Stale:
         document = self._document_of(base)
@@ -176,12 +218,12 @@
         return Stale(current.number, diff(document, current.document))
 
     def _prepare(
-        self, current: Snapshot, new: dict[str, bytes], patch: Any, author: str
+        self, current: Snapshot, change: Change, patch: Any, author: str
     ) -> Head | NotStored:
         """Writes all that the new head refers to."""
-        sections = self._sections.write(new)
-        if not isinstance(sections, dict):
-            return NotStored(sections.reason)
+        written = self._sections.write(change.written)
+        if not isinstance(written, dict):
+            return NotStored(written.reason)
         patches = self._sections.write(split(patch))
         if not isinstance(patches, dict):
             return NotStored(patches.reason)
@@ -190,7 +232,7 @@
             return failure
         return Head(
             number=current.number + 1,
-            sections=sections,
+            sections=change.names,
             patch=patches,
             patch_id=uuid.uuid4().hex,
             author=author,
@@ -209,10 +251,21 @@
             return None
         return NotStored(f"history {head.number}: {outcome.reason}")
 
-    def _replace_head(self, current: Snapshot, head: Head) -> Submission:
+    def _replace_head(
+        self, current: Snapshot, head: Head, change: Change
+    ) -> Submission:
         version = current.head_version
         outcome = self._objects.put(HEAD_KEY, head.encode(), if_version=version)
         if isinstance(outcome, Written):
+            self._sections.keep(change.sections)
+            self._last = Snapshot(
+                head.number,
+                change.config,
+                head,
+                change.sections,
+                outcome.version,
+                change.patch,
+            )
             return Accepted(head.number)
         if isinstance(outcome, Unavailable):
             return NotStored(outcome.reason)
@@ -289,18 +342,17 @@
         return sections if isinstance(sections, Unavailable) else join(sections)
 
 
-def _apply(current: Snapshot, patch: Any) -> dict[str, bytes] | Invalid:
-    """Returns the sections of the patched document after checking it whole."""
+def _apply(current: Snapshot, patch: Any) -> Change | Invalid:
+    """Returns the patched configuration after checking all that changes."""
     if not isinstance(patch, dict):
         return Invalid((Fault("$", patch, "an object: a JSON merge patch"),))
-    document = merge_patch(current.document, patch)
-    config = parse_config(document, number=current.number + 1)
-    if isinstance(config, ConfigFaults):
-        return Invalid(config.faults)
-    sections = split(document)
+    names = current.head.sections if current.head else {}
+    change = apply_patch(current.config, names, current.sections, patch)
+    if not isinstance(change, Change):
+        return Invalid(change)
     too_large = tuple(
         Fault(member("$", name), f"{len(value)} bytes", f"{MAX_VALUE_BYTES} bytes")
-        for name, value in (*sections.items(), *split(patch).items())
+        for name, value in (*change.written.items(), *split(patch).items())
         if len(value) > MAX_VALUE_BYTES
     )
-    return Invalid(too_large) if too_large else sections
+    return Invalid(too_large) if too_large else change
--- a/cornelpin/core/sections.py
+++ b/cornelpin/core/sections.py
@@ -53,9 +53,26 @@
             ValueError: The value is not a head.
         """
         try:
-            return cls(**json.loads(value))
+            head = cls(**json.loads(value))
         except TypeError as exc:
             raise ValueError(f"not a configuration head: {exc}") from exc
+        if not _is_plain_head(head):
+            raise ValueError("not a configuration head: a field of another type")
+        return head
+
+
+def _is_plain_head(head: Head) -> bool:
+    """Checks the types of a head that came from outside."""
+    texts = (head.patch_id, head.author, head.previous)
+    maps = (head.sections, head.patch)
+    return (
+        type(head.number) is int
+        and head.number > 0
+        and isinstance(head.at, int | float)
+        and all(isinstance(text, str) for text in texts)
+        and all(isinstance(names, dict) for names in maps)
+        and all(isinstance(d, str) for names in maps for d in names.values())
+    )
 
 
 def canonical_json(value: Any) -> bytes:
@@ -93,11 +110,31 @@
     return document
 
 
+def document_of(head: Head | None, held: Mapping[str, bytes]) -> dict[str, Any]:
+    """Returns the document of a head from its sections by digest."""
+    names = head.sections if head is not None else {}
+    return join({name: held[digest] for name, digest in names.items()})
+
+
 def digests(sections: Mapping[str, bytes]) -> dict[str, str]:
     """Returns the digests of sections by section name."""
     return {name: digest_of(value) for name, value in sections.items()}
 
 
+def shard_name(key: str, entry: str) -> str:
+    """Returns the name of the section that holds an entry of a key with shards."""
+    return f"{key}{_SHARD_MARK}{_shard_of(entry):02d}"
+
+
+def is_shard(name: str, key: str) -> bool:
+    """Tells whether a section is a shard of a key."""
+    return name.startswith(key + _SHARD_MARK)
+
+
+def _shard_of(entry: str) -> int:
+    return hashlib.sha256(entry.encode()).digest()[0] % SHARDS
+
+
 def _is_large(value: Any) -> bool:
     return isinstance(value, dict) and len(value) > SHARD_ABOVE_ENTRIES
 
@@ -105,6 +142,5 @@
 def _shards(entries: Mapping[str, Any]) -> dict[int, dict[str, Any]]:
     shards: dict[int, dict[str, Any]] = {}
     for name, entry in entries.items():
-        shard = hashlib.sha256(name.encode()).digest()[0] % SHARDS
-        shards.setdefault(shard, {})[name] = entry
+        shards.setdefault(_shard_of(name), {})[name] = entry
     return shards
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -24,6 +24,7 @@
     side_endpoints,
 )
 from cornelpin.daemon.listener import PeerListener
+from cornelpin.daemon.liveness import TICK_S, Pinger
 from cornelpin.daemon.messages import EventsAsk, EventsReply, Heartbeat
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.spread import ConfigSpread
@@ -37,7 +38,8 @@
     from cornelpin.daemon.process import Process
     from cornelpin.daemon.view import ConfigView
 
-HEARTBEAT_S = 0.5
+EAGER_NEIGHBOURS = 3
+STATUS_TIMEOUT_S = 0.5
 TIMELINE_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 
@@ -51,7 +53,7 @@
         self._objects = object_store.create(
             settings.objects.kind, url=settings.objects.url
         )
-        self._store = ConfigStore(self._objects)
+        self._store = ConfigStore(self._objects, known=process.view.known)
         self._links = LinkTable(
             process,
             wanted=side_endpoints,
@@ -69,7 +71,13 @@
         self._dispatcher = Dispatcher(
             process, self._links, settings.limits.held_requests
         )
-        self._spread = ConfigSpread(process, self._peers)
+        self._spread = ConfigSpread(process, self._peers, self._eager_peers)
+        self._pinger = Pinger(
+            process,
+            links=lambda: [*self._links.all(), *self._neighbours.all()],
+            state=self._state,
+            busy=self._dispatcher.tickets.links,
+        )
         self._moves = EntryMoves(
             process,
             self._objects,
@@ -78,7 +86,9 @@
             submit=self.submit_patch,
         )
         self._dispatcher.moves = self._moves.view
-        self._watcher = ConfigWatcher(self._store, self._spread, process.view)
+        self._watcher = ConfigWatcher(
+            settings.name, self._store, self._spread, process.view
+        )
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
         self._inbound: dict[str, Peer] = {}
         self._states: dict[str, tuple[str, Heartbeat]] = {}
@@ -105,7 +115,7 @@
         )
         sup.start("peer-listener", listener.run)
         sup.start("config-watcher", self._watcher.run)
-        sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
+        sup.start("pinger", every(TICK_S, self._pinger.tick))
         sup.start("moves", self._moves.controller.run)
         self._http.start()
 
@@ -114,6 +124,7 @@
         if not self.process.leaving.is_set():
             self.process.leaving.set()
             self.process.ring.record("entry.leaving")
+            self._announce()
 
     def _on_config(self, config: Config) -> None:
         if self.process.host_leaving(config):
@@ -147,7 +158,11 @@
             return
         self._handle(peer, msg, link)
 
-    def _heartbeat(self) -> None:
+    def _eager_peers(self) -> list[Peer]:
+        peers = [link.peer for link in self._neighbours.all()]
+        return [peer for peer in peers if peer is not None][:EAGER_NEIGHBOURS]
+
+    def _announce(self) -> None:
         state = self._state()
         for peer in self._peers():
             peer.send(state)
@@ -186,6 +201,9 @@
         match msg:
             case Heartbeat():
                 self._states[peer.name] = (peer.role, msg)
+                self._spread.hear(peer, msg.number)
+                if link is None:
+                    peer.send(self._state())
             case EventsAsk():
                 answer_events(self.process.ring, peer, msg)
             case EventsReply():
@@ -208,6 +226,7 @@
 
     def processes(self) -> list[dict[str, Any]]:
         """Returns the state of this process and of the sides it is linked to."""
+        self._pinger.refresh(STATUS_TIMEOUT_S)
         view = self.process.view
         rows: list[dict[str, Any]] = [
             {
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -20,6 +21,7 @@
 
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
+FRESH_S = 1.5
 
 
 @attrs.frozen
@@ -51,8 +53,8 @@
     if name not in ring:
         return {}
     start = ring.index(name)
-    distances = [1 << power for power in range(len(ring).bit_length())]
-    chosen = {ring[(start + d) % len(ring)] for d in distances if d < len(ring)}
+    distances = [1 << power for power in reversed(range(len(ring).bit_length()))]
+    chosen = [ring[(start + d) % len(ring)] for d in distances if d < len(ring)]
     return _endpoints(config, {n: config.entries[n] for n in chosen})
 
 
@@ -86,11 +88,17 @@
         state = self.state
         return self._peer is not None and state is not None and not state.leaving
 
+    @property
+    def fresh(self) -> bool:
+        """Whether the side was heard of so lately that it is surely not stopped."""
+        peer = self._peer
+        return peer is not None and time.monotonic() - peer.heard_at < FRESH_S
+
     @property
     def idle_slots(self) -> int:
         """Free slots as far as this entry knows, less its own direct grants."""
         state = self.state
-        if state is None or state.waiting:
+        if state is None or state.waiting or not self.fresh:
             return 0
         return state.free - self.direct
 
--- a/cornelpin/daemon/peer.py
+++ b/cornelpin/daemon/peer.py
@@ -10,6 +10,7 @@
 import socket
 import ssl
 import threading
+import time
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -29,7 +30,7 @@
     from cornelpin.core.clock import HybridClock
 
 HANDSHAKE_TIMEOUT_S = 5.0
-IDLE_TIMEOUT_S = 4.0
+IDLE_TIMEOUT_S = 20.0
 SEND_QUEUE_FRAMES = 20_000
 RECEIVE_BYTES = 65_536
 BATCH_BYTES = 65_536
@@ -80,6 +81,8 @@
         self.name = ""
         self.role = ""
         self.incarnation = ""
+        self.heard_at = time.monotonic()
+        self.pinged_at: float | None = None
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -144,6 +147,7 @@
             raise ProtocolError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
         msg, stamp = decode(self._read(size))
         self._clock.observe(stamp)
+        self.heard_at = time.monotonic()
         return msg
 
     def close(self) -> None:
--- a/cornelpin/daemon/runs.py
+++ b/cornelpin/daemon/runs.py
@@ -4,7 +4,7 @@
 
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from cornelpin.backends import CancelToken
 from cornelpin.daemon.messages import Chunk, End, Head, NotRun
@@ -47,6 +47,12 @@
         """Number of parts received so far."""
         return len(self._parts)
 
+    def tell(self, msg: Any) -> None:
+        """Sends a message to the entry that the run belongs to, if it is there."""
+        peer = self._peer
+        if peer is not None:
+            peer.send(msg)
+
     def begin_at(self, offset: int) -> None:
         """Sets the position of the first part of a run resumed at the engine."""
         self._base = offset
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -13,6 +13,7 @@
 from cornelpin.core.reservations import Reservation, TierPolicy
 from cornelpin.core.verdict import Reason
 from cornelpin.daemon.admission import Admission
+from cornelpin.daemon.announcer import TICK_S, Announcer
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.messages import (
     Ask,
@@ -39,7 +40,6 @@
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
 
-HEARTBEAT_S = 0.5
 SWEEP_S = 0.5
 DRAIN_POLL_S = 0.05
 FLUSH_TIMEOUT_S = 5.0
@@ -66,6 +66,7 @@
         self._runs = self._runner.runs
         self._versions: list[str] = []
         self._token_s = 0.0
+        self._announcer = Announcer(self._state, self._admission.peers)
         self.spread = ConfigSpread(process, self._admission.peers)
         self._moves = SideMoves(
             process,
@@ -85,7 +86,7 @@
         )
         sup.start("peer-listener", listener.run)
         sup.start("dispatch", self._dispatch_loop)
-        sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
+        sup.start("announcer", every(TICK_S, self._announcer.tick))
         sup.start("sweep", every(SWEEP_S, self._sweep))
         sup.start("versions", every(VERSIONS_S, self._poll_versions))
         sup.start("move-evidence", every(REPORT_S, self._moves.report))
@@ -100,7 +101,7 @@
         self._ring.record("side.leaving", detail=f"{len(dropped)} handed back")
         logger.info("leaving; {} reservations handed back", len(dropped))
         self._refuse(dropped, Reason.LEAVING)
-        self._heartbeat()
+        self._announcer.now()
 
     def _come_back(self) -> None:
         if self._process.leaving.is_set():
@@ -108,7 +109,7 @@
             self._admission.restart()
             self._ring.record("side.returned")
             logger.info("taking work again")
-            self._heartbeat()
+            self._announcer.now()
 
     def wait_idle(self) -> None:
         """Waits until every run has ended and its answer was sent."""
@@ -152,13 +153,14 @@
             self._detach(older)
         self._ring.record("session.opened", detail=peer.name)
         peer.send(self._state())
-        self.spread.greet(peer)
+        self.spread.opened(peer)
         self._moves.view.greet(peer)
 
     def _close(self, peer: Peer) -> None:
         peer.close()
         self._admission.close(peer)
         self._detach(peer)
+        self.spread.closed(peer)
         self._ring.record("session.closed", detail=peer.name)
 
     def _detach(self, peer: Peer) -> None:
@@ -182,7 +184,8 @@
             case EventsAsk():
                 answer_events(self._ring, peer, msg)
             case Heartbeat():
-                pass
+                peer.send(self._state())
+                self.spread.hear(peer, msg.number)
             case _ if not self._moves.handle(peer, msg):
                 self.spread.handle(peer, msg)
 
@@ -266,18 +269,10 @@
             token_s=self._token_s,
         )
 
-    def _heartbeat(self) -> None:
-        state = self._state()
-        for peer in self._admission.peers():
-            peer.send(state)
-
     def _on_end(self, run: Run, end: RunEnd) -> None:
         self._moves.observe(run, end)
-        self._heartbeat_if_idle()
-
-    def _heartbeat_if_idle(self) -> None:
         if not len(self._admission):
-            self._heartbeat()
+            run.tell(self._state())
 
     def _sweep(self) -> None:
         expired = self._admission.sweep()
@@ -290,4 +285,4 @@
 
     def _on_loaded(self) -> None:
         self._poll_versions()
-        self._heartbeat()
+        self._announcer.now()
--- a/cornelpin/daemon/spread.py
+++ b/cornelpin/daemon/spread.py
@@ -1,18 +1,36 @@
-"""Spreads the configuration along peer streams, sections by digest.
+"""Spreads the configuration along peer streams.
 
-A process that learns of a higher number asks the peer that announced it for the
-sections it lacks, applies the whole, and announces it to its own peers.
+A change travels as its patch to the peers that follow this process, and as a number
+alone to the others, who ask for what they lack. A process that missed a change, or
+whose result has another digest, asks for the head and the sections it does not hold.
 """
 
 from __future__ import annotations
 
+import collections
+import json
 import threading
+import time
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
 from cornelpin.core.config import ConfigFaults, parse_config
-from cornelpin.core.sections import Head, join
+from cornelpin.core.partial import Change, apply_patch
+from cornelpin.core.sections import (
+    Head,
+    canonical_json,
+    digest_of,
+    digests,
+    join,
+    split,
+)
+from cornelpin.daemon.config_messages import (
+    ConfigAsk,
+    ConfigDelta,
+    ConfigFollow,
+    ConfigNumber,
+)
 from cornelpin.daemon.messages import (
     ConfigHead,
     ConfigSections,
@@ -23,29 +41,87 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
 
+KEPT_DELTAS = 64
+FOLLOWED = 2
+ASK_AGAIN_S = 0.5
+SECTIONS_BYTES = 1_000_000
+
 
 class ConfigSpread:
-    """Keeps this process and its peers at the highest configuration known."""
+    """Keeps this process and its peers at the highest configuration known.
 
-    def __init__(self, process: Process, peers: Callable[[], list[Peer]]) -> None:
+    Args:
+        process: The process.
+        peers: Gives all peers.
+        eager: Gives the peers that are sent changes besides those that follow.
+    """
+
+    def __init__(
+        self,
+        process: Process,
+        peers: Callable[[], list[Peer]],
+        eager: Callable[[], list[Peer]] = list,
+    ) -> None:
         self._process = process
         self._view = process.view
         self._peers = peers
-        self._lock = threading.Lock()
+        self._eager = eager
+        self._lock = threading.RLock()
         self._wanted: Head | None = None
+        self._received: dict[str, bytes] = {}
+        self._deltas: collections.deque[ConfigDelta] = collections.deque(
+            maxlen=KEPT_DELTAS
+        )
+        self._followers: set[Peer] = set()
+        self._followed: set[Peer] = set()
+        self._heard = 0
+        self._asked = 0
+        self._asked_at = 0.0
+
+    @property
+    def behind(self) -> bool:
+        """Whether a peer has announced a higher number than the one in force."""
+        return self._heard > self._view.number
 
     def greet(self, peer: Peer) -> None:
         """Announces the number in force to a new peer."""
-        head = self._view.head
-        if head is not None:
-            peer.send(ConfigHead(head.number, head.encode()))
+        if self._view.number:
+            peer.send(ConfigNumber(self._view.number))
+
+    def opened(self, peer: Peer) -> None:
+        """Greets a new peer and follows it if too few are followed."""
+        self.greet(peer)
+        self._follow()
+
+    def closed(self, peer: Peer) -> None:
+        """Follows another peer if the session that has ended was followed."""
+        with self._lock:
+            self._followed.discard(peer)
+        self._follow()
+
+    def _follow(self) -> None:
+        for peer in self._peers():
+            with self._lock:
+                if len(self._followed) >= FOLLOWED or peer in self._followed:
+                    continue
+                self._followed.add(peer)
+            peer.send(ConfigFollow())
 
     def handle(self, peer: Peer, msg: Any) -> None:
         """Handles a configuration message of a peer."""
         match msg:
+            case ConfigNumber():
+                self.hear(peer, msg.number)
+            case ConfigAsk():
+                self._on_ask(peer, msg.number)
+            case ConfigDelta():
+                self._on_delta(peer, msg)
+            case ConfigFollow():
+                self._on_follow(peer)
             case ConfigHead():
                 self._on_head(peer, msg)
             case ConfigWant():
@@ -55,30 +131,115 @@
             case _:
                 raise ProtocolError(f"unexpected {type(msg).__name__}")
 
-    def publish(self, head: Head, sections: Mapping[str, bytes]) -> bool:
-        """Puts a configuration in force here and announces it to all peers."""
-        document = join(
-            {name: sections[digest] for name, digest in head.sections.items()}
-        )
-        config = parse_config(document, number=head.number)
-        if isinstance(config, ConfigFaults):
-            logger.error("configuration {} not applied: {}", head.number, config)
-            return False
-        held = {digest: sections[digest] for digest in head.sections.values()}
-        if not self._view.apply(config, document=document, head=head, sections=held):
-            return False
+    def hear(self, peer: Peer, number: int) -> None:
+        """Takes a number that a peer announced and asks for it if it is higher."""
+        with self._lock:
+            self._heard = max(self._heard, number)
+            if number <= self._view.number:
+                return
+            now = time.monotonic()
+            if number <= self._asked and now - self._asked_at < ASK_AGAIN_S:
+                return
+            self._asked, self._asked_at = number, now
+        peer.send(ConfigAsk(self._view.number))
+
+    def publish(
+        self,
+        head: Head,
+        config: Config,
+        sections: Mapping[str, bytes],
+        patch: Mapping[str, Any] | None = None,
+    ) -> bool:
+        """Puts a configuration in force here and announces it to the peers.
+
+        Args:
+            head: Head of the configuration.
+            config: The configuration.
+            sections: Its sections by digest.
+            patch: Patch that led to it from the number before, if it is known.
+
+        Returns:
+            Whether it is now in force.
+        """
+        delta = _delta(head, patch) if patch is not None else None
+        with self._lock:
+            if not self._view.apply(config, head=head, sections=sections):
+                return False
+            if delta is None:
+                self._deltas.clear()
+            else:
+                self._deltas.append(delta)
+            self._followers = {p for p in self._followers if not p.closed}
+            followers = set(self._followers)
         self._process.ring.record("config.in-force", detail=str(head.number))
-        for peer in self._peers():
-            self.greet(peer)
+        if self._process.settings.role == "entry":
+            followers.update(self._eager())
+            self._announce(delta, followers)
         return True
 
+    def _announce(self, delta: ConfigDelta | None, followers: set[Peer]) -> None:
+        number = ConfigNumber(self._view.number)
+        for peer in followers:
+            peer.send(delta or number)
+        for peer in self._peers():
+            if peer not in followers and peer.role != "side":
+                peer.send(number)
+
+    def _on_follow(self, peer: Peer) -> None:
+        with self._lock:
+            self._followers.add(peer)
+        self.greet(peer)
+
+    def _on_ask(self, peer: Peer, number: int) -> None:
+        with self._lock:
+            head = self._view.head
+            deltas = [delta for delta in self._deltas if delta.number > number]
+        if head is None or number >= head.number:
+            return
+        if number and deltas and deltas[0].number == number + 1:
+            for delta in deltas:
+                peer.send(delta)
+            return
+        peer.send(ConfigHead(head.number, head.encode()))
+
+    def _on_delta(self, peer: Peer, msg: ConfigDelta) -> None:
+        with self._lock:
+            self._heard = max(self._heard, msg.number)
+            if msg.number <= self._view.number:
+                return
+            if msg.number == self._view.number + 1 and self._apply(msg):
+                return
+        peer.send(ConfigAsk(0))
+
+    def _apply(self, msg: ConfigDelta) -> bool:
+        """Puts a patch in force; tells whether the result has the right digest."""
+        config, before, sections = self._view.known()
+        if before is None:
+            return False
+        patch = _decode_patch(msg.patch)
+        change = apply_patch(config, before.sections, sections, patch)
+        if not isinstance(change, Change):
+            return False
+        head = Head(
+            number=msg.number,
+            sections=change.names,
+            patch=digests(split(patch)),
+            patch_id=msg.patch_id,
+            author=msg.author,
+            at=msg.at,
+            previous=digest_of(before.encode()),
+        )
+        if digest_of(head.encode()) != msg.digest:
+            return False
+        return self.publish(head, change.config, change.sections, patch)
+
     def _on_head(self, peer: Peer, msg: ConfigHead) -> None:
         if msg.number <= self._view.number:
             return
-        head = Head.decode(msg.head)
+        head = _decode_head(msg.head)
         with self._lock:
             if self._wanted is None or head.number > self._wanted.number:
-                self._wanted = head
+                self._wanted, self._received = head, {}
         held = self._view.sections
         missing = [d for d in head.sections.values() if d not in held]
         if missing:
@@ -87,14 +248,67 @@
             self._on_sections({})
 
     def _on_want(self, peer: Peer, msg: ConfigWant) -> None:
+        """Sends sections in several messages, each of a bounded size."""
         held = self._view.sections
-        peer.send(ConfigSections({d: held[d] for d in msg.digests if d in held}))
+        part: dict[str, bytes] = {}
+        for digest in msg.digests:
+            if digest not in held:
+                continue
+            if (
+                part
+                and sum(map(len, part.values())) + len(held[digest]) > SECTIONS_BYTES
+            ):
+                peer.send(ConfigSections(part))
+                part = {}
+            part[digest] = held[digest]
+        peer.send(ConfigSections(part))
 
     def _on_sections(self, received: Mapping[str, bytes]) -> None:
         with self._lock:
             head = self._wanted
-        if head is None or head.number <= self._view.number:
+            if head is None or head.number <= self._view.number:
+                return
+            valid = {d: v for d, v in received.items() if digest_of(v) == d}
+            self._received.update(valid)
+            known = {**self._view.sections, **self._received}
+            if not all(digest in known for digest in head.sections.values()):
+                return
+            self._wanted, self._received = None, {}
+            self._publish_whole(head, known)
+
+    def _publish_whole(self, head: Head, known: Mapping[str, bytes]) -> None:
+        document = join({name: known[d] for name, d in head.sections.items()})
+        config = parse_config(document, number=head.number)
+        if isinstance(config, ConfigFaults):
+            logger.error("configuration {} not applied: {}", head.number, config)
             return
-        known = {**self._view.sections, **received}
-        if all(digest in known for digest in head.sections.values()):
-            self.publish(head, known)
+        held = {digest: known[digest] for digest in head.sections.values()}
+        self.publish(head, config, held)
+
+
+def _delta(head: Head, patch: Mapping[str, Any]) -> ConfigDelta:
+    return ConfigDelta(
+        number=head.number,
+        patch=canonical_json(patch),
+        patch_id=head.patch_id,
+        author=head.author,
+        at=head.at,
+        digest=digest_of(head.encode()),
+    )
+
+
+def _decode_head(value: bytes) -> Head:
+    try:
+        return Head.decode(value)
+    except ValueError as exc:
+        raise ProtocolError(str(exc)) from exc
+
+
+def _decode_patch(value: bytes) -> dict[str, Any]:
+    try:
+        patch = json.loads(value)
+    except ValueError as exc:
+        raise ProtocolError(f"not a patch: {exc}") from exc
+    if not isinstance(patch, dict):
+        raise ProtocolError("not a patch: no object")
+    return patch
--- a/cornelpin/daemon/ticket_table.py
+++ b/cornelpin/daemon/ticket_table.py
@@ -72,6 +72,14 @@
         with self._lock:
             self._tickets.pop(request_id, None)
 
+    def links(self) -> set[Link]:
+        """Returns the links that carry requests or reservations."""
+        with self._lock:
+            tickets = list(self._tickets.values())
+        found = {link for ticket in tickets for link in ticket.reserved()}
+        found.update(ticket.holder for ticket in tickets if ticket.holder is not None)
+        return found
+
     def tell_lost(self, link: Link) -> None:
         """Tells the tickets that use a link that its session has ended."""
         with self._lock:
--- a/cornelpin/daemon/view.py
+++ b/cornelpin/daemon/view.py
@@ -4,9 +4,10 @@
 
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from cornelpin.core.config import Config
+from cornelpin.core.sections import document_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -24,9 +25,20 @@
         self.config = Config()
         self.head: Head | None = None
         self.sections: Mapping[str, bytes] = {}
-        self.document: dict = {}
         self.since = time.monotonic()
 
+    @property
+    def document(self) -> dict[str, Any]:
+        """The document in force, decoded anew."""
+        with self._lock:
+            head, sections = self.head, self.sections
+        return document_of(head, sections)
+
+    def known(self) -> tuple[Config, Head | None, Mapping[str, bytes]]:
+        """Returns the configuration with its head and its sections by digest."""
+        with self._lock:
+            return self.config, self.head, self.sections
+
     @property
     def number(self) -> int:
         """The number in force; zero before any configuration is known."""
@@ -44,7 +56,6 @@
         self,
         config: Config,
         *,
-        document: dict,
         head: Head,
         sections: Mapping[str, bytes],
     ) -> bool:
@@ -57,7 +68,6 @@
             if config.number <= self.config.number:
                 return False
             self.config = config
-            self.document = document
             self.head = head
             self.sections = sections
             self.since = time.monotonic()
--- a/cornelpin/daemon/watcher.py
+++ b/cornelpin/daemon/watcher.py
@@ -8,49 +8,92 @@
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.core.configstore import HistoryEntry, Snapshot
-from cornelpin.core.sections import digest_of, split
+from cornelpin.core.rendezvous import highest
 
 if TYPE_CHECKING:
+    from cornelpin.core.config import Config
     from cornelpin.core.configstore import ConfigStore
+    from cornelpin.core.sections import Head
     from cornelpin.daemon.spread import ConfigSpread
     from cornelpin.daemon.view import ConfigView
 
-POLL_S = 1.0
+WATCHERS_PER_DATA_CENTRE = 3
+WATCH_POLL_S = 1.0
+FALLBACK_POLL_S = 30.0
+MAX_OUTAGE_POLL_S = 15.0
+MAX_DOUBLINGS = 8
 JITTER = 0.3
 
 
 class ConfigWatcher:
-    """Polls the head object and publishes a higher number to the peers."""
+    """Polls the head object and publishes a higher number to the peers.
+
+    A few entries of each data centre, chosen by rendezvous hashing over the entries
+    that are configured and not leaving, poll often. The others poll slowly, in case
+    that all watchers of their data centre are gone.
+    """
 
     def __init__(
-        self, store: ConfigStore, spread: ConfigSpread, view: ConfigView
+        self, name: str, store: ConfigStore, spread: ConfigSpread, view: ConfigView
     ) -> None:
+        self._name = name
         self._store = store
         self._spread = spread
         self._view = view
         self._lock = threading.Lock()
+        self._failures = 0
 
     def run(self, stop: threading.Event) -> None:
         """Polls until stopped."""
         while not stop.is_set():
             self.refresh()
-            stop.wait(POLL_S * random.uniform(1 - JITTER, 1 + JITTER))
+            stop.wait(self.pause_s() * random.uniform(1 - JITTER, 1 + JITTER))
+
+    def pause_s(self) -> float:
+        """Returns the mean time until the next poll; it grows in an outage."""
+        watches = is_watcher(self._view.config, self._name)
+        pause_s = WATCH_POLL_S if watches else FALLBACK_POLL_S
+        doubled_s = pause_s * 2.0 ** min(self._failures, MAX_DOUBLINGS)
+        return min(doubled_s, max(pause_s, MAX_OUTAGE_POLL_S))
 
     def refresh(self) -> None:
         """Reads the store once and publishes what it holds if it is newer."""
         with self._lock:
             loaded = self._store.load()
-            if isinstance(loaded, Snapshot) and loaded.number > self._view.number:
-                self._publish(loaded)
+            if not isinstance(loaded, Snapshot):
+                self._failures += 1
+                return
+            self._failures = 0
+            if loaded.head is not None and loaded.number > self._view.number:
+                self._publish(loaded, loaded.head)
 
-    def _publish(self, loaded: Snapshot) -> None:
-        sections = split(loaded.document).values()
-        if loaded.head is not None:
-            self._spread.publish(
-                loaded.head, {digest_of(section): section for section in sections}
-            )
+    def _publish(self, loaded: Snapshot, head: Head) -> None:
+        follows = loaded.number == self._view.number + 1
+        patch = loaded.patch if follows else None
+        self._spread.publish(head, loaded.config, loaded.sections, patch)
 
     def history(self, first: int, last: int) -> list[dict[str, Any]]:
         """Returns the history entries from ``first`` to ``last``."""
         entries = [self._store.history(number) for number in range(first, last + 1)]
         return [dataclasses.asdict(e) for e in entries if isinstance(e, HistoryEntry)]
+
+
+def is_watcher(config: Config, name: str) -> bool:
+    """Tells whether an entry is one of those that watch for its data centre.
+
+    An entry that the configuration does not name, such as the very first one, has
+    nobody to learn from and watches.
+    """
+    entry = config.entries.get(name)
+    host = config.hosts.get(entry.host) if entry is not None else None
+    if host is None:
+        return True
+    candidates = [
+        other.name
+        for other in config.entries.values()
+        if other.host in config.hosts
+        and config.hosts[other.host].data_centre == host.data_centre
+        and not config.hosts[other.host].leaving
+    ]
+    chosen = highest(host.data_centre, candidates, count=WATCHERS_PER_DATA_CENTRE)
+    return name in chosen
