Say truly which configuration is in force at every process

Cause: config status knew only the linked sides, as of their last heartbeat, and said nothing of processes that nobody hears. Ruled out: numbers in every heartbeat (bytes on every link for a question asked now and then). Change: config status asks along the ring of entries, each for a disjoint part of it; each entry pings its links and answers for those that reply. Configured processes that no entry heard of are listed as unreachable.

--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -10,6 +10,14 @@
 
 from cornelpin.core.configstore import Accepted, ConfigStore
 from cornelpin.core.events import Event, merge_events
+from cornelpin.daemon.census import (
+    Census,
+    CensusRow,
+    status_row,
+    unheard,
+    unreachable_row,
+)
+from cornelpin.daemon.census_messages import CensusAsk, CensusReply
 from cornelpin.daemon.dispatch import Dispatcher
 from cornelpin.daemon.entry_moves import EntryMoves
 from cornelpin.daemon.http.admin import AdminApi
@@ -89,8 +97,11 @@
         self._watcher = ConfigWatcher(
             settings.name, self._store, self._spread, process.view
         )
+        self._census = Census(
+            process, own_rows=self._own_rows, neighbour=self._neighbours.peer_of
+        )
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
-        self._inbound: dict[str, Peer] = {}
+        self._inbound: set[Peer] = set()
         self._states: dict[str, tuple[str, Heartbeat]] = {}
         self._lock = threading.Lock()
         process.view.on_change(self._links.on_config)
@@ -141,7 +152,7 @@
 
     def _peers(self) -> list[Peer]:
         with self._lock:
-            inbound = list(self._inbound.values())
+            inbound = list(self._inbound)
         links = [*self._links.all(), *self._neighbours.all()]
         outbound = [link.peer for link in links]
         return [peer for peer in (*outbound, *inbound) if peer is not None]
@@ -186,7 +197,7 @@
     def _serve(self, peer: Peer) -> None:
         """Serves a session that another process opened."""
         with self._lock:
-            self._inbound[peer.name] = peer
+            self._inbound.add(peer)
         self._greet(peer)
         try:
             while True:
@@ -194,8 +205,7 @@
         finally:
             peer.close()
             with self._lock:
-                if self._inbound.get(peer.name) is peer:
-                    del self._inbound[peer.name]
+                self._inbound.discard(peer)
 
     def _handle(self, peer: Peer, msg: Any, link: Link | None = None) -> None:
         match msg:
@@ -208,6 +218,10 @@
                 answer_events(self.process.ring, peer, msg)
             case EventsReply():
                 self._on_events(msg)
+            case CensusAsk():
+                self._census.on_ask(peer, msg)
+            case CensusReply():
+                self._census.on_reply(msg)
             case _ if not self._moves.handle(peer, msg, link):
                 self._spread.handle(peer, msg)
 
@@ -242,6 +256,31 @@
         rows += [_row(name, *states[name], view) for name in sorted(states)]
         return rows
 
+    def config_status(self) -> list[dict[str, Any]]:
+        """Returns the number in force at each configured process."""
+        view = self.process.view
+        rows = self._census.collect()
+        highest = max([view.number, *(row.number for row in rows)])
+        waited_s = round(time.monotonic() - view.since, 3)
+        missing = unheard(view.config, rows)
+        return [
+            *(status_row(row, highest, waited_s) for row in rows),
+            *(unreachable_row(row) for row in missing),
+        ]
+
+    def _own_rows(self) -> list[CensusRow]:
+        name, number = self.process.settings.name, self.process.view.number
+        self._pinger.refresh(STATUS_TIMEOUT_S)
+        answering = [link for link in self._links.all() if link.answers]
+        return [
+            CensusRow("entry", name, name, number),
+            *(
+                CensusRow("side", link.name, link.process_name, link.state.number)
+                for link in answering
+                if link.state is not None
+            ),
+        ]
+
     def routes(self) -> list[dict[str, Any]]:
         """Returns the routes and how many of their servers are usable."""
         return [
--- a/cornelpin/daemon/http/admin.py
+++ b/cornelpin/daemon/http/admin.py
@@ -88,15 +88,7 @@
         return _patch_response(outcome)
 
     def _config_status(self, http: HttpRequest) -> HttpResponse:
-        rows = [
-            {
-                "name": row["name"],
-                "role": row["role"],
-                "number": row["number"],
-                "lag_s": row["lag_s"],
-            }
-            for row in self._entry.processes()
-        ]
+        rows = self._entry.config_status()
         return json_response({"number": self._process.view.number, "processes": rows})
 
     def _history(self, http: HttpRequest) -> HttpResponse:
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -94,6 +94,14 @@
         peer = self._peer
         return peer is not None and time.monotonic() - peer.heard_at < FRESH_S
 
+    @property
+    def answers(self) -> bool:
+        """Whether the last ping of the session was answered."""
+        peer = self._peer
+        if peer is None:
+            return False
+        return peer.pinged_at is None or peer.heard_at >= peer.pinged_at
+
     @property
     def idle_slots(self) -> int:
         """Free slots as far as this entry knows, less its own direct grants."""
@@ -182,6 +190,12 @@
         with self._lock:
             return list(self._links.values())
 
+    def peer_of(self, name: str) -> Peer | None:
+        """Returns the session of a link by its name, if it is open."""
+        with self._lock:
+            link = self._links.get(name)
+        return link.peer if link is not None else None
+
     def of_servers(self, names: list[str] | tuple[str, ...]) -> list[Link]:
         """Returns the links to the given backend servers."""
         with self._lock:
