--- a/benchmarks/bound.py
+++ b/benchmarks/bound.py
@@ -1,9 +1,10 @@
 """An upper bound on goodput, computed with full knowledge.
 
 A fluid model: the engines of a pool are one server whose tokens go, in every step
-of time, to the requests with the highest shed order and then the earliest deadline.
-True lengths are known, work may be preempted without cost, prefill is free, and a
-request that cannot meet its deadline takes no tokens.
+of time, to the requests that must start first to meet their deadlines. True lengths
+are known, work may be preempted without cost and prefill is free. Where the waiting
+requests cannot all meet their deadlines, the lowest shed order is dropped first, and
+of that the longest.
 """
 
 from __future__ import annotations
@@ -40,9 +41,9 @@
     shed_order: int
     tokens: float
 
-    def can_finish(self, now_s: float, pool: Pool) -> bool:
-        """Tells whether the deadline can be met without any queueing."""
-        return now_s + self.tokens / pool.request_tokens_per_s <= self.deadline_s
+    def latest_start_s(self, pool: Pool) -> float:
+        """Returns when the request must start at the latest, without any queueing."""
+        return self.deadline_s - self.tokens / pool.request_tokens_per_s
 
 
 def engine_tokens_per_s(engine: Engine) -> float:
@@ -99,7 +100,7 @@
     while coming or active:
         while coming and coming[-1].arrival_s <= now_s:
             active.append(coming.pop())
-        active = [job for job in active if job.can_finish(now_s, pool)]
+        active = _feasible(active, now_s, pool)
         _serve(active, pool)
         finished |= {job.call_id for job in active if job.tokens <= 0}
         active = [job for job in active if job.tokens > 0]
@@ -107,11 +108,27 @@
     return finished
 
 
+def _feasible(active: list[Job], now_s: float, pool: Pool) -> list[Job]:
+    """Returns the jobs that can all meet their deadlines, least slack first."""
+    jobs = [job for job in active if job.latest_start_s(pool) >= now_s]
+    jobs.sort(key=lambda job: job.deadline_s)
+    kept: list[Job] = []
+    tokens = 0.0
+    for job in jobs:
+        kept.append(job)
+        tokens += job.tokens
+        while tokens > pool.tokens_per_s * (job.deadline_s - now_s):
+            dropped = min(kept, key=lambda job: (job.shed_order, -job.tokens))
+            kept.remove(dropped)
+            tokens -= dropped.tokens
+    kept.sort(key=lambda job: job.latest_start_s(pool))
+    return kept
+
+
 def _serve(active: list[Job], pool: Pool) -> None:
     """Hands out the tokens of one step of time."""
     left = pool.tokens_per_s * STEP_S
     most = pool.request_tokens_per_s * STEP_S
-    active.sort(key=lambda job: (-job.shed_order, job.deadline_s))
     for job in active:
         given = min(job.tokens, most, left)
         job.tokens -= given
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -15,6 +15,8 @@
 import threading
 import time
 from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -68,6 +70,7 @@
     fault: Scenario | None = None
     rows: list[Row] = field(factory=list)
     latencies: Latencies = field(factory=Latencies)
+    _lock: threading.Lock = field(factory=threading.Lock)
 
     def run(self, deployment: str) -> None:
         """Runs all loads of one deployment."""
@@ -84,15 +87,18 @@
             planned = plan(described, shape)
             bound = self._cell(described, load, "bound")
             self.rows += bound_rows(bound, described, planned, self.bounds_s)
-            for system in SYSTEMS:
-                self._measure(self._cell(described, load, system), described, planned)
+            cells = [self._cell(described, load, system) for system in SYSTEMS]
+            # Side by side, so that both meet the same disturbances of the machine.
+            with ThreadPoolExecutor(len(cells)) as pool:
+                measure = partial(self._measure, described, planned)
+                list(pool.map(measure, cells))
 
     def _cell(self, described: Deployment, load: float, system: str) -> Cell:
         fault = self.fault.name if self.fault else ""
         return Cell(described.name, load, fault, system, self.seed)
 
     def _measure(
-        self, cell: Cell, described: Deployment, planned: list[PlannedRequest]
+        self, described: Deployment, planned: list[PlannedRequest], cell: Cell
     ) -> None:
         started = time.monotonic()
         with SYSTEMS[cell.system](described, seed=cell.seed) as testbed:
@@ -106,9 +112,10 @@
                 faults.join()
         evidence = testbed.evidence()
         rows = measured_rows(cell, described, planned, evidence, self.bounds_s)
-        self.rows += rows
-        for record in evidence.records:
-            if is_good(record, self.bounds_s):
+        good = [r for r in evidence.records if is_good(r, self.bounds_s)]
+        with self._lock:
+            self.rows += rows
+            for record in good:
                 self.latencies.add(cell, record.tier, record.latency_s)
         testbed.remove_folder()
         _print_cell(cell, rows, time.monotonic() - started)
--- a/benchmarks/scenario_measures.py
+++ b/benchmarks/scenario_measures.py
@@ -83,3 +83,14 @@
     calls = {record.call_id for record in records}
     answered = {r.call_id for r in records if r.answer is Answer.COMPLETE}
     return len(answered) / max(1, len(calls))
+
+
+@measure("config_number")
+def _config_number(run: Run, arguments: Mapping[str, Any]) -> float:
+    return run.testbed.config_number()
+
+
+@measure("ended_processes")
+def _ended_processes(run: Run, arguments: Mapping[str, Any]) -> float:
+    """Counts the processes that do not run."""
+    return sum(not process.running for process in run.testbed.processes.values())
--- a/benchmarks/scenario_steps.py
+++ b/benchmarks/scenario_steps.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import random
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
+import attrs
+
 from benchmarks.http_json import JsonClient
 from benchmarks.processes import LOOPBACK
 from benchmarks.records import Kind
@@ -18,9 +22,12 @@
 
 MAX_SENT_REQUESTS = 5000
 MAX_SEED = 2**31
+RESENT_OUTPUT_TOKENS = 4
 MAX_WAIT_S = 30.0
 DEFAULT_WAIT_S = 10.0
+OK = 200
 MULTIPLE_CHOICES = 300
+CONFLICT = 409
 
 # Processes
 
@@ -88,6 +95,33 @@
     run.testbed.patch(dict(arguments["patch"]))
 
 
+@step("race")
+def _race(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Submits patches on one number at once; just one of them may be accepted."""
+    testbed = run.testbed
+    base = testbed.config_number()
+    patches = arguments["patches"]
+    with ThreadPoolExecutor(len(patches)) as pool:
+        statuses = list(pool.map(_submit(run, base), itertools.count(), patches))
+    if sorted(statuses) != [OK] + [CONFLICT] * (len(patches) - 1):
+        raise ScenarioError(f"patches on number {base} were answered {statuses}")
+    if testbed.config_number() != base + 1:
+        raise ScenarioError(f"{base} was followed by {testbed.config_number()}")
+
+
+def _submit(run: Run, base: int) -> Callable[[int, Mapping[str, Any]], int]:
+    """Returns a function that submits a patch at the entry of that turn."""
+    testbed = run.testbed
+
+    def submit(turn: int, patch: Mapping[str, Any]) -> int:
+        entry = testbed.entries[turn % len(testbed.entries)]
+        body = {"base": base, "patch": dict(patch)}
+        client = testbed.client(entry.name)
+        return client.call("POST", "/admin/v1/config/patches", body).status
+
+    return submit
+
+
 @step("host")
 def _host(run: Run, arguments: Mapping[str, Any]) -> None:
     run.testbed.set_host_state(arguments["host"], arguments["state"])
@@ -130,7 +164,13 @@
     planned = plan(run.testbed.described, shape)
     if len(planned) > MAX_SENT_REQUESTS:
         raise ScenarioError(f"{len(planned)} requests, at most {MAX_SENT_REQUESTS}")
-    return planned
+    marker = arguments.get("marker", "")
+    return [_marked(request, marker) for request in planned] if marker else planned
+
+
+def _marked(request: PlannedRequest, marker: str) -> PlannedRequest:
+    """Returns the request with a text that a fault of a stand-in looks for."""
+    return attrs.evolve(request, text=f"{request.text} {marker}")
 
 
 def _launch(
@@ -151,6 +191,28 @@
     run.senders[name].start()
 
 
+@step("resend")
+def _resend(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Sends one content again and again, each time as a new call."""
+    rng = random.Random(f"{run.scenario.seed}/{arguments['as']}")
+    text = f"{rng.randrange(MAX_SEED)} {arguments['marker']}"
+    tier = run.testbed.described.tier(arguments["tier"])
+    workspace = next(iter(run.testbed.described.workspaces))
+    planned = [
+        PlannedRequest(
+            call_id=f"{arguments['as']}-{i}",
+            at_s=i * arguments["every_s"],
+            workspace=workspace,
+            tier=tier,
+            text=text,
+            output_tokens=RESENT_OUTPUT_TOKENS,
+        )
+        for i in range(arguments["times"])
+    ]
+    _launch(run, arguments["as"], planned, ())
+    run.join(arguments["as"])
+
+
 @step("join")
 def _join(run: Run, arguments: Mapping[str, Any]) -> None:
     run.join(arguments["load"])
