Notice a caller that leaves while its answer keeps coming

Cause: the caller and the deadline were checked only when no event came for 0.25 s, so an engine that streams kept running for nobody; found by test_callers.py (a whole answer of 3,000 tokens ran on for 20 s after its caller left). waitress's own refusals were plain text without a verdict. Change: check every 0.25 s whatever comes; problem documents for what waitress refuses.

--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -46,6 +46,7 @@
         self._received = 0
         self._complete = False
         self._tries = 0
+        self._check_at = time.monotonic() + POLL_S
         self._times = RequestTimes(process.meters, self._req.tier)
         self._placement = Placement(
             process, ticket, dispatcher.candidates, dispatcher.choose_version
@@ -106,14 +107,18 @@
     def _next(self) -> tuple[Any, Any]:
         """Returns the next event; refuses at the deadline or without a caller."""
         while True:
+            # An answer that keeps coming must not hide that its caller is gone.
+            if time.monotonic() >= self._check_at:
+                self._check_time()
             try:
                 return self._ticket.events.get(timeout=POLL_S)
             except queue.Empty:
-                self._check_time()
+                pass
             if self._ticket.waiting:
                 self._place()
 
     def _check_time(self) -> None:
+        self._check_at = time.monotonic() + POLL_S
         if self.caller_gone() and not self._req.keep:
             raise self._refusal(Reason.CANCELLED, "the caller has gone away")
         if self._req.left_s() <= 0:
--- a/cornelpin/daemon/http/server.py
+++ b/cornelpin/daemon/http/server.py
@@ -7,6 +7,8 @@
 
 from waitress.server import create_server
 
+from cornelpin.daemon.http._errors import ProblemChannel
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -51,6 +53,7 @@
             channel_request_lookahead=LOOK_AHEAD,
             asyncore_use_poll=True,
         )
+        self._server.channel_class = ProblemChannel
 
     def start(self) -> None:
         """Starts serving."""
--- /dev/null
+++ b/cornelpin/tests/test_callers.py
@@ -0,0 +1,157 @@
+from __future__ import annotations
+
+import json
+import socket
+import threading
+from collections.abc import Iterator
+from hashlib import sha256
+
+import pytest
+
+from benchmarks.cluster_settings import workspace_token
+from benchmarks.deployments import DEPLOYMENTS
+from benchmarks.testbed import Testbed
+from benchmarks.waiting import wait_until
+
+SEED = 32
+TIMEOUT_S = 20
+ENTRY = "e1"
+
+
+@pytest.fixture(scope="module")
+def running() -> Iterator[Testbed]:
+    with Testbed(DEPLOYMENTS["small"](), seed=SEED) as testbed:
+        yield testbed
+    testbed.remove_folder()
+
+
+def connect(running: Testbed) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", running.ports[ENTRY]), TIMEOUT_S)
+
+
+def head(running: Testbed, body: bytes, more: str = "") -> bytes:
+    token = workspace_token(sorted(running.described.workspaces)[0])
+    text = (
+        "POST /v1/completions HTTP/1.1\r\nHost: e\r\n"
+        f"Authorization: Bearer {token}\r\nContent-Length: {len(body)}\r\n{more}\r\n"
+    )
+    return text.encode()
+
+
+def completion(prompt: str, *, stream: bool) -> bytes:
+    document = {"model": "furnace", "prompt": prompt, "stream": stream}
+    return json.dumps(document).encode()
+
+
+def read_all(sock: socket.socket) -> bytes:
+    data = b""
+    while more := sock.recv(65_536):
+        data += more
+    return data
+
+
+def outcomes(running: Testbed, prompt: str) -> list[str]:
+    digest = sha256(prompt.encode()).hexdigest()
+    return [
+        event.outcome
+        for event in running.run_events()
+        if event.event == "end" and event.digest == digest
+    ]
+
+
+# What waitress refuses before the application sees it, status and reason.
+REFUSED = {
+    "body too large": (
+        b"POST /v1/completions HTTP/1.1\r\nContent-Length: 9999999",
+        413,
+    ),
+    "bad length": (b"POST /v1/completions HTTP/1.1\r\nContent-Length: x", 400),
+    "negative length": (b"POST /v1/completions HTTP/1.1\r\nContent-Length: -1", 400),
+    "head too large": (b"GET / HTTP/1.1\r\nX: " + b"y" * 300_000, 431),
+    "space in name": (b"GET / HTTP/1.1\r\nX y: 1", 400),
+    "no method": (b" / HTTP/1.1", 400),
+    "unknown encoding": (b"POST / HTTP/1.1\r\nTransfer-Encoding: zip", 501),
+}
+
+
+@pytest.mark.parametrize("name", REFUSED)
+def test_a_malformed_request_gets_a_problem_document(
+    running: Testbed, name: str
+) -> None:
+    raw, status = REFUSED[name]
+    with connect(running) as sock:
+        sock.sendall(raw + b"\r\n\r\n")
+        answer = read_all(sock)
+    first, _, rest = answer.partition(b"\r\n")
+    document = json.loads(rest.partition(b"\r\n\r\n")[2])
+    assert int(first.split()[1]) == status
+    assert document["may_have_run"] is False
+    assert document["reason"] in ("bad_request", "too_large")
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["stream", "whole"])
+def test_a_caller_that_goes_away_cancels_its_run(
+    running: Testbed, stream: bool
+) -> None:
+    prompt = f"long review, {stream} #out=3000"
+    body = completion(prompt, stream=stream)
+    started = len(running.run_events())
+    with connect(running) as sock:
+        sock.sendall(head(running, body) + body)
+        wait_until(
+            lambda: len(running.run_events()) > started, TIMEOUT_S, "the run starts"
+        )
+    wait_until(
+        lambda: outcomes(running, prompt) == ["cancelled"],
+        TIMEOUT_S,
+        "the engine logs the run as cancelled",
+    )
+
+
+def test_a_slow_caller_gets_its_answer_and_holds_up_nobody(running: Testbed) -> None:
+    slow = completion("slow caller #out=30", stream=True)
+    quick = completion("quick caller #out=2", stream=False)
+    with connect(running) as first, connect(running) as second:
+        request = head(running, slow, "Connection: close\r\n") + slow
+        for start in range(0, len(request), 40):
+            first.sendall(request[start : start + 40])
+        second.sendall(head(running, quick, "Connection: close\r\n") + quick)
+        assert b"200 OK" in read_all(second)
+        data = b""
+        while b"[DONE]" not in data:
+            more = first.recv(16)
+            assert more, data
+            data += more
+
+
+def test_a_request_never_finished_by_its_caller_never_runs(running: Testbed) -> None:
+    body = completion("half sent #out=2", stream=False)
+    before = len(running.run_events())
+    with connect(running) as sock:
+        sock.sendall(head(running, body) + body[:-5])
+    with connect(running) as sock:
+        whole = completion("afterwards #out=2", stream=False)
+        sock.sendall(head(running, whole, "Connection: close\r\n") + whole)
+        assert b"200 OK" in read_all(sock)
+    assert len(running.run_events()) == before + 2
+
+
+def test_many_callers_at_once_get_their_own_answers(running: Testbed) -> None:
+    found: dict[int, bytes] = {}
+
+    def call(index: int) -> None:
+        body = completion(f"caller {index} #out=3", stream=False)
+        with connect(running) as sock:
+            sock.sendall(head(running, body, "Connection: close\r\n") + body)
+            found[index] = read_all(sock)
+
+    threads = [threading.Thread(target=call, args=(i,)) for i in range(24)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    texts = [
+        json.loads(found[i].partition(b"\r\n\r\n")[2])["choices"][0]["text"]
+        for i in range(24)
+    ]
+    assert len(set(texts)) == 24
