--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := .venv/ready
 endif
 
-.PHONY: demo test lint format types clean scenarios experiment soak
+.PHONY: demo test lint format types clean scenarios experiment soak slopes
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -23,6 +23,9 @@
 scenarios: $(READY)
 	$(PY) -m benchmarks.scenarios cornelpin/tests/scenarios/*.jsonc
 
+slopes: $(READY)
+	$(PY) -m benchmarks.slopes
+
 experiment: $(READY)
 	$(PY) -m benchmarks.experiment
 
