--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -10,6 +10,7 @@
 
 from cornelpin.core.configstore import Accepted, ConfigStore
 from cornelpin.core.events import Event, merge_events
+from cornelpin.daemon import readiness
 from cornelpin.daemon.census import (
     Census,
     CensusRow,
@@ -29,6 +30,7 @@
     Link,
     LinkTable,
     neighbour_endpoints,
+    seed_endpoints,
     side_endpoints,
 )
 from cornelpin.daemon.listener import PeerListener
@@ -97,6 +99,9 @@
         self._watcher = ConfigWatcher(
             settings.name, self._store, self._spread, process.view
         )
+        self._readiness = readiness.Readiness(
+            process, self._spread, contact_at=self._contact_at
+        )
         self._census = Census(
             process, own_rows=self._own_rows, neighbour=self._neighbours.peer_of
         )
@@ -124,8 +129,11 @@
         listener = PeerListener(
             self.process, settings.address, settings.peer_port, self._serve
         )
+        # Nothing can bring a configuration yet, whose links these would replace.
+        self._neighbours.keep(seed_endpoints(settings))
         sup.start("peer-listener", listener.run)
         sup.start("config-watcher", self._watcher.run)
+        sup.start("readiness", every(readiness.TICK_S, self._readiness.tick))
         sup.start("pinger", every(TICK_S, self._pinger.tick))
         sup.start("moves", self._moves.controller.run)
         self._http.start()
@@ -169,6 +177,10 @@
             return
         self._handle(peer, msg, link)
 
+    def _contact_at(self) -> float:
+        heard = [peer.heard_at for peer in self._peers()]
+        return max([self._watcher.reached_at, *heard])
+
     def _eager_peers(self) -> list[Peer]:
         peers = [link.peer for link in self._neighbours.all()]
         return [peer for peer in peers if peer is not None][:EAGER_NEIGHBOURS]
--- a/cornelpin/daemon/http/app.py
+++ b/cornelpin/daemon/http/app.py
@@ -19,6 +19,9 @@
 COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 
 
+NOT_READY_RETRY_S = 1.0
+
+
 class EntryApp:
     """The whole HTTP interface of an entry."""
 
@@ -50,6 +53,12 @@
         return resp
 
     def _route(self, http: HttpRequest, request_id: str) -> HttpResponse:
+        if http.path.startswith("/v1/") and not self._process.current.is_set():
+            raise Refusal(
+                Reason.NOT_READY,
+                detail="this entry has no configuration that is surely current",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
         if http.path in COMPLETION_PATHS:
             self._need_method(http, "POST")
             return self._callers.complete(http, request_id)
--- a/cornelpin/daemon/http/health.py
+++ b/cornelpin/daemon/http/health.py
@@ -33,7 +33,8 @@
         )
 
     def _ready(self) -> HttpResponse:
-        ready = self._process.view.number > 0 and not self._process.leaving.is_set()
+        process = self._process
+        ready = process.current.is_set() and not process.leaving.is_set()
         status = 200 if ready else 503
         return json_response(
             {"ready": ready, "number": self._process.view.number}, status=status
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -18,6 +18,7 @@
     from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
+    from cornelpin.daemon.settings import Settings
 
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
@@ -58,6 +59,14 @@
     return _endpoints(config, {n: config.entries[n] for n in chosen})
 
 
+def seed_endpoints(settings: Settings) -> dict[str, Endpoint]:
+    """Returns the entries to learn from before a configuration is known."""
+    own = f"{settings.address}:{settings.peer_port}"
+    return {
+        f"seed-{seed}": Endpoint(seed, "") for seed in settings.seeds if seed != own
+    }
+
+
 def _endpoints(config: Config, listed: Mapping[str, Any]) -> dict[str, Endpoint]:
     found = {}
     for name, item in listed.items():
@@ -86,7 +95,9 @@
     def usable(self) -> bool:
         """Whether the side is connected and takes new work."""
         state = self.state
-        return self._peer is not None and state is not None and not state.leaving
+        if self._peer is None or state is None:
+            return False
+        return state.number > 0 and not state.leaving
 
     @property
     def fresh(self) -> bool:
@@ -203,7 +214,10 @@
 
     def on_config(self, config: Config) -> None:
         """Starts and stops links as the configuration wants them."""
-        wanted = self._wanted(config)
+        self.keep(self._wanted(config))
+
+    def keep(self, wanted: Mapping[str, Endpoint]) -> None:
+        """Starts and stops links so that just the wanted ones are kept."""
         with self._lock:
             for name in list(self._links):
                 if wanted.get(name) != self._links[name].endpoint:
--- a/cornelpin/daemon/process.py
+++ b/cornelpin/daemon/process.py
@@ -30,6 +30,7 @@
         self.ring = EventRing(self.clock, process=settings.name, host=settings.host)
         self.supervisor = Supervisor(settings.name)
         self.view = ConfigView()
+        self.current = threading.Event()
         self.leaving = threading.Event()
         self.stopping = threading.Event()
         self.incarnation = os.urandom(INCARNATION_BYTES).hex()
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -134,6 +134,10 @@
             self.leave()
         elif not self._process.stopping.is_set():
             self._come_back()
+        if not self._process.current.is_set():
+            # Entries wait for the first number before they place anything here.
+            self._process.current.set()
+            self._announcer.now()
 
     # Sessions
 
--- a/cornelpin/daemon/spread.py
+++ b/cornelpin/daemon/spread.py
@@ -82,6 +82,11 @@
         self._asked = 0
         self._asked_at = 0.0
 
+    @property
+    def heard(self) -> int:
+        """The highest number that a peer has announced, 0 before any."""
+        return self._heard
+
     @property
     def behind(self) -> bool:
         """Whether a peer has announced a higher number than the one in force."""
--- a/cornelpin/daemon/watcher.py
+++ b/cornelpin/daemon/watcher.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 import threading
+import time
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.core.configstore import HistoryEntry, Snapshot
@@ -42,6 +43,7 @@
         self._view = view
         self._lock = threading.Lock()
         self._failures = 0
+        self.reached_at = 0.0
 
     def run(self, stop: threading.Event) -> None:
         """Polls until stopped."""
@@ -64,6 +66,7 @@
                 self._failures += 1
                 return
             self._failures = 0
+            self.reached_at = time.monotonic()
             if loaded.head is not None and loaded.number > self._view.number:
                 self._publish(loaded, loaded.head)
 
