--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -37,7 +37,7 @@
 from cornelpin.daemon.liveness import TICK_S, Pinger
 from cornelpin.daemon.messages import EventsAsk, EventsReply, Heartbeat
 from cornelpin.daemon.replies import answer_events
-from cornelpin.daemon.spread import ConfigSpread
+from cornelpin.daemon.spread import REPAIR_S, ConfigSpread
 from cornelpin.daemon.supervisor import every
 from cornelpin.daemon.watcher import ConfigWatcher
 from cornelpin.platform import object_store
@@ -134,6 +134,7 @@
         sup.start("peer-listener", listener.run)
         sup.start("config-watcher", self._watcher.run)
         sup.start("readiness", every(readiness.TICK_S, self._readiness.tick))
+        sup.start("config-repair", every(REPAIR_S, self._spread.repair))
         sup.start("pinger", every(TICK_S, self._pinger.tick))
         sup.start("moves", self._moves.controller.run)
         self._http.start()
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -31,7 +31,7 @@
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.runner import Runner, resumed_run
 from cornelpin.daemon.side_moves import REPORT_S, SideMoves
-from cornelpin.daemon.spread import ConfigSpread
+from cornelpin.daemon.spread import REPAIR_S, ConfigSpread
 from cornelpin.daemon.supervisor import every
 
 if TYPE_CHECKING:
@@ -87,6 +87,7 @@
         )
         sup.start("peer-listener", listener.run)
         sup.start("dispatch", self._dispatch_loop)
+        sup.start("config-repair", every(REPAIR_S, self.spread.repair))
         sup.start("announcer", every(TICK_S, self._announcer.tick))
         sup.start("sweep", every(SWEEP_S, self._sweep))
         sup.start("versions", every(VERSIONS_S, self._poll_versions))
--- a/cornelpin/daemon/spread.py
+++ b/cornelpin/daemon/spread.py
@@ -9,6 +9,7 @@
 
 import collections
 import json
+import random
 import threading
 import time
 from typing import TYPE_CHECKING, Any
@@ -48,6 +49,7 @@
 KEPT_DELTAS = 64
 FOLLOWED = 2
 ASK_AGAIN_S = 0.5
+REPAIR_S = 0.5
 SECTIONS_BYTES = 1_000_000
 
 
@@ -58,6 +60,7 @@
         process: The process.
         peers: Gives all peers.
         eager: Gives the peers that are sent changes besides those that follow.
+        clock: Gives monotonic time in seconds.
     """
 
     def __init__(
@@ -65,11 +68,13 @@
         process: Process,
         peers: Callable[[], list[Peer]],
         eager: Callable[[], list[Peer]] = list,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._process = process
         self._view = process.view
         self._peers = peers
         self._eager = eager
+        self._clock = clock
         self._lock = threading.RLock()
         self._wanted: Head | None = None
         self._received: dict[str, bytes] = {}
@@ -142,12 +147,22 @@
             self._heard = max(self._heard, number)
             if number <= self._view.number:
                 return
-            now = time.monotonic()
+            now = self._clock()
             if number <= self._asked and now - self._asked_at < ASK_AGAIN_S:
                 return
             self._asked, self._asked_at = number, now
         peer.send(ConfigAsk(self._view.number))
 
+    def repair(self) -> None:
+        """Asks any peer again if an announced number has not come for a while."""
+        peers = self._peers()
+        with self._lock:
+            now = self._clock()
+            if not self.behind or now - self._asked_at < ASK_AGAIN_S or not peers:
+                return
+            self._asked_at = now
+        random.choice(peers).send(ConfigAsk(self._view.number))
+
     def publish(
         self,
         head: Head,
