--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -21,6 +21,8 @@
 from cornelpin.daemon.census_messages import CensusAsk, CensusReply
 from cornelpin.daemon.dispatch import Dispatcher
 from cornelpin.daemon.entry_moves import EntryMoves
+from cornelpin.daemon.host_messages import HostsLeaving
+from cornelpin.daemon.host_watch import HostWatch
 from cornelpin.daemon.http.admin import AdminApi
 from cornelpin.daemon.http.app import EntryApp
 from cornelpin.daemon.http.callers import CallerApi
@@ -40,13 +42,15 @@
 from cornelpin.daemon.spread import REPAIR_S, ConfigSpread
 from cornelpin.daemon.supervisor import every
 from cornelpin.daemon.watcher import ConfigWatcher
-from cornelpin.platform import object_store
+from cornelpin.platform import host_list, object_store
 
 if TYPE_CHECKING:
     from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
+    from cornelpin.daemon.settings import Settings
     from cornelpin.daemon.view import ConfigView
+    from cornelpin.platform.hosts import HostList
 
 EAGER_NEIGHBOURS = 3
 STATUS_TIMEOUT_S = 0.5
@@ -99,6 +103,13 @@
         self._watcher = ConfigWatcher(
             settings.name, self._store, self._spread, process.view
         )
+        self._host_watch = HostWatch(
+            process,
+            _host_list(settings),
+            peers=self._peers,
+            links=self._links.all,
+            changed=lambda: self._on_config(process.view.config),
+        )
         self._readiness = readiness.Readiness(
             process, self._spread, contact_at=self._contact_at
         )
@@ -135,6 +146,7 @@
         sup.start("config-watcher", self._watcher.run)
         sup.start("readiness", every(readiness.TICK_S, self._readiness.tick))
         sup.start("config-repair", every(REPAIR_S, self._spread.repair))
+        sup.start("host-watch", self._host_watch.run)
         sup.start("pinger", every(TICK_S, self._pinger.tick))
         sup.start("moves", self._moves.controller.run)
         self._http.start()
@@ -168,6 +180,7 @@
 
     def _on_open(self, link: Link, peer: Peer) -> None:
         self._greet(peer)
+        self._host_watch.greet(peer, link)
 
     def _greet(self, peer: Peer) -> None:
         self._spread.greet(peer)
@@ -212,6 +225,7 @@
         with self._lock:
             self._inbound.add(peer)
         self._greet(peer)
+        self._host_watch.greet(peer, None)
         try:
             while True:
                 self._handle(peer, peer.receive())
@@ -231,6 +245,8 @@
                 answer_events(self.process.ring, peer, msg)
             case EventsReply():
                 self._on_events(msg)
+            case HostsLeaving():
+                self._host_watch.handle(msg)
             case CensusAsk():
                 self._census.on_ask(peer, msg)
             case CensusReply():
@@ -362,3 +378,8 @@
         "waiting": state.waiting,
         "versions": list(state.versions),
     }
+
+
+def _host_list(settings: Settings) -> HostList | None:
+    listed = settings.host_list
+    return host_list.create(listed.kind, url=listed.url) if listed else None
--- a/cornelpin/daemon/process.py
+++ b/cornelpin/daemon/process.py
@@ -31,6 +31,7 @@
         self.supervisor = Supervisor(settings.name)
         self.view = ConfigView()
         self.current = threading.Event()
+        self.listed_leaving = False
         self.leaving = threading.Event()
         self.stopping = threading.Event()
         self.incarnation = os.urandom(INCARNATION_BYTES).hex()
@@ -46,6 +47,6 @@
         )
 
     def host_leaving(self, config: Config) -> bool:
-        """Whether the configuration drains the host of this process."""
+        """Whether the configuration or the host list has this host as leaving."""
         host = config.hosts.get(self.settings.host)
-        return host is not None and host.leaving
+        return self.listed_leaving or (host is not None and host.leaving)
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -14,6 +14,7 @@
 from cornelpin.core.verdict import Reason
 from cornelpin.daemon.admission import Admission, Duplicate, Refused, Started
 from cornelpin.daemon.announcer import TICK_S, Announcer
+from cornelpin.daemon.host_messages import HostNotice
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.messages import (
     Ask,
@@ -67,6 +68,7 @@
         self._admission = Admission(backend_cfg.slots, self._runs)
         self._versions: list[str] = []
         self._token_s = 0.0
+        self._listed_at = 0
         self._announcer = Announcer(self._state, self._admission.peers)
         self.spread = ConfigSpread(process, self._admission.peers)
         self._moves = SideMoves(
@@ -140,6 +142,15 @@
             self._process.current.set()
             self._announcer.now()
 
+    def _on_host_notice(self, msg: HostNotice) -> None:
+        """Follows what the host list says of this host, the newest reading first."""
+        if msg.stamp <= self._listed_at:
+            return
+        self._listed_at = msg.stamp
+        if msg.leaving != self._process.listed_leaving:
+            self._process.listed_leaving = msg.leaving
+            self._on_config(self._process.view.config)
+
     # Sessions
 
     def _serve(self, peer: Peer) -> None:
@@ -187,6 +198,13 @@
                 self._on_cancel(msg)
             case Resume():
                 self._on_resume(peer, msg)
+            case _:
+                self._handle_control(peer, msg)
+
+    def _handle_control(self, peer: Peer, msg: Any) -> None:
+        match msg:
+            case HostNotice():
+                self._on_host_notice(msg)
             case EventsAsk():
                 answer_events(self._ring, peer, msg)
             case Heartbeat():
