--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -14,6 +14,7 @@
 from cornelpin.core.verdict import Reason
 from cornelpin.daemon.admission import Admission, Duplicate, Refused, Started
 from cornelpin.daemon.announcer import TICK_S, Announcer
+from cornelpin.daemon.host_messages import HostNotice
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.messages import (
     Ask,
@@ -31,7 +32,7 @@
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.runner import Runner, resumed_run
 from cornelpin.daemon.side_moves import REPORT_S, SideMoves
-from cornelpin.daemon.spread import ConfigSpread
+from cornelpin.daemon.spread import REPAIR_S, ConfigSpread
 from cornelpin.daemon.supervisor import every
 
 if TYPE_CHECKING:
@@ -67,6 +68,7 @@
         self._admission = Admission(backend_cfg.slots, self._runs)
         self._versions: list[str] = []
         self._token_s = 0.0
+        self._listed_at = 0
         self._announcer = Announcer(self._state, self._admission.peers)
         self.spread = ConfigSpread(process, self._admission.peers)
         self._moves = SideMoves(
@@ -87,6 +89,7 @@
         )
         sup.start("peer-listener", listener.run)
         sup.start("dispatch", self._dispatch_loop)
+        sup.start("config-repair", every(REPAIR_S, self.spread.repair))
         sup.start("announcer", every(TICK_S, self._announcer.tick))
         sup.start("sweep", every(SWEEP_S, self._sweep))
         sup.start("versions", every(VERSIONS_S, self._poll_versions))
@@ -134,6 +137,19 @@
             self.leave()
         elif not self._process.stopping.is_set():
             self._come_back()
+        if not self._process.current.is_set():
+            # Entries wait for the first number before they place anything here.
+            self._process.current.set()
+            self._announcer.now()
+
+    def _on_host_notice(self, msg: HostNotice) -> None:
+        """Follows what the host list says of this host, the newest reading first."""
+        if msg.stamp <= self._listed_at:
+            return
+        self._listed_at = msg.stamp
+        if msg.leaving != self._process.listed_leaving:
+            self._process.listed_leaving = msg.leaving
+            self._on_config(self._process.view.config)
 
     # Sessions
 
@@ -182,6 +198,13 @@
                 self._on_cancel(msg)
             case Resume():
                 self._on_resume(peer, msg)
+            case _:
+                self._handle_control(peer, msg)
+
+    def _handle_control(self, peer: Peer, msg: Any) -> None:
+        match msg:
+            case HostNotice():
+                self._on_host_notice(msg)
             case EventsAsk():
                 answer_events(self._ring, peer, msg)
             case Heartbeat():
