Give test processes ports that the kernel gives to nobody else

Cause: 2 of 40 sides of a fleet did not start; a port taken from the ephemeral range had become an outgoing connection of another process before they bound it.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -216,6 +216,9 @@
 
     def agreed(self) -> bool:
         """Tells whether every process announces the number of the first entry."""
+        for process in self.processes.values():
+            if not process.running:
+                raise RuntimeError(f"{process.name} ended: {process.last_errors()}")
         try:
             number = self.number()
             heard = self._numbers()
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,9 @@
 KILL_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.02
 LOOPBACK = "127.0.0.1"
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
+MAX_PORT_TRIES = 1000
 
 
 class ProcessError(Exception):
@@ -147,16 +151,27 @@
     given: set[int] = field(factory=set)
 
     def allocate(self) -> int:
-        """Returns a free port that was not given before."""
-        for _ in range(100):
-            with socket.socket() as sock:
-                sock.bind((self.address, 0))
-                port = int(sock.getsockname()[1])
-            if port not in self.given:
+        """Returns a free port that was not given before.
+
+        It is none that the kernel gives to outgoing connections, which could take
+        it before the process that it is meant for has started.
+        """
+        for _ in range(MAX_PORT_TRIES):
+            port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+            if port not in self.given and self._is_free(port):
                 self.given.add(port)
                 return port
         raise ProcessError("no free port found")
 
+    def _is_free(self, port: int) -> bool:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((self.address, port))
+            except OSError:
+                return False
+        return True
+
 
 def stop_all(processes: list[ManagedProcess]) -> None:
     """Ends all processes, gracefully at first, in reverse order of their start."""
