Test that the soak's faults follow from the seed and end

Change: test_soak.py; start_process is public, since the test uses it. Conclusion: every process that a soak disturbs runs again at its end.

--- a/benchmarks/process_group.py
+++ b/benchmarks/process_group.py
@@ -50,7 +50,8 @@
         """Removes settings, run logs and output, once nobody needs them."""
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def _add(self, name: str, arguments: list[str]) -> None:
+    def start_process(self, name: str, arguments: list[str]) -> None:
+        """Starts a Python module as a process of this group."""
         process = ManagedProcess(name, arguments, self.folder)
         self.processes[name] = process
         process.start()
--- a/benchmarks/standin_bed.py
+++ b/benchmarks/standin_bed.py
@@ -58,7 +58,7 @@
     def _add_standin(self, name: str, module: str, arguments: list[str]) -> None:
         port = self.ports[name] = self.allocator.allocate()
         common = ["--address", LOOPBACK, "--port", str(port)]
-        self._add(name, [module, *common, *arguments])
+        self.start_process(name, [module, *common, *arguments])
 
     def _engine(self, engine: Engine) -> list[str]:
         options = {
--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -112,7 +112,9 @@
             settings["bootstrap_operator_sha256"] = sha256_hex(OPERATOR_TOKEN)
         path = self.folder / f"{placement.name}.json"
         path.write_text(json.dumps({**settings, **extra}, indent=1))
-        self._add(placement.name, ["cornelpin.daemon", "--settings", str(path)])
+        self.start_process(
+            placement.name, ["cornelpin.daemon", "--settings", str(path)]
+        )
 
     def _backend(self, name: str) -> dict[str, Any]:
         url = self._url(name)
--- /dev/null
+++ b/cornelpin/tests/test_soak.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+import itertools
+from pathlib import Path
+
+import pytest
+
+from benchmarks import disturbance
+from benchmarks.deployments import DEPLOYMENTS
+from benchmarks.disturbance import ACTIONS, Disturber, disturbances
+from benchmarks.testbed import Testbed
+from benchmarks.waiting import wait_until
+
+TARGETS = ["e1", "e2", "side-f1", "f1"]
+COUNT = 200
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_faults_follow_from_the_seed(seed: int) -> None:
+    first = list(itertools.islice(disturbances(TARGETS, seed), COUNT))
+    assert first == list(itertools.islice(disturbances(TARGETS, seed), COUNT))
+    assert first != list(itertools.islice(disturbances(TARGETS, seed + 1), COUNT))
+    assert {planned.action for planned in first} == set(ACTIONS)
+    assert {planned.process for planned in first} == set(TARGETS)
+    assert any(planned.after_s == 0 for planned in first)
+
+
+def test_every_process_runs_again_after_the_faults(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(disturbance, "INTERVAL_S", (0.01, 0.02))
+    sleeper = ["timeit", "-n1", "-r1", "import time; time.sleep(60)"]
+    testbed = Testbed(DEPLOYMENTS["small"](), folder=tmp_path)
+    for engine in testbed.described.engines:
+        testbed.start_process(engine.name, sleeper)
+    disturber = Disturber(testbed, seed=1)
+    monkeypatch.setattr(Testbed, "restart", Testbed.restart_daemon)
+    try:
+        disturber.start()
+        wait_until(lambda: len(disturber.done) >= 3, 10.0, "three faults")
+        disturber.stop()
+        assert all(process.running for process in testbed.processes.values())
+    finally:
+        for process in testbed.processes.values():
+            process.kill()
