--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -14,7 +14,8 @@
 import sys
 import threading
 import time
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
@@ -39,7 +40,7 @@
 )
 from benchmarks.naive_testbed import NaiveTestbed
 from benchmarks.parallel_load import send_parallel
-from benchmarks.records import Kind
+from benchmarks.records import Answer, Kind, SentRecord
 from benchmarks.scenario_run import Run, Scenario
 from benchmarks.scenarios import load_scenario, run_steps
 from benchmarks.testbed import Testbed
@@ -120,6 +121,7 @@
                 self.latencies.add(cell, record.tier, record.latency_s)
         testbed.remove_folder()
         _print_cell(cell, rows, time.monotonic() - started)
+        print(f"  not good: {_failures(evidence.records, self.bounds_s)}", flush=True)
 
     def _start_faults(self, testbed: Testbed) -> threading.Thread | None:
         """Starts the fault script; steps on processes that a system lacks are left."""
@@ -173,6 +175,20 @@
     )
 
 
+def _failures(
+    records: Iterable[SentRecord], bounds_s: Mapping[str, float]
+) -> dict[str, int]:
+    """Counts the requests without a good answer by tier and reason."""
+    failed = [record for record in records if not is_good(record, bounds_s)]
+    return dict(Counter(f"{r.tier} {_reason(r)}" for r in failed).most_common())
+
+
+def _reason(record: SentRecord) -> str:
+    if record.answer is Answer.COMPLETE:
+        return "late"
+    return record.reason or record.error.partition(":")[0] or f"status {record.status}"
+
+
 def _arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description="Runs the experiment.")
     parser.add_argument("--deployment", action="append", choices=DEPLOYMENT_NAMES)
