--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -47,6 +47,7 @@
         self._head_taken = False
         self._complete = False
         self._tries = 0
+        self._check_at = time.monotonic() + POLL_S
         self._times = RequestTimes(process.meters, self._req.tier)
         self._placement = Placement(
             process, ticket, dispatcher.candidates, dispatcher.choose_version
@@ -112,10 +113,13 @@
     def _next(self) -> tuple[Any, Any]:
         """Returns the next event; refuses at the deadline or without a caller."""
         while True:
+            # An answer that keeps coming must not hide that its caller is gone.
+            if time.monotonic() >= self._check_at:
+                self._check_time()
             try:
                 msg, link = self._ticket.events.get(timeout=POLL_S)
             except queue.Empty:
-                self._check_time()
+                pass
             else:
                 if not self._superseded(msg, link):
                     return msg, link
@@ -129,6 +133,7 @@
         return not self._ticket.held_by(link, msg.attempt)
 
     def _check_time(self) -> None:
+        self._check_at = time.monotonic() + POLL_S
         if self.caller_gone() and not self._req.keep:
             raise self._refusal(Reason.CANCELLED, "the caller has gone away")
         if self._req.left_s() <= 0:
