Hold lower tiers back before a higher one is shed, and bound an entry's links

Cause: a reservation at risk went first whatever its tier, so tags passed fresh questions; a tier blocked by its slot share could expire while lower ones were served; the entry's limit shed any tier alike; a reservation placed again started its wait anew; an idle workspace came back with credit; an ask that was answered Gone was charged. Each entry linked itself to every side.

Change: a floor at each side (nothing below a tier at risk, or shed in the last 1.5 s, gets a slot), requests at risk placed at all linked sides, queue shares, headroom by tier and a bound on bytes at the entry, early refusal and retry_after_s from the measured drain rate, refunds; links to at most 24 sides of a route by rendezvous hashing.

Not done: global limits, slots adapted from measured times, prefix affinity.

--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,99 @@
+"""Measures what a decision costs as the fleet grows.
+
+Run it with ``python -m benchmarks.decisions``: microseconds of one placement at an
+entry and the time to choose the subset of sides, for fleets of 10 to 5,000 sides.
+"""
+
+from __future__ import annotations
+
+import time
+import types
+from typing import Any
+
+from cornelpin.core.choice import subset
+from cornelpin.core.tickets import Request, Ticket
+from cornelpin.daemon.links import Endpoint, Link
+from cornelpin.daemon.messages import Heartbeat
+from cornelpin.daemon.placement import Placement
+
+FLEETS = (10, 100, 1_000, 5_000)
+DATA_CENTRES = 3
+DECISIONS = 2_000
+US_PER_S = 1_000_000
+MS_PER_S = 1_000
+BUSY = Heartbeat(1, False, 8, 0, 3, [], 0.02)
+
+
+def links_of(fleet: int) -> list[Link]:
+    """Returns the links of an entry in a fleet, all of them busy."""
+    servers = {f"s{i}": f"dc-{i % DATA_CENTRES}" for i in range(fleet)}
+    links = [Link(name, Endpoint("", "")) for name in subset("e1", "dc-0", servers)]
+    for link in links:
+        link.opened(_peer(link.name))
+        link.on_state(BUSY)
+    return links
+
+
+def _peer(name: str) -> Any:
+    return types.SimpleNamespace(name=name, incarnation="1", send=lambda msg: None)
+
+
+def placement_us(fleet: int) -> float:
+    """Returns the mean time of one placement in microseconds."""
+    links = links_of(fleet)
+    placements = [
+        Placement(_process(), Ticket(_request(i)), lambda route: links, _keep_version)
+        for i in range(DECISIONS)
+    ]
+    began = time.perf_counter()
+    for placement in placements:
+        placement.place(direct=True)
+    return (time.perf_counter() - began) / DECISIONS * US_PER_S
+
+
+def subset_ms(fleet: int) -> float:
+    """Returns the time to choose the sides of one route in milliseconds."""
+    servers = {f"s{i}": f"dc-{i % DATA_CENTRES}" for i in range(fleet)}
+    began = time.perf_counter()
+    subset("e1", "dc-0", servers)
+    return (time.perf_counter() - began) * MS_PER_S
+
+
+def _process() -> Any:
+    ring = types.SimpleNamespace(record=lambda *args, **kwargs: None)
+    return types.SimpleNamespace(ring=ring)
+
+
+def _keep_version(ticket: Ticket, links: list[Link]) -> None:
+    """Leaves the version of a request as it is."""
+
+
+def _request(number: int) -> Request:
+    return Request(
+        request_id=f"r{number}",
+        workspace="w",
+        route="route",
+        tier="tier",
+        kind="model",
+        method="POST",
+        path="/",
+        headers={},
+        body=b"",
+        cost=1,
+        deadline=time.monotonic() + 60.0,
+        max_wait_s=60.0,
+    )
+
+
+def main() -> None:
+    """Prints one row for each fleet."""
+    print(f"{'sides':>6}{'links':>7}{'placement us':>14}{'subset ms':>11}")
+    for fleet in FLEETS:
+        print(
+            f"{fleet:>6}{len(links_of(fleet)):>7}"
+            f"{placement_us(fleet):>14.1f}{subset_ms(fleet):>11.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cornelpin/core/choice.py
@@ -0,0 +1,54 @@
+"""Choice of the sides that an entry is linked to.
+
+Each entry keeps links to a bounded, deterministic subset of the backend servers of a
+route, so that its links and the cost of a decision stay flat as the fleet grows.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+SUBSET_SIZE = 24
+OWN_DATA_CENTRE_SHARE = 0.5
+WEIGHT_BYTES = 8
+
+
+def weight(entry: str, server: str) -> int:
+    """Returns the rendezvous weight of a backend server for an entry."""
+    text = f"{entry}\0{server}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=WEIGHT_BYTES).digest())
+
+
+def subset(
+    entry: str,
+    data_centre: str,
+    servers: Mapping[str, str],
+    *,
+    size: int = SUBSET_SIZE,
+) -> list[str]:
+    """Returns the backend servers of one route that an entry is linked to.
+
+    Half of the places go to the entry's own data centre, the rest to any by their
+    weight, so that a lost data centre leaves links. A change of one backend server
+    changes at most one place.
+
+    Args:
+        entry: Name of the entry.
+        data_centre: Data centre of the entry.
+        servers: Data centre of each backend server of the route.
+        size: Number of places.
+    """
+    if len(servers) <= size:
+        return sorted(servers)
+    own = (name for name, centre in servers.items() if centre == data_centre)
+    chosen = _heaviest(entry, own, int(size * OWN_DATA_CENTRE_SHARE))
+    others = (name for name in servers if name not in chosen)
+    return sorted([*chosen, *_heaviest(entry, others, size - len(chosen))])
+
+
+def _heaviest(entry: str, names: Iterable[str], count: int) -> list[str]:
+    return sorted(names, key=lambda name: weight(entry, name), reverse=True)[:count]
--- /dev/null
+++ b/cornelpin/core/drain.py
@@ -0,0 +1,41 @@
+"""Rate at which a queue drains, measured over the recent past."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WINDOW_S = 4.0
+SETTLED_COUNT = 8
+
+
+class DrainMeter:
+    """Counts departures within a sliding window; not thread-safe."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._departures: collections.deque[float] = collections.deque()
+
+    def count(self) -> None:
+        """Notes one departure."""
+        self._departures.append(self._clock())
+
+    def per_s(self) -> float:
+        """Returns departures a second over the window."""
+        self._forget()
+        return len(self._departures) / WINDOW_S
+
+    def settled_per_s(self) -> float | None:
+        """Returns the rate, or None where too few departures tell it."""
+        self._forget()
+        if len(self._departures) < SETTLED_COUNT:
+            return None
+        return len(self._departures) / WINDOW_S
+
+    def _forget(self) -> None:
+        oldest = self._clock() - WINDOW_S
+        while self._departures and self._departures[0] < oldest:
+            self._departures.popleft()
--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -2,7 +2,9 @@
 
 Urgency and shedding are two orders. Urgency decides which reservation gets the
 next free slot; the shed order decides which one is dropped when the queue is
-full. Within a tier, workspaces share by tokens granted so far.
+full. A reservation that has spent much of its allowed wait is at risk: while one
+waits, no tier of a lower shed order gets a slot, so a tier is only shed after the
+lower ones have stopped being served. Within a tier, workspaces share by tokens.
 """
 
 from __future__ import annotations
@@ -12,11 +14,17 @@
 
 import attrs
 
+from cornelpin.core.drain import DrainMeter
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
 AT_RISK_SHARE = 0.7
 DEFAULT_CAPACITY = 2000
+FLOOR_HOLD_S = 1.5
+SHED_MARGIN_S = 0.75
+EARLY_MARGIN = 1.5
+LOWEST_ORDER = -(2**31)
 
 
 @attrs.frozen
@@ -27,11 +35,13 @@
         shed_order: Tiers with a lower value are shed first.
         urgency: Tiers with a lower value go first.
         slot_share: Share of the slots that requests of the tier may hold.
+        queue_share: Share of the queue that requests of the tier may fill.
     """
 
     shed_order: int = 0
     urgency: int = 0
     slot_share: float = 1.0
+    queue_share: float = 1.0
 
 
 @attrs.define(eq=False)
@@ -61,7 +71,7 @@
     fingerprint: str = ""
 
     def at_risk(self, now: float) -> bool:
-        """Whether most of the allowed waiting time is spent."""
+        """Whether much of the allowed waiting time is spent."""
         return now - self.placed > AT_RISK_SHARE * self.wait_s
 
 
@@ -80,6 +90,10 @@
         self._clock = clock
         self._waiting: dict[str, Reservation] = {}
         self._served: dict[str, float] = {}
+        self._drain = DrainMeter(clock)
+        self._shed_floor = LOWEST_ORDER
+        self._shed_until = 0.0
+        self._taken_at: dict[int, float] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -88,43 +102,78 @@
         """Returns the ordering of a tier; unknown tiers are shed first."""
         return self.tiers.get(tier, TierPolicy(shed_order=-1, urgency=1_000))
 
+    @property
+    def drain_per_s(self) -> float:
+        """Reservations that leave the queue for a slot, here or elsewhere."""
+        return self._drain.per_s()
+
     def place(self, res: Reservation) -> list[Reservation]:
         """Adds a reservation.
 
         Returns:
-            The reservations shed to keep the queue within its capacity; they may
-            include the new one.
+            The reservations shed to keep the queue and the share of each tier
+            within their capacity; they may include the new one.
         """
-        if res.workspace not in self._served:
-            self._served[res.workspace] = min(self._served.values(), default=0.0)
+        if self._cannot_be_served(res):
+            return self._shed([res])
+        self._join(res.workspace)
         self._waiting[res.request_id] = res
-        if len(self._waiting) <= self.capacity:
-            return []
-        victim = min(self._waiting.values(), key=self._shed_key)
-        del self._waiting[victim.request_id]
-        return [victim]
-
-    def take(self, allowed: Callable[[Reservation], bool]) -> Reservation | None:
-        """Removes and returns the reservation that goes first, if any may go."""
+        shed = self._over_share(res.tier)
+        if len(self._waiting) > self.capacity:
+            shed.append(min(self._waiting.values(), key=self._shed_key))
+            del self._waiting[shed[-1].request_id]
+        return self._shed(shed)
+
+    def take(
+        self, share_left: Callable[[Reservation], bool], *, may_exceed: bool
+    ) -> Reservation | None:
+        """Removes and returns the reservation that goes first, if any may go.
+
+        Args:
+            share_left: Whether a reservation's tier has slots of its share left.
+            may_exceed: Whether one at risk may exceed its share of the slots where
+                only tiers that are shed before it could use the slot.
+        """
         now = self._clock()
-        best = min(
-            (res for res in self._waiting.values() if allowed(res)),
-            key=lambda res: self._order_key(res, now),
-            default=None,
-        )
+        floor = self.floor()
+        waiting = [r for r in self._waiting.values() if self._order(r) >= floor]
+        best = min(filter(share_left, waiting), key=self._order_key, default=None)
+        if best is None and may_exceed:
+            at_risk = (res for res in waiting if res.at_risk(now))
+            best = min(at_risk, key=self._order_key, default=None)
         if best is None:
             return None
         del self._waiting[best.request_id]
-        share = self.shares.get(best.workspace, 1.0) or 1.0
-        self._served[best.workspace] += best.cost / share
+        self._charge(best, best.cost)
+        self._drain.count()
+        self._taken_at[self._order(best)] = now
         return best
 
+    def floor(self) -> int:
+        """Returns the lowest shed order that may get a slot now.
+
+        It is the highest order at risk or, for a while, the highest shed.
+        """
+        now = self._clock()
+        at_risk = (self._order(r) for r in self._waiting.values() if r.at_risk(now))
+        shed = self._shed_floor if now < self._shed_until else LOWEST_ORDER
+        return max(shed, max(at_risk, default=LOWEST_ORDER))
+
+    def refund(self, res: Reservation) -> None:
+        """Takes back the charge for a reservation that was not granted."""
+        self._charge(res, -res.cost)
+
     def withdraw(self, request_id: str, *, owner: object) -> Reservation | None:
         """Removes a reservation by request id if the owner placed it."""
         res = self._waiting.get(request_id)
         if res is None or res.owner is not owner:
             return None
-        return self._waiting.pop(request_id)
+        del self._waiting[request_id]
+        if self._clock() - res.placed > res.wait_s - SHED_MARGIN_S:
+            self._shed([res])
+        else:
+            self._drain.count()
+        return res
 
     def drop(self, unwanted: Callable[[Reservation], bool]) -> list[Reservation]:
         """Removes and returns all reservations that a predicate selects."""
@@ -136,14 +185,69 @@
     def expired(self) -> list[Reservation]:
         """Removes and returns the reservations that have waited too long."""
         now = self._clock()
-        return self.drop(lambda res: now - res.placed > res.wait_s)
+        return self._shed(self.drop(lambda res: now - res.placed > res.wait_s))
+
+    def _join(self, workspace: str) -> None:
+        """Gives an idle workspace no credit for the time that it did not wait."""
+        busy = {res.workspace for res in self._waiting.values()}
+        if workspace not in busy:
+            least = min((self._served[name] for name in busy), default=0.0)
+            self._served[workspace] = max(self._served.get(workspace, 0.0), least)
+
+    def _charge(self, res: Reservation, tokens: float) -> None:
+        share = self.shares.get(res.workspace, 1.0) or 1.0
+        self._served[res.workspace] += tokens / share
+
+    def _over_share(self, tier: str) -> list[Reservation]:
+        """Removes the youngest of a tier that fills more than its queue share."""
+        limit = max(1, int(self.policy(tier).queue_share * self.capacity))
+        mine = [res for res in self._waiting.values() if res.tier == tier]
+        if len(mine) <= limit:
+            return []
+        youngest = max(mine, key=lambda res: res.placed)
+        del self._waiting[youngest.request_id]
+        return [youngest]
+
+    def _shed(self, reservations: list[Reservation]) -> list[Reservation]:
+        """Holds the tiers back that are shed before any of these."""
+        now = self._clock()
+        orders = [self._order(res) for res in reservations]
+        if now < self._shed_until:
+            orders.append(self._shed_floor)
+        if reservations:
+            self._shed_floor = max(orders)
+            self._shed_until = now + FLOOR_HOLD_S
+        return reservations
+
+    def _cannot_be_served(self, res: Reservation) -> bool:
+        """Whether a reservation would expire, judged by the queue's drain rate.
+
+        Only the tiers that are shed first are refused like this: not while one
+        below them waits or was served a moment ago.
+        """
+        now = self._clock()
+        order = self._order(res)
+        waits_below = any(self._order(r) < order for r in self._waiting.values())
+        served_below = any(
+            below < order and now - at < FLOOR_HOLD_S
+            for below, at in self._taken_at.items()
+        )
+        rate = self._drain.settled_per_s()
+        if waits_below or served_below or rate is None:
+            return False
+        urgency = self.policy(res.tier).urgency
+        ahead = sum(
+            self.policy(r.tier).urgency <= urgency for r in self._waiting.values()
+        )
+        return ahead > EARLY_MARGIN * rate * res.wait_s
+
+    def _order(self, res: Reservation) -> int:
+        return self.policy(res.tier).shed_order
 
-    def _order_key(self, res: Reservation, now: float) -> tuple:
+    def _order_key(self, res: Reservation) -> tuple:
         policy = self.policy(res.tier)
         served = self._served.get(res.workspace, 0.0)
-        if res.at_risk(now):
-            return (0, -policy.shed_order, policy.urgency, served, res.placed)
-        return (1, policy.urgency, -policy.shed_order, served, res.placed)
+        return (policy.urgency, -policy.shed_order, served, res.placed)
 
     def _shed_key(self, res: Reservation) -> tuple:
         return (self.policy(res.tier).shed_order, -res.placed)
--- a/cornelpin/daemon/admission.py
+++ b/cornelpin/daemon/admission.py
@@ -21,6 +21,7 @@
     from cornelpin.daemon.runs import RunTable
 
 ASK_TIMEOUT_S = 2.0
+URGENT_SLOTS = 1
 
 
 @attrs.define(eq=False)
@@ -75,6 +76,12 @@
         """Number of slots held for grants that were asked for."""
         return len(self._asked)
 
+    @property
+    def drain_per_s(self) -> float:
+        """Reservations that leave the queue for a slot in a second."""
+        with self._cond:
+            return self._queue.drain_per_s
+
     def set_policies(
         self, tiers: Mapping[str, TierPolicy], shares: Mapping[str, float]
     ) -> None:
@@ -145,7 +152,9 @@
     def gone(self, peer: Peer, request_id: str) -> None:
         """Gives back the slot of a request that its entry does not grant."""
         with self._cond:
-            if self._take_asked(peer, request_id) is not None:
+            res = self._take_asked(peer, request_id)
+            if res is not None:
+                self._queue.refund(res)
                 self._cond.notify_all()
 
     def start(self, peer: Peer, grant: Grant) -> Started | Refused | Duplicate:
@@ -191,6 +200,8 @@
         if not grant.direct or self._closed or len(self._queue):
             return None
         policy = self._queue.policy(grant.tier)
+        if policy.shed_order < self._queue.floor():
+            return None
         if not self._slots.allows(grant.tier, policy.slot_share):
             return None
         return self._slots.acquire(grant.tier)
@@ -198,7 +209,11 @@
     def next_asked(self, timeout_s: float) -> Reservation | None:
         """Takes the reservation that goes first and holds a slot for it."""
         with self._cond:
-            res = self._queue.take(self._startable)
+            if self._slots.free == 0:
+                self._cond.wait(timeout_s)
+                return None
+            spare = self._slots.free > min(URGENT_SLOTS, self._slots.total - 1)
+            res = self._queue.take(self._startable, may_exceed=spare)
             if res is None:
                 self._cond.wait(timeout_s)
                 return None
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -8,7 +8,7 @@
 from cornelpin.daemon.exchange import Exchange
 from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun, Withdraw
 from cornelpin.daemon.placement import grant_message
-from cornelpin.daemon.ticket_table import TicketTable
+from cornelpin.daemon.ticket_table import TicketLimits, TicketTable
 
 if TYPE_CHECKING:
     from cornelpin.daemon.links import Link, LinkTable
@@ -25,8 +25,9 @@
     def __init__(self, process: Process, links: LinkTable, limit: int) -> None:
         self._process = process
         self.links = links
-        self.tickets = TicketTable(limit)
+        self.tickets = TicketTable(TicketLimits(limit), self._shed_orders)
         self.moves: MoveView | None = None
+        self._candidates: dict[str, tuple[tuple[int, int], list[Link]]] = {}
 
     def on_message(self, link: Link, peer: Peer, msg: Any) -> bool:
         """Handles a side's message about a request.
@@ -67,7 +68,7 @@
         """
         ticket = Ticket(req)
         ticket.version = version
-        self.tickets.admit(ticket, self._shed_order)
+        self.tickets.admit(ticket)
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
@@ -81,11 +82,22 @@
             version = self.moves.other_version(route, version)
         ticket.version = version
 
-    def _shed_order(self, tier: str) -> int:
-        cfg = self._process.view.config.tiers.get(tier)
-        return cfg.shed_order if cfg is not None else -1
+    def _shed_orders(self) -> dict[str, int]:
+        tiers = self._process.view.config.tiers
+        return {name: tier.shed_order for name, tier in tiers.items()}
 
     def candidates(self, route: str) -> list[Link]:
-        """Returns the links to the backend servers of a route."""
-        cfg = self._process.view.config.routes.get(route)
-        return self.links.of_servers(cfg.backend_servers) if cfg is not None else []
+        """Returns the links to the backend servers of a route.
+
+        The list is kept until the configuration or the links change, so that a
+        decision does not grow with the backend servers of the route.
+        """
+        config = self._process.view.config
+        key = (config.number, self.links.generation)
+        known = self._candidates.get(route)
+        if known is not None and known[0] == key:
+            return known[1]
+        cfg = config.routes.get(route)
+        links = self.links.of_servers(cfg.backend_servers) if cfg is not None else []
+        self._candidates[route] = (key, links)
+        return links
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -54,7 +54,9 @@
         self._store = ConfigStore(self._objects)
         self._links = LinkTable(
             process,
-            wanted=side_endpoints,
+            wanted=lambda config: side_endpoints(
+                config, settings.name, settings.data_centre
+            ),
             on_open=self._on_open,
             on_message=self._on_message,
             on_lost=self._on_lost,
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -31,6 +31,7 @@
 POLL_S = 0.25
 RESUME_TIMEOUT_S = 6.0
 SERVICE_TRIES = 3
+MAX_RETRY_AFTER_S = 30.0
 
 
 class Exchange:
@@ -273,5 +274,8 @@
             if link.state is not None
         ]
         waiting = sum(state.waiting for state in states)
-        slots = sum(state.slots for state in states) or 1
-        return DEFAULT_RETRY_AFTER_S * (1.0 + waiting / slots)
+        drain_per_s = sum(state.drain_per_s for state in states)
+        if drain_per_s == 0:
+            return DEFAULT_RETRY_AFTER_S
+        drained_s = waiting / drain_per_s
+        return min(max(drained_s, DEFAULT_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -8,6 +8,7 @@
 import attrs
 from loguru import logger
 
+from cornelpin.core.choice import subset
 from cornelpin.daemon.messages import Heartbeat, ProtocolError
 from cornelpin.daemon.peer import PeerClosed, connect
 
@@ -35,9 +36,20 @@
     data_centre: str
 
 
-def side_endpoints(config: Config) -> dict[str, Endpoint]:
-    """Returns the sides by backend server."""
-    return _endpoints(config, config.backend_servers)
+def side_endpoints(config: Config, name: str, data_centre: str) -> dict[str, Endpoint]:
+    """Returns the sides that an entry is linked to, by backend server.
+
+    They are a bounded subset for each route, and one of the backend servers that
+    belong to no route.
+    """
+    known = _endpoints(config, config.backend_servers)
+    routed = [set(route.backend_servers) for route in config.routes.values()]
+    pools = [*routed, set(known).difference(*routed)]
+    chosen: set[str] = set()
+    for pool in pools:
+        centres = {s: known[s].data_centre for s in pool if s in known}
+        chosen.update(subset(name, data_centre, centres))
+    return {server: known[server] for server in sorted(chosen)}
 
 
 def neighbour_endpoints(config: Config, name: str) -> dict[str, Endpoint]:
@@ -168,6 +180,7 @@
         self._lock = threading.Lock()
         self._links: dict[str, Link] = {}
         self._stops: dict[str, threading.Event] = {}
+        self.generation = 0
 
     def all(self) -> list[Link]:
         """Returns all links."""
@@ -183,6 +196,7 @@
         """Starts and stops links as the configuration wants them."""
         wanted = self._wanted(config)
         with self._lock:
+            self.generation += 1
             for name in list(self._links):
                 if wanted.get(name) != self._links[name].endpoint:
                     self._drop(name)
--- a/cornelpin/daemon/messages.py
+++ b/cornelpin/daemon/messages.py
@@ -92,6 +92,7 @@
         waiting: Reservations queued (sides).
         versions: Backend server versions loaded (sides).
         token_s: Measured time between tokens in seconds (sides).
+        drain_per_s: Measured reservations that get a slot in a second (sides).
     """
 
     number: int
@@ -101,6 +102,7 @@
     waiting: int
     versions: list[str]
     token_s: float
+    drain_per_s: float = 0.0
 
 
 @message(10)
@@ -117,6 +119,7 @@
         cost: Estimated work in tokens.
         wait_s: Seconds this reservation may wait.
         fingerprint: Digest of the request's content.
+        waited_s: Seconds that the request has waited already.
     """
 
     request_id: str
@@ -127,6 +130,7 @@
     cost: int
     wait_s: float
     fingerprint: str
+    waited_s: float = 0.0
 
 
 @message(11)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from cornelpin.core.reservations import AT_RISK_SHARE
 from cornelpin.daemon.messages import Grant, Reserve
 from cornelpin.daemon.ticket_table import Lost
 
@@ -54,13 +55,19 @@
         usable = [link for link in usable if not link.lacks_version(version)]
         if direct and self._grant_direct(usable):
             return
-        room = RESERVATIONS - len(self._ticket.reserved())
+        wanted = len(usable) if self._at_risk() else RESERVATIONS
+        room = wanted - len(self._ticket.reserved())
         free = [link for link in usable if link not in self._ticket.reserved()]
         free.sort(key=lambda link: (_load(link), random.random()))
         for link in free[: max(0, room)]:
             if self._ticket.reserve(link):
                 link.send(self._reserve_message())
 
+    def _at_risk(self) -> bool:
+        """Whether the request asks every side, ahead of tiers that are shed first."""
+        left_s = self.wait_until - time.monotonic()
+        return left_s < (1.0 - AT_RISK_SHARE) * self._req.max_wait_s
+
     def _grant_direct(self, links: list[Link]) -> bool:
         idle = [link for link in links if link.idle_slots > 0]
         if not idle:
@@ -90,6 +97,7 @@
             workspace=req.workspace,
             cost=req.cost,
             wait_s=max(0.0, self.wait_until - time.monotonic()),
+            waited_s=time.monotonic() - (self.wait_until - req.max_wait_s),
             fingerprint=req.fingerprint,
         )
 
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -124,6 +124,7 @@
                 shed_order=tier.shed_order,
                 urgency=tier.urgency,
                 slot_share=tier.slot_share,
+                queue_share=tier.queue_share,
             )
             for name, tier in config.tiers.items()
         }
@@ -197,8 +198,8 @@
             workspace=msg.workspace,
             version=msg.version,
             cost=msg.cost,
-            placed=time.monotonic(),
-            wait_s=msg.wait_s,
+            placed=time.monotonic() - msg.waited_s,
+            wait_s=msg.waited_s + msg.wait_s,
             fingerprint=msg.fingerprint,
         )
         shed = self._admission.reserve(res)
@@ -284,6 +285,7 @@
             waiting=len(self._admission),
             versions=list(self._versions),
             token_s=self._token_s,
+            drain_per_s=self._admission.drain_per_s,
         )
 
     def _heartbeat(self) -> None:
--- a/cornelpin/daemon/ticket_table.py
+++ b/cornelpin/daemon/ticket_table.py
@@ -10,12 +10,13 @@
 from cornelpin.core.verdict import Reason, Refusal
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from cornelpin.core.tickets import Ticket
     from cornelpin.daemon.links import Link
 
 DEFAULT_RETRY_AFTER_S = 1.0
+HEADROOM_SHARE = 0.2
 
 
 @attrs.frozen
@@ -28,38 +29,68 @@
     """The entry sheds this waiting request to make room for another."""
 
 
+@attrs.frozen
+class TicketLimits:
+    """How much an entry holds.
+
+    Attributes:
+        count: Number of requests.
+        body_bytes: Bytes of their bodies.
+    """
+
+    count: int
+    body_bytes: int = 256 * 1024 * 1024
+
+
 class TicketTable:
     """All requests that this entry holds."""
 
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
+    def __init__(
+        self, limits: TicketLimits, shed_orders: Callable[[], Mapping[str, int]]
+    ) -> None:
+        self._limits = limits
+        self._shed_orders = shed_orders
         self._lock = threading.Lock()
         self._tickets: dict[str, Ticket] = {}
+        self._body_bytes = 0
 
     def __len__(self) -> int:
         return len(self._tickets)
 
-    def admit(self, ticket: Ticket, shed_order: Callable[[str], int]) -> None:
-        """Adds a ticket, evicting a waiting one of a lower tier if full.
+    def admit(self, ticket: Ticket) -> None:
+        """Adds a ticket, evicting waiting ones of lower tiers if need be.
 
         Raises:
-            Refusal: If no lower tier's request waits here.
+            Refusal: If what is held is too much and no lower tier's request waits.
         """
+        orders = self._shed_orders()
         with self._lock:
-            if len(self._tickets) >= self._limit:
-                self._make_room(ticket, shed_order)
+            while not self._fits(ticket, orders):
+                self._make_room(ticket, orders)
             self._tickets[ticket.req.request_id] = ticket
+            self._body_bytes += len(ticket.req.body)
+
+    def _fits(self, ticket: Ticket, orders: Mapping[str, int]) -> bool:
+        """Whether a ticket leaves the headroom that is kept for higher tiers."""
+        mine = orders.get(ticket.req.tier, -1)
+        higher = sum(order > mine for order in orders.values())
+        share = 1.0 - HEADROOM_SHARE * higher / max(1, len(orders))
+        body_bytes = self._body_bytes + len(ticket.req.body)
+        return (
+            len(self._tickets) + 1 <= max(1, share * self._limits.count)
+            and body_bytes <= share * self._limits.body_bytes
+        )
 
-    def _make_room(self, ticket: Ticket, shed_order: Callable[[str], int]) -> None:
-        mine = shed_order(ticket.req.tier)
+    def _make_room(self, ticket: Ticket, orders: Mapping[str, int]) -> None:
+        mine = orders.get(ticket.req.tier, -1)
         waiting = [
             t
             for t in self._tickets.values()
-            if t.waiting and shed_order(t.req.tier) < mine
+            if t.waiting and orders.get(t.req.tier, -1) < mine
         ]
-        for victim in sorted(waiting, key=lambda t: shed_order(t.req.tier)):
+        for victim in sorted(waiting, key=lambda t: orders.get(t.req.tier, -1)):
             if victim.evict():
-                del self._tickets[victim.req.request_id]
+                self._drop(victim.req.request_id)
                 victim.events.put((Evicted(), None))
                 return
         raise Refusal(
@@ -68,6 +99,11 @@
             retry_after_s=DEFAULT_RETRY_AFTER_S,
         )
 
+    def _drop(self, request_id: str) -> None:
+        ticket = self._tickets.pop(request_id, None)
+        if ticket is not None:
+            self._body_bytes -= len(ticket.req.body)
+
     def find(self, request_id: str) -> Ticket | None:
         """Returns a ticket by request id."""
         return self._tickets.get(request_id)
@@ -75,7 +111,7 @@
     def remove(self, request_id: str) -> None:
         """Removes a ticket."""
         with self._lock:
-            self._tickets.pop(request_id, None)
+            self._drop(request_id)
 
     def tell_lost(self, link: Link) -> None:
         """Tells the tickets that use a link that its session has ended."""
--- /dev/null
+++ b/cornelpin/tests/test_choice.py
@@ -0,0 +1,40 @@
+from __future__ import annotations
+
+import pytest
+
+from cornelpin.core.choice import subset
+
+
+def fleet(count):
+    return {f"s{i}": f"dc-{i % 3}" for i in range(count)}
+
+
+@pytest.mark.parametrize(("count", "links"), [(3, 3), (24, 24), (25, 24), (900, 24)])
+def test_subset_is_bounded_and_deterministic(count, links):
+    chosen = subset("e1", "dc-0", fleet(count))
+    assert len(chosen) == links
+    assert chosen == subset("e1", "dc-0", dict(reversed(fleet(count).items())))
+
+
+def test_half_of_the_places_stay_in_the_own_data_centre():
+    servers = fleet(900)
+    chosen = subset("e1", "dc-0", servers)
+    assert sum(servers[name] == "dc-0" for name in chosen) >= 12
+    assert {servers[name] for name in chosen} == {"dc-0", "dc-1", "dc-2"}
+
+
+@pytest.mark.parametrize("lost", ["s0", "s1", "s500"])
+def test_a_lost_server_moves_at_most_one_place(lost):
+    servers = fleet(900)
+    before = set(subset("e1", "dc-0", servers))
+    del servers[lost]
+    after = set(subset("e1", "dc-0", servers))
+    assert len(before - after) <= 1
+
+
+def test_entries_cover_the_fleet_between_them():
+    servers = fleet(300)
+    covered = set()
+    for i in range(60):
+        covered.update(subset(f"e{i}", f"dc-{i % 3}", servers))
+    assert len(covered) >= 0.95 * len(servers)
--- /dev/null
+++ b/cornelpin/tests/test_reservations.py
@@ -0,0 +1,181 @@
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from cornelpin.core.reservations import Reservation, ReservationQueue, TierPolicy
+from cornelpin.core.tickets import Request, Ticket
+from cornelpin.core.verdict import Refusal
+from cornelpin.daemon.ticket_table import TicketLimits, TicketTable
+
+TIERS = {
+    "question": TierPolicy(shed_order=30, urgency=0),
+    "review": TierPolicy(shed_order=20, urgency=20, slot_share=0.5),
+    "tag": TierPolicy(shed_order=10, urgency=10, queue_share=0.5),
+}
+WAIT_S = 10.0
+NUMBERS = itertools.count()
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def reserve(queue, clock, *tiers, waited_s=0.0, workspace="w"):
+    """Places reservations and returns what was shed, as tiers."""
+    shed = []
+    for tier in tiers:
+        shed += queue.place(
+            Reservation(
+                request_id=f"r{next(NUMBERS)}",
+                owner="peer",
+                tier=tier,
+                workspace=workspace,
+                version="",
+                cost=10,
+                placed=clock.now - waited_s,
+                wait_s=WAIT_S,
+            )
+        )
+    return [res.tier for res in shed]
+
+
+def new_queue(capacity=100):
+    clock = Clock()
+    queue = ReservationQueue(capacity=capacity, clock=clock)
+    queue.tiers = TIERS
+    return queue, clock
+
+
+def take(queue, *, blocked=(), may_exceed=True):
+    res = queue.take(lambda res: res.tier not in blocked, may_exceed=may_exceed)
+    return res and res.tier
+
+
+@pytest.mark.parametrize(
+    ("fresh", "at_risk", "blocked", "may_exceed", "expected"),
+    [
+        (["tag", "review", "question"], [], (), True, "question"),
+        (["tag", "review"], [], (), True, "tag"),
+        (["tag"], ["review"], (), True, "review"),
+        (["tag"], ["review"], ("review",), True, "review"),
+        (["tag"], ["review"], ("review",), False, None),
+        (["tag", "question"], ["review"], ("review",), True, "question"),
+        (["question"], ["tag"], (), True, "question"),
+        (["tag"], [], ("tag",), True, None),
+    ],
+)
+def test_who_goes_first(fresh, at_risk, blocked, may_exceed, expected):
+    queue, clock = new_queue()
+    reserve(queue, clock, *fresh)
+    reserve(queue, clock, *at_risk, waited_s=0.8 * WAIT_S)
+    assert take(queue, blocked=blocked, may_exceed=may_exceed) == expected
+
+
+@pytest.mark.parametrize(
+    ("capacity", "placed", "shed"),
+    [
+        (2, ["tag", "review", "question"], ["tag"]),
+        (2, ["question", "review", "tag"], ["tag"]),
+        (2, ["question", "question", "question"], ["question"]),
+        (4, ["tag", "tag", "tag"], ["tag"]),
+    ],
+)
+def test_who_is_shed_first(capacity, placed, shed):
+    queue, clock = new_queue(capacity)
+    assert reserve(queue, clock, *placed) == shed
+
+
+@pytest.mark.parametrize(
+    ("after_s", "expected"), [(0.0, None), (1.0, None), (2.0, "tag")]
+)
+def test_lower_tiers_get_no_slot_just_after_a_shed(after_s, expected):
+    queue, clock = new_queue()
+    reserve(queue, clock, "review", waited_s=2 * WAIT_S)
+    reserve(queue, clock, "tag")
+    assert [res.tier for res in queue.expired()] == ["review"]
+    clock.now += after_s
+    assert take(queue) == expected
+
+
+@pytest.mark.parametrize(
+    ("served", "waiting", "expected"),
+    [
+        (20, 10, []),
+        (20, 80, ["question"]),
+        (2, 80, []),
+    ],
+)
+def test_a_wait_that_cannot_end_in_time_is_refused_at_once(served, waiting, expected):
+    queue, clock = new_queue(1000)
+    reserve(queue, clock, *["question"] * (served + waiting))
+    for _ in range(served):
+        take(queue)
+    assert reserve(queue, clock, "question") == expected
+
+
+def test_a_higher_tier_is_not_refused_early_while_a_lower_one_waits():
+    queue, clock = new_queue(1000)
+    reserve(queue, clock, *["question"] * 100, "tag")
+    for _ in range(20):
+        take(queue)
+    assert reserve(queue, clock, "question") == []
+
+
+def test_workspaces_share_by_tokens_and_idle_time_gives_no_credit():
+    queue, clock = new_queue()
+    queue.shares = {"a": 3.0, "b": 1.0}
+    reserve(queue, clock, *["question"] * 20, workspace="a")
+    for _ in range(8):
+        take(queue)
+    reserve(queue, clock, *["question"] * 20, workspace="b")
+    taken = [queue.take(lambda res: True, may_exceed=True) for _ in range(8)]
+    assert sum(res.workspace == "a" for res in taken) == 6
+
+
+def ticket(number, tier, body=b""):
+    req = Request(
+        request_id=str(number),
+        workspace="w",
+        route="r",
+        tier=tier,
+        kind="model",
+        method="POST",
+        path="/",
+        headers={},
+        body=body,
+        cost=1,
+        deadline=0.0,
+        max_wait_s=1.0,
+    )
+    return Ticket(req)
+
+
+@pytest.mark.parametrize(
+    ("limits", "held", "newcomer", "evicted"),
+    [
+        (TicketLimits(2), ["question", "question"], "question", None),
+        (TicketLimits(10), ["tag"] * 8, "tag", None),
+        (TicketLimits(10), ["tag"] * 8, "review", []),
+        (TicketLimits(10), ["tag"] * 8 + ["question"] * 2, "question", [0]),
+        (TicketLimits(10, 15), ["tag"], "question", [0]),
+    ],
+)
+def test_entry_keeps_room_for_higher_tiers(limits, held, newcomer, evicted):
+    orders = {name: policy.shed_order for name, policy in TIERS.items()}
+    table = TicketTable(limits, lambda: orders)
+    tickets = [ticket(i, tier, b"0123456789") for i, tier in enumerate(held)]
+    for each in tickets:
+        table.admit(each)
+    new = ticket("new", newcomer, b"0123456789")
+    if evicted is None:
+        with pytest.raises(Refusal):
+            table.admit(new)
+        return
+    table.admit(new)
+    assert [i for i, t in enumerate(tickets) if not t.waiting] == evicted
--- a/properties/test_dispatch.py
+++ b/properties/test_dispatch.py
@@ -62,7 +62,7 @@
     route = types.SimpleNamespace(backend_servers=SERVERS)
     view = types.SimpleNamespace(number=1, head=None, on_change=lambda listener: None)
     view.config = types.SimpleNamespace(
-        routes={"route": route}, tiers={}, workspaces={}, hosts={}
+        number=1, routes={"route": route}, tiers={}, workspaces={}, hosts={}
     )
     backend = types.SimpleNamespace(name=name, kind="service", url="", slots=1)
     process = mock.MagicMock(view=view, incarnation=incarnation)
@@ -123,7 +123,7 @@
         self.received = collections.defaultdict(list)
         process = fake_process("entry", "entry-1")
         links = types.SimpleNamespace(
-            of_servers=lambda names: [self.worlds[n].link for n in names]
+            generation=1, of_servers=lambda names: [self.worlds[n].link for n in names]
         )
         self.dispatcher = Dispatcher(process, links, limit=PLACES)
         self.exchanges = {}
