--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -10,6 +10,14 @@
 
 from cornelpin.core.configstore import Accepted, ConfigStore
 from cornelpin.core.events import Event, merge_events
+from cornelpin.daemon.census import (
+    Census,
+    CensusRow,
+    status_row,
+    unheard,
+    unreachable_row,
+)
+from cornelpin.daemon.census_messages import CensusAsk, CensusReply
 from cornelpin.daemon.dispatch import Dispatcher
 from cornelpin.daemon.entry_moves import EntryMoves
 from cornelpin.daemon.http.admin import AdminApi
@@ -24,6 +32,7 @@
     side_endpoints,
 )
 from cornelpin.daemon.listener import PeerListener
+from cornelpin.daemon.liveness import TICK_S, Pinger
 from cornelpin.daemon.messages import EventsAsk, EventsReply, Heartbeat
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.spread import ConfigSpread
@@ -37,7 +46,8 @@
     from cornelpin.daemon.process import Process
     from cornelpin.daemon.view import ConfigView
 
-HEARTBEAT_S = 0.5
+EAGER_NEIGHBOURS = 3
+STATUS_TIMEOUT_S = 0.5
 TIMELINE_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 
@@ -51,7 +61,7 @@
         self._objects = object_store.create(
             settings.objects.kind, url=settings.objects.url
         )
-        self._store = ConfigStore(self._objects)
+        self._store = ConfigStore(self._objects, known=process.view.known)
         self._links = LinkTable(
             process,
             wanted=lambda config: side_endpoints(
@@ -71,7 +81,13 @@
         self._dispatcher = Dispatcher(
             process, self._links, settings.limits.held_requests
         )
-        self._spread = ConfigSpread(process, self._peers)
+        self._spread = ConfigSpread(process, self._peers, self._eager_peers)
+        self._pinger = Pinger(
+            process,
+            links=lambda: [*self._links.all(), *self._neighbours.all()],
+            state=self._state,
+            busy=self._dispatcher.tickets.links,
+        )
         self._moves = EntryMoves(
             process,
             self._objects,
@@ -80,9 +96,14 @@
             submit=self.submit_patch,
         )
         self._dispatcher.moves = self._moves.view
-        self._watcher = ConfigWatcher(self._store, self._spread, process.view)
+        self._watcher = ConfigWatcher(
+            settings.name, self._store, self._spread, process.view
+        )
+        self._census = Census(
+            process, own_rows=self._own_rows, neighbour=self._neighbours.peer_of
+        )
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
-        self._inbound: dict[str, Peer] = {}
+        self._inbound: set[Peer] = set()
         self._states: dict[str, tuple[str, Heartbeat]] = {}
         self._lock = threading.Lock()
         process.view.on_change(self._links.on_config)
@@ -107,7 +128,7 @@
         )
         sup.start("peer-listener", listener.run)
         sup.start("config-watcher", self._watcher.run)
-        sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
+        sup.start("pinger", every(TICK_S, self._pinger.tick))
         sup.start("moves", self._moves.controller.run)
         self._http.start()
 
@@ -116,6 +137,7 @@
         if not self.process.leaving.is_set():
             self.process.leaving.set()
             self.process.ring.record("entry.leaving")
+            self._announce()
 
     def _on_config(self, config: Config) -> None:
         if self.process.host_leaving(config):
@@ -132,7 +154,7 @@
 
     def _peers(self) -> list[Peer]:
         with self._lock:
-            inbound = list(self._inbound.values())
+            inbound = list(self._inbound)
         links = [*self._links.all(), *self._neighbours.all()]
         outbound = [link.peer for link in links]
         return [peer for peer in (*outbound, *inbound) if peer is not None]
@@ -149,7 +171,11 @@
             return
         self._handle(peer, msg, link)
 
-    def _heartbeat(self) -> None:
+    def _eager_peers(self) -> list[Peer]:
+        peers = [link.peer for link in self._neighbours.all()]
+        return [peer for peer in peers if peer is not None][:EAGER_NEIGHBOURS]
+
+    def _announce(self) -> None:
         state = self._state()
         for peer in self._peers():
             peer.send(state)
@@ -173,7 +199,7 @@
     def _serve(self, peer: Peer) -> None:
         """Serves a session that another process opened."""
         with self._lock:
-            self._inbound[peer.name] = peer
+            self._inbound.add(peer)
         self._greet(peer)
         try:
             while True:
@@ -181,17 +207,23 @@
         finally:
             peer.close()
             with self._lock:
-                if self._inbound.get(peer.name) is peer:
-                    del self._inbound[peer.name]
+                self._inbound.discard(peer)
 
     def _handle(self, peer: Peer, msg: Any, link: Link | None = None) -> None:
         match msg:
             case Heartbeat():
                 self._states[peer.name] = (peer.role, msg)
+                self._spread.hear(peer, msg.number)
+                if link is None:
+                    peer.send(self._state())
             case EventsAsk():
                 answer_events(self.process.ring, peer, msg)
             case EventsReply():
                 self._on_events(msg)
+            case CensusAsk():
+                self._census.on_ask(peer, msg)
+            case CensusReply():
+                self._census.on_reply(msg)
             case _ if not self._moves.handle(peer, msg, link):
                 self._spread.handle(peer, msg)
 
@@ -210,6 +242,7 @@
 
     def processes(self) -> list[dict[str, Any]]:
         """Returns the state of this process and of the sides it is linked to."""
+        self._pinger.refresh(STATUS_TIMEOUT_S)
         view = self.process.view
         rows: list[dict[str, Any]] = [
             {
@@ -225,6 +258,31 @@
         rows += [_row(name, *states[name], view) for name in sorted(states)]
         return rows
 
+    def config_status(self) -> list[dict[str, Any]]:
+        """Returns the number in force at each configured process."""
+        view = self.process.view
+        rows = self._census.collect()
+        highest = max([view.number, *(row.number for row in rows)])
+        waited_s = round(time.monotonic() - view.since, 3)
+        missing = unheard(view.config, rows)
+        return [
+            *(status_row(row, highest, waited_s) for row in rows),
+            *(unreachable_row(row) for row in missing),
+        ]
+
+    def _own_rows(self) -> list[CensusRow]:
+        name, number = self.process.settings.name, self.process.view.number
+        self._pinger.refresh(STATUS_TIMEOUT_S)
+        answering = [link for link in self._links.all() if link.answers]
+        return [
+            CensusRow("entry", name, name, number),
+            *(
+                CensusRow("side", link.name, link.process_name, link.state.number)
+                for link in answering
+                if link.state is not None
+            ),
+        ]
+
     def routes(self) -> list[dict[str, Any]]:
         """Returns the routes and how many of their servers are usable."""
         return [
