--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING, Any
 
 import attrs
 from loguru import logger
 
+from cornelpin.core.choice import subset
 from cornelpin.daemon.messages import Heartbeat, ProtocolError
 from cornelpin.daemon.peer import PeerClosed, connect
 
@@ -20,6 +22,7 @@
 
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
+FRESH_S = 1.5
 
 
 @attrs.frozen
@@ -35,9 +38,20 @@
     data_centre: str
 
 
-def side_endpoints(config: Config) -> dict[str, Endpoint]:
-    """Returns the sides by backend server."""
-    return _endpoints(config, config.backend_servers)
+def side_endpoints(config: Config, name: str, data_centre: str) -> dict[str, Endpoint]:
+    """Returns the sides that an entry is linked to, by backend server.
+
+    They are a bounded subset for each route, and one of the backend servers that
+    belong to no route.
+    """
+    known = _endpoints(config, config.backend_servers)
+    routed = [set(route.backend_servers) for route in config.routes.values()]
+    pools = [*routed, set(known).difference(*routed)]
+    chosen: set[str] = set()
+    for pool in pools:
+        centres = {s: known[s].data_centre for s in pool if s in known}
+        chosen.update(subset(name, data_centre, centres))
+    return {server: known[server] for server in sorted(chosen)}
 
 
 def neighbour_endpoints(config: Config, name: str) -> dict[str, Endpoint]:
@@ -51,8 +65,8 @@
     if name not in ring:
         return {}
     start = ring.index(name)
-    distances = [1 << power for power in range(len(ring).bit_length())]
-    chosen = {ring[(start + d) % len(ring)] for d in distances if d < len(ring)}
+    distances = [1 << power for power in reversed(range(len(ring).bit_length()))]
+    chosen = [ring[(start + d) % len(ring)] for d in distances if d < len(ring)]
     return _endpoints(config, {n: config.entries[n] for n in chosen})
 
 
@@ -86,11 +100,25 @@
         state = self.state
         return self._peer is not None and state is not None and not state.leaving
 
+    @property
+    def fresh(self) -> bool:
+        """Whether the side was heard of so lately that it is surely not stopped."""
+        peer = self._peer
+        return peer is not None and time.monotonic() - peer.heard_at < FRESH_S
+
+    @property
+    def answers(self) -> bool:
+        """Whether the last ping of the session was answered."""
+        peer = self._peer
+        if peer is None:
+            return False
+        return peer.pinged_at is None or peer.heard_at >= peer.pinged_at
+
     @property
     def idle_slots(self) -> int:
         """Free slots as far as this entry knows, less its own direct grants."""
         state = self.state
-        if state is None or state.waiting:
+        if state is None or state.waiting or not self.fresh:
             return 0
         return state.free - self.direct
 
@@ -168,12 +196,19 @@
         self._lock = threading.Lock()
         self._links: dict[str, Link] = {}
         self._stops: dict[str, threading.Event] = {}
+        self.generation = 0
 
     def all(self) -> list[Link]:
         """Returns all links."""
         with self._lock:
             return list(self._links.values())
 
+    def peer_of(self, name: str) -> Peer | None:
+        """Returns the session of a link by its name, if it is open."""
+        with self._lock:
+            link = self._links.get(name)
+        return link.peer if link is not None else None
+
     def of_servers(self, names: list[str] | tuple[str, ...]) -> list[Link]:
         """Returns the links to the given backend servers."""
         with self._lock:
@@ -183,6 +218,7 @@
         """Starts and stops links as the configuration wants them."""
         wanted = self._wanted(config)
         with self._lock:
+            self.generation += 1
             for name in list(self._links):
                 if wanted.get(name) != self._links[name].endpoint:
                     self._drop(name)
--- a/cornelpin/daemon/runs.py
+++ b/cornelpin/daemon/runs.py
@@ -5,7 +5,7 @@
 import collections
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -65,6 +65,12 @@
         """Number of parts received so far."""
         return len(self._parts)
 
+    def tell(self, msg: Any) -> None:
+        """Sends a message to the entry that the run belongs to, if it is there."""
+        peer = self._peer
+        if peer is not None:
+            peer.send(msg)
+
     def begin_at(self, offset: int) -> None:
         """Sets the position of the first part of a run resumed at the engine."""
         self._base = offset
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -13,6 +13,7 @@
 from cornelpin.core.reservations import Reservation, TierPolicy
 from cornelpin.core.verdict import Reason
 from cornelpin.daemon.admission import Admission, Duplicate, Refused, Started
+from cornelpin.daemon.announcer import TICK_S, Announcer
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.messages import (
     Ask,
@@ -40,7 +41,6 @@
     from cornelpin.daemon.process import Process
     from cornelpin.daemon.runs import Run
 
-HEARTBEAT_S = 0.5
 SWEEP_S = 0.5
 DRAIN_POLL_S = 0.05
 FLUSH_TIMEOUT_S = 5.0
@@ -67,6 +67,7 @@
         self._admission = Admission(backend_cfg.slots, self._runs)
         self._versions: list[str] = []
         self._token_s = 0.0
+        self._announcer = Announcer(self._state, self._admission.peers)
         self.spread = ConfigSpread(process, self._admission.peers)
         self._moves = SideMoves(
             process,
@@ -86,7 +87,7 @@
         )
         sup.start("peer-listener", listener.run)
         sup.start("dispatch", self._dispatch_loop)
-        sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
+        sup.start("announcer", every(TICK_S, self._announcer.tick))
         sup.start("sweep", every(SWEEP_S, self._sweep))
         sup.start("versions", every(VERSIONS_S, self._poll_versions))
         sup.start("move-evidence", every(REPORT_S, self._moves.report))
@@ -101,7 +102,7 @@
         self._ring.record("side.leaving", detail=f"{len(dropped)} handed back")
         logger.info("leaving; {} reservations handed back", len(dropped))
         self._refuse(dropped, Reason.LEAVING)
-        self._heartbeat()
+        self._announcer.now()
 
     def _come_back(self) -> None:
         if self._process.leaving.is_set():
@@ -109,7 +110,7 @@
             self._admission.restart()
             self._ring.record("side.returned")
             logger.info("taking work again")
-            self._heartbeat()
+            self._announcer.now()
 
     def wait_idle(self) -> None:
         """Waits until every run has ended and its answer was sent."""
@@ -124,6 +125,7 @@
                 shed_order=tier.shed_order,
                 urgency=tier.urgency,
                 slot_share=tier.slot_share,
+                queue_share=tier.queue_share,
             )
             for name, tier in config.tiers.items()
         }
@@ -153,13 +155,14 @@
             self._detach(older)
         self._ring.record("session.opened", detail=peer.name)
         peer.send(self._state())
-        self.spread.greet(peer)
+        self.spread.opened(peer)
         self._moves.view.greet(peer)
 
     def _close(self, peer: Peer) -> None:
         peer.close()
         self._admission.close(peer)
         self._detach(peer)
+        self.spread.closed(peer)
         self._ring.record("session.closed", detail=peer.name)
 
     def _detach(self, peer: Peer) -> None:
@@ -183,7 +186,8 @@
             case EventsAsk():
                 answer_events(self._ring, peer, msg)
             case Heartbeat():
-                pass
+                peer.send(self._state())
+                self.spread.hear(peer, msg.number)
             case _ if not self._moves.handle(peer, msg):
                 self.spread.handle(peer, msg)
 
@@ -197,8 +201,8 @@
             workspace=msg.workspace,
             version=msg.version,
             cost=msg.cost,
-            placed=time.monotonic(),
-            wait_s=msg.wait_s,
+            placed=time.monotonic() - msg.waited_s,
+            wait_s=msg.waited_s + msg.wait_s,
             fingerprint=msg.fingerprint,
         )
         shed = self._admission.reserve(res)
@@ -284,20 +288,13 @@
             waiting=len(self._admission),
             versions=list(self._versions),
             token_s=self._token_s,
+            drain_per_s=self._admission.drain_per_s,
         )
 
-    def _heartbeat(self) -> None:
-        state = self._state()
-        for peer in self._admission.peers():
-            peer.send(state)
-
     def _on_end(self, run: Run, end: RunEnd) -> None:
         self._moves.observe(run, end)
-        self._heartbeat_if_idle()
-
-    def _heartbeat_if_idle(self) -> None:
         if not len(self._admission):
-            self._heartbeat()
+            run.tell(self._state())
 
     def _sweep(self) -> None:
         expired = self._admission.sweep()
@@ -310,7 +307,7 @@
 
     def _on_loaded(self) -> None:
         self._poll_versions()
-        self._heartbeat()
+        self._announcer.now()
 
 
 def _cut_off(msg: Resume, detail: str) -> End:
--- a/properties/test_dispatch.py
+++ b/properties/test_dispatch.py
@@ -9,6 +9,7 @@
 import collections
 import random
 import threading
+import time
 import types
 from unittest import mock
 
@@ -48,8 +49,13 @@
         self.name = name
         self.incarnation = incarnation
         self.closed = False
+        self.pinged_at = None
         self.outbox = collections.deque()
 
+    @property
+    def heard_at(self):
+        return time.monotonic()
+
     def send(self, msg):
         if not self.closed:
             self.outbox.append(msg)
@@ -62,7 +68,7 @@
     route = types.SimpleNamespace(backend_servers=SERVERS)
     view = types.SimpleNamespace(number=1, head=None, on_change=lambda listener: None)
     view.config = types.SimpleNamespace(
-        routes={"route": route}, tiers={}, workspaces={}, hosts={}
+        number=1, routes={"route": route}, tiers={}, workspaces={}, hosts={}
     )
     backend = types.SimpleNamespace(name=name, kind="service", url="", slots=1)
     process = mock.MagicMock(view=view, incarnation=incarnation)
@@ -123,7 +129,7 @@
         self.received = collections.defaultdict(list)
         process = fake_process("entry", "entry-1")
         links = types.SimpleNamespace(
-            of_servers=lambda names: [self.worlds[n].link for n in names]
+            generation=1, of_servers=lambda names: [self.worlds[n].link for n in names]
         )
         self.dispatcher = Dispatcher(process, links, limit=PLACES)
         self.exchanges = {}
@@ -302,7 +308,7 @@
 
     @rule(name=st.sampled_from(SERVERS))
     def heartbeat(self, name):
-        self.worlds[name].side._heartbeat()
+        self.worlds[name].side._announcer.now()
 
     @rule(name=st.sampled_from(SERVERS))
     def ask_times_out(self, name):
