Bound the links of an entry over all routes

Cause: 24 places for each route are 912 links of an entry at 38 models; by the slopes 0.18 MB and some 25 B/s each. Ruled out: fewer places for everybody, as few routes gain from 24. Change: the places of all routes share 96, at least 2 for each route. Measured: 98 links at the target by reckoning; tests only, the slopes follow.

--- a/benchmarks/target.py
+++ b/benchmarks/target.py
@@ -4,6 +4,8 @@
 
 import math
 
+from cornelpin.core.choice import subset_size
+
 ENTRIES = 1400
 SIDES = 4600
 COUNTS = {"entry": ENTRIES, "side": SIDES}
@@ -20,7 +22,7 @@
 STORE_READS_PER_S = 2000
 STORE_WRITES_PER_S = 400
 
-# Links of an entry to sides: a bounded subset, here SUBSET sides for each model.
-SUBSET = 2
-ENTRY_LINKS = MODELS * SUBSET + 2 * math.ceil(math.log2(ENTRIES))
-SIDE_LINKS = round(MODELS * SUBSET * ENTRIES / SIDES)
+# Links of an entry: a bounded subset of the sides of each model, and the entries
+# before and after it on the ring.
+ENTRY_LINKS = MODELS * subset_size(MODELS) + 2 * math.ceil(math.log2(ENTRIES))
+SIDE_LINKS = round(MODELS * subset_size(MODELS) * ENTRIES / SIDES)
--- a/cornelpin/core/choice.py
+++ b/cornelpin/core/choice.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
 SUBSET_SIZE = 24
+MAX_PLACES = 96
+MIN_SUBSET_SIZE = 2
 OWN_DATA_CENTRE_SHARE = 0.5
 WEIGHT_BYTES = 8
 
@@ -23,6 +26,11 @@
     return int.from_bytes(hashlib.blake2b(text, digest_size=WEIGHT_BYTES).digest())
 
 
+def subset_size(routes: int) -> int:
+    """Returns the places for each route, so that those of all stay bounded."""
+    return max(MIN_SUBSET_SIZE, min(SUBSET_SIZE, MAX_PLACES // max(1, routes)))
+
+
 def subset(
     entry: str,
     data_centre: str,
@@ -45,10 +53,11 @@
     if len(servers) <= size:
         return sorted(servers)
     own = (name for name, centre in servers.items() if centre == data_centre)
-    chosen = _heaviest(entry, own, int(size * OWN_DATA_CENTRE_SHARE))
+    chosen = heaviest(entry, own, int(size * OWN_DATA_CENTRE_SHARE))
     others = (name for name in servers if name not in chosen)
-    return sorted([*chosen, *_heaviest(entry, others, size - len(chosen))])
+    return sorted([*chosen, *heaviest(entry, others, size - len(chosen))])
 
 
-def _heaviest(entry: str, names: Iterable[str], count: int) -> list[str]:
-    return sorted(names, key=lambda name: weight(entry, name), reverse=True)[:count]
+def heaviest(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Returns the names with the highest rendezvous weights, the highest first."""
+    return heapq.nlargest(count, names, key=lambda name: weight(key, name))
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -9,7 +9,7 @@
 import attrs
 from loguru import logger
 
-from cornelpin.core.choice import subset
+from cornelpin.core.choice import subset, subset_size
 from cornelpin.daemon.messages import Heartbeat, ProtocolError
 from cornelpin.daemon.peer import PeerClosed, connect
 
@@ -49,9 +49,10 @@
     routed = [set(route.backend_servers) for route in config.routes.values()]
     pools = [*routed, set(known).difference(*routed)]
     chosen: set[str] = set()
+    size = subset_size(len(routed))
     for pool in pools:
         centres = {s: known[s].data_centre for s in pool if s in known}
-        chosen.update(subset(name, data_centre, centres))
+        chosen.update(subset(name, data_centre, centres, size=size))
     return {server: known[server] for server in sorted(chosen)}
 
 
--- a/cornelpin/tests/test_choice.py
+++ b/cornelpin/tests/test_choice.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cornelpin.core.choice import subset
+from cornelpin.core.choice import MAX_PLACES, SUBSET_SIZE, subset, subset_size
 
 
 def fleet(count):
@@ -38,3 +38,9 @@
     for i in range(60):
         covered.update(subset(f"e{i}", f"dc-{i % 3}", servers))
     assert len(covered) >= 0.95 * len(servers)
+
+
+@pytest.mark.parametrize("routes, size", [(0, 24), (1, 24), (4, 24), (8, 12), (38, 2)])
+def test_places_of_all_routes_are_bounded(routes, size):
+    assert subset_size(routes) == size <= SUBSET_SIZE
+    assert routes * size <= MAX_PLACES
