--- a/cornelpin/daemon/move_controller.py
+++ b/cornelpin/daemon/move_controller.py
@@ -141,6 +141,8 @@
             return _new_record(move)
         self._note_stage(record)
         facts = self._facts(record, move, config)
+        if record.state is MoveState.TAKEN_BACK and facts.switched:
+            self._patch_route(record.route, move.from_version)
         if ready_to_switch(record, move, facts):
             self._patch_route(record.route, move.to_version)
             return record
@@ -188,6 +190,8 @@
 
     def _patch_route(self, route: str, version: str) -> None:
         """Changes the version of a route; a stale base is tried again later."""
+        if not self._lease.held:
+            return
         number = self._process.view.number
         patch = {"routes": {route: {"version": version}}}
         outcome = self._submit(number, patch, author=AUTHOR)
--- a/cornelpin/daemon/move_evidence.py
+++ b/cornelpin/daemon/move_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 from typing import TYPE_CHECKING
 
@@ -29,6 +30,7 @@
 
 # Runs that fail together because their server died count as one failure.
 CRASH_WINDOW_S = 2.0
+MAX_FINGERPRINTS = 1000
 
 
 class EvidenceCollector:
@@ -40,13 +42,17 @@
         view: MoveView,
         judges: MoveJudges,
         peers: Callable[[], list[Peer]],
+        *,
+        crashed: Callable[[], bool],
     ) -> None:
         self._process = process
         self._view = view
         self._judges = judges
         self._peers = peers
         self._comparisons: dict[str, Comparison] = {}
+        self._crashed = crashed
         self._crashes: dict[str, float] = {}
+        self._poison: collections.OrderedDict[str, None] = collections.OrderedDict()
 
     def observe(self, run: Run, end: RunEnd, running: int) -> None:
         """Takes an ended run.
@@ -84,7 +90,8 @@
         version = run.grant.version
         if version not in (record.from_version, record.to_version):
             return
-        if end.outcome == FAILED and end.unreachable and self._same_crash(version):
+        broken = end.outcome == FAILED and end.unreachable
+        if broken and self._crashed() and self._explained(record, run):
             return
         comparison = self._comparisons.setdefault(record.attempt, Comparison())
         sample = _sample(run, end, running)
@@ -95,6 +102,17 @@
         else:
             comparison.add_old(sample)
 
+    def _explained(self, record: MoveRecord, run: Run) -> bool:
+        """Whether a crash is counted already or due to the request itself."""
+        version = run.grant.version
+        if version == record.from_version:
+            self._poison[run.grant.fingerprint] = None
+            while len(self._poison) > MAX_FINGERPRINTS:
+                self._poison.popitem(last=False)
+        elif run.grant.fingerprint in self._poison:
+            return True
+        return self._same_crash(version)
+
     def _same_crash(self, version: str) -> bool:
         now = time.monotonic()
         latest = self._crashes.get(version, -CRASH_WINDOW_S)
--- a/cornelpin/daemon/move_view.py
+++ b/cornelpin/daemon/move_view.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from cornelpin.core.move_state import MoveBook, MoveRecord
+from cornelpin.core.move_state import MoveBook, MoveRecord, MoveState
 from cornelpin.daemon.move_messages import Brake, MoveNews
 
 if TYPE_CHECKING:
@@ -93,12 +93,27 @@
         default = (cfg.version if cfg is not None else None) or ""
         record = next((r for r in self.active() if r.route == route), None)
         if record is None:
-            return default
+            return self._kept_version(route, default)
         if not record.splits or self.braked(record.attempt):
             return record.from_version
         chosen = _in_share(record, request_id)
         return record.to_version if chosen else record.from_version
 
+    def _kept_version(self, route: str, default: str) -> str:
+        """Returns the old version if a move to the default was taken back.
+
+        A controller that was paused just before it switched the route may do so
+        after its successor has taken the move back.
+        """
+        for record in self._taken_back():
+            if record.route == route and record.to_version == default:
+                return record.from_version
+        return default
+
+    def _taken_back(self) -> list[MoveRecord]:
+        records = self.book.records.values()
+        return [r for r in records if r.state is MoveState.TAKEN_BACK]
+
     def other_version(self, route: str, version: str) -> str:
         """Returns the version to use where the chosen one is not loaded."""
         for record in self.active():
@@ -108,11 +123,10 @@
 
     def refused(self, route: str, version: str) -> bool:
         """Whether no request may start on a version of a route any more."""
+        braked = [r for r in self.active() if self.braked(r.attempt)]
         return any(
-            record.route == route
-            and record.to_version == version
-            and bool(self.braked(record.attempt))
-            for record in self.active()
+            record.route == route and record.to_version == version
+            for record in (*braked, *self._taken_back())
         )
 
     def _record_changes(self, before: MoveBook, book: MoveBook) -> None:
--- a/cornelpin/daemon/side_moves.py
+++ b/cornelpin/daemon/side_moves.py
@@ -47,7 +47,13 @@
         self.view = MoveView(process, peers)
         self._runs = runs
         judges = MoveJudges(process, self.view)
-        self._evidence = EvidenceCollector(process, self.view, judges, peers)
+        self._evidence = EvidenceCollector(
+            process,
+            self.view,
+            judges,
+            peers,
+            crashed=lambda: not backend.versions(),
+        )
         executor = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="order")
         self._desk = OrderDesk(
             backend, executor, self.view, in_use=self._in_use, on_done=on_loaded
