--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -21,7 +21,7 @@
 
 from benchmarks.cluster_settings import FIRST_VERSION
 from benchmarks.deployments import DEPLOYMENTS, Deployment
-from benchmarks.records import Kind, RunEvent, starts
+from benchmarks.records import Kind, RunEvent, read_run_log, starts
 from benchmarks.testbed import Testbed
 from benchmarks.waiting import WaitTimeoutError, wait_until
 from benchmarks.workload import PlannedRequest, Shape, plan
@@ -155,10 +155,15 @@
         planned = [r for r in planned_load(described, seed) if r.at_s < steps_s]
         sender.run(_stepped(described, planned))
         stated = time.time()
-        events = starts(testbed.run_events())
+        logs = [
+            event
+            for name in described.servers_of(Kind.MODEL)
+            for event in read_run_log(name, testbed.run_log(name))
+        ]
     finally:
         testbed.close()
     testbed.remove_folder()
+    events = starts(logs)
     return Row(
         system=NAIVE,
         kind=kind,
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -67,16 +67,18 @@
         """
         ticket = Ticket(req)
         ticket.version = version
+        if self.moves is not None and req.kind == "model":
+            ticket.version = self.moves.choose(req.route, req.request_id)
         self.tickets.admit(ticket, self._shed_order)
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
     def choose_version(self, ticket: Ticket, links: list[Link]) -> None:
-        """Sets the version that the moves give a request at some of the links."""
+        """Falls back from a version that may not be used at the links any more."""
         if self.moves is None or ticket.req.kind != "model":
             return
         route = ticket.req.route
-        version = self.moves.version(route, ticket.req.request_id)
+        version = self.moves.valid_version(route, ticket.version)
         if not any(link.has_version(version) for link in links):
             version = self.moves.other_version(route, version)
         ticket.version = version
--- a/cornelpin/daemon/move_view.py
+++ b/cornelpin/daemon/move_view.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING, Any
 
+import attrs
 from loguru import logger
 
 from cornelpin.core.move_state import MoveBook, MoveRecord, MoveState
@@ -23,6 +24,30 @@
 HASH_RANGE = 1 << 64
 
 
+@attrs.define
+class Quota:
+    """Keeps the new version of a route within its share of the requests seen here.
+
+    Attributes:
+        stage: Attempt and stage of the move that the counts belong to.
+        share: Share of the new version.
+        seen: Requests of the route.
+        given: Those among them for the new version.
+    """
+
+    stage: tuple[str, int]
+    share: float
+    seen: int = 0
+    given: int = 0
+
+    def take(self, wanted: bool) -> bool:
+        """Counts a request; returns whether it may go to the new version."""
+        self.seen += 1
+        allowed = wanted and self.given <= self.share * self.seen
+        self.given += allowed
+        return allowed
+
+
 class MoveView:
     """Keeps the highest state of the moves and the brakes; spreads both."""
 
@@ -31,6 +56,7 @@
         self._peers = peers
         self._lock = threading.Lock()
         self._brakes: dict[str, Brake] = {}
+        self._quotas: dict[str, Quota] = {}
         self.book = MoveBook()
 
     def greet(self, peer: Peer) -> None:
@@ -87,18 +113,40 @@
         """Returns the records of moves that have not ended."""
         return [r for r in self.book.records.values() if not r.state.final]
 
-    def version(self, route: str, request_id: str) -> str:
-        """Chooses the version of a request by the share of the route's move."""
-        cfg = self._process.view.config.routes.get(route)
-        default = (cfg.version if cfg is not None else None) or ""
-        record = next((r for r in self.active() if r.route == route), None)
+    def choose(self, route: str, request_id: str) -> str:
+        """Chooses the version of a new request by the share of the route's move."""
+        record = self._record_of(route)
         if record is None:
-            return self._kept_version(route, default)
+            return self._default(route)
         if not record.splits or self.braked(record.attempt):
             return record.from_version
-        chosen = _in_share(record, request_id)
+        with self._lock:
+            key = (record.attempt, record.stage)
+            quota = self._quotas.get(route)
+            if quota is None or quota.stage != key:
+                quota = Quota(key, min(record.share, MAX_JUDGED_SHARE))
+                self._quotas[route] = quota
+            chosen = quota.take(_in_share(record, request_id))
         return record.to_version if chosen else record.from_version
 
+    def valid_version(self, route: str, version: str) -> str:
+        """Returns the version to use now for a request that was given one."""
+        record = self._record_of(route)
+        if record is None:
+            return self._default(route)
+        usable = record.splits and not self.braked(record.attempt)
+        if version == record.to_version and usable:
+            return version
+        return record.from_version
+
+    def _record_of(self, route: str) -> MoveRecord | None:
+        return next((r for r in self.active() if r.route == route), None)
+
+    def _default(self, route: str) -> str:
+        cfg = self._process.view.config.routes.get(route)
+        default = (cfg.version if cfg is not None else None) or ""
+        return self._kept_version(route, default)
+
     def _kept_version(self, route: str, default: str) -> str:
         """Returns the old version if a move to the default was taken back.
 
--- a/cornelpin/tests/test_moves.py
+++ b/cornelpin/tests/test_moves.py
@@ -10,6 +10,7 @@
 from cornelpin.core.move_plan import Facts, next_record, ready_to_switch
 from cornelpin.core.move_state import MoveBook, MoveRecord, MoveState
 from cornelpin.core.observations import Comparison, Sample
+from cornelpin.daemon.move_view import Quota
 
 MOVE = Move(
     name="m",
@@ -122,3 +123,14 @@
     tally = compared.tallies()[0]
     assert tally.timed == 40
     assert (tally.slow > 0) is slow
+
+
+@pytest.mark.parametrize("share", [0.01, 0.05, 0.5])
+@pytest.mark.parametrize("seed", range(5))
+def test_new_version_never_gets_more_than_its_share(share, seed):
+    rng = random.Random(seed)
+    quota = Quota(("m-1", 0), share)
+    for seen in range(1, 2000):
+        quota.take(rng.random() < share)
+        assert quota.given <= share * seen + 1
+    assert quota.given >= 0.5 * share * 2000
