--- a/benchmarks/scenario_measures.py
+++ b/benchmarks/scenario_measures.py
@@ -99,3 +99,14 @@
 def _move_is(run: Run, arguments: Mapping[str, Any]) -> float:
     """Tells whether a move is in the given state, as 1 or 0."""
     return float(_move_row(run, arguments).get("state") == arguments["state"])
+
+
+@measure("config_number")
+def _config_number(run: Run, arguments: Mapping[str, Any]) -> float:
+    return run.testbed.config_number()
+
+
+@measure("ended_processes")
+def _ended_processes(run: Run, arguments: Mapping[str, Any]) -> float:
+    """Counts the processes that do not run."""
+    return sum(not process.running for process in run.testbed.processes.values())
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -20,6 +21,7 @@
 
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
+FRESH_S = 1.5
 
 
 @attrs.frozen
@@ -51,8 +53,8 @@
     if name not in ring:
         return {}
     start = ring.index(name)
-    distances = [1 << power for power in range(len(ring).bit_length())]
-    chosen = {ring[(start + d) % len(ring)] for d in distances if d < len(ring)}
+    distances = [1 << power for power in reversed(range(len(ring).bit_length()))]
+    chosen = [ring[(start + d) % len(ring)] for d in distances if d < len(ring)]
     return _endpoints(config, {n: config.entries[n] for n in chosen})
 
 
@@ -86,11 +88,25 @@
         state = self.state
         return self._peer is not None and state is not None and not state.leaving
 
+    @property
+    def fresh(self) -> bool:
+        """Whether the side was heard of so lately that it is surely not stopped."""
+        peer = self._peer
+        return peer is not None and time.monotonic() - peer.heard_at < FRESH_S
+
+    @property
+    def answers(self) -> bool:
+        """Whether the last ping of the session was answered."""
+        peer = self._peer
+        if peer is None:
+            return False
+        return peer.pinged_at is None or peer.heard_at >= peer.pinged_at
+
     @property
     def idle_slots(self) -> int:
         """Free slots as far as this entry knows, less its own direct grants."""
         state = self.state
-        if state is None or state.waiting:
+        if state is None or state.waiting or not self.fresh:
             return 0
         return state.free - self.direct
 
@@ -174,6 +190,12 @@
         with self._lock:
             return list(self._links.values())
 
+    def peer_of(self, name: str) -> Peer | None:
+        """Returns the session of a link by its name, if it is open."""
+        with self._lock:
+            link = self._links.get(name)
+        return link.peer if link is not None else None
+
     def of_servers(self, names: list[str] | tuple[str, ...]) -> list[Link]:
         """Returns the links to the given backend servers."""
         with self._lock:
