--- a/cornelpin/tests/test_moves.py
+++ b/cornelpin/tests/test_moves.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import random
+from types import SimpleNamespace
+from unittest import mock
 
 import attrs
 import pytest
@@ -10,7 +12,7 @@
 from cornelpin.core.move_plan import Facts, next_record, ready_to_switch
 from cornelpin.core.move_state import MoveBook, MoveRecord, MoveState
 from cornelpin.core.observations import Comparison, Sample
-from cornelpin.daemon.move_view import Quota
+from cornelpin.daemon.move_view import MoveView, Quota
 
 MOVE = Move(
     name="m",
@@ -134,3 +136,15 @@
         quota.take(rng.random() < share)
         assert quota.given <= share * seen + 1
     assert quota.given >= 0.5 * share * 2000
+
+
+def test_version_taken_back_is_not_served_after_a_late_switch():
+    route = SimpleNamespace(version="v2")
+    config = SimpleNamespace(routes={"furnace": route})
+    process = SimpleNamespace(view=SimpleNamespace(config=config), ring=mock.Mock())
+    view = MoveView(process, list)
+    taken_back = attrs.evolve(RECORD, state=MoveState.TAKEN_BACK)
+    view.publish(MoveBook(1, 1, {"m": taken_back}))
+    assert view.choose("furnace", "request") == "v1"
+    assert view.valid_version("furnace", "v2") == "v1"
+    assert view.refused("furnace", "v2")
