Allocate ports that no outgoing connection can take

Cause: a run of the experiment failed at its start, "address already in use": the allocator gave ports of the range 32768 to 60999, from which the system also takes the ports of outgoing connections, and let them go before the process bound them.

Ruled out: two runs of one process; the exit was at its first start.

Change: each allocator locks blocks of 100 ports below that range and hands out their ports. The experiment saves its rows after each cell.

No run long enough yet to show that it is gone.

--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -19,7 +19,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
-from typing import Any
 
 import attrs
 from attrs import define, field
@@ -65,6 +64,7 @@
 class Experiment:
     """What to run, and the rows so far."""
 
+    path: Path
     loads: tuple[float, ...]
     duration_s: float
     bounds_s: Mapping[str, float]
@@ -95,6 +95,11 @@
                 measure = partial(self._measure, described, planned)
                 list(pool.map(measure, cells))
 
+    def save(self) -> None:
+        """Writes the rows so far."""
+        rows = [attrs.asdict(row) for row in self.rows]
+        self.path.write_text(json.dumps(rows, indent=1))
+
     def _cell(self, described: Deployment, load: float, system: str) -> Cell:
         fault = self.fault.name if self.fault else ""
         return Cell(described.name, load, fault, system, self.seed)
@@ -117,6 +122,7 @@
         good = [r for r in evidence.records if is_good(r, self.bounds_s)]
         with self._lock:
             self.rows += rows
+            self.save()
             for record in good:
                 self.latencies.add(cell, record.tier, record.latency_s)
         testbed.remove_folder()
@@ -208,6 +214,7 @@
         for tier, bound_s in LATENCY_BOUND_S.items()
     }
     return Experiment(
+        path=BUILD_FOLDER / f"{arguments.name}.json",
         loads=tuple(arguments.load or LOADS),
         duration_s=arguments.duration_s or (QUICK_DURATION_S if quick else DURATION_S),
         bounds_s=bounds_s,
@@ -227,12 +234,9 @@
     BUILD_FOLDER.mkdir(exist_ok=True)
     for deployment in arguments.deployment or DEPLOYMENT_NAMES:
         experiment.run(deployment)
-        rows: list[dict[str, Any]] = [attrs.asdict(row) for row in experiment.rows]
-        path = BUILD_FOLDER / f"{arguments.name}.json"
-        path.write_text(json.dumps(rows, indent=1))
     page = BUILD_FOLDER / f"{arguments.name}.html"
     write_report(page, experiment.rows, experiment.latencies, experiment.bounds_s)
-    print(f"rows: {path}\nreport: {page}")
+    print(f"rows: {experiment.path}\nreport: {page}")
     return 0
 
 
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 from attrs import define, field
@@ -20,6 +22,9 @@
 KILL_TIMEOUT_S = 5.0
 POLL_INTERVAL_S = 0.02
 LOOPBACK = "127.0.0.1"
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
+PORTS_PER_BLOCK = 100
 
 
 class ProcessError(Exception):
@@ -141,21 +146,48 @@
 
 @define
 class PortAllocator:
-    """Hands out free loopback ports, each at most once."""
+    """Hands out loopback ports of blocks that no other allocator uses.
+
+    The blocks lie below the range from which the system takes the ports of outgoing
+    connections, so nothing else takes a port between its allocation and its use. The
+    first port of a block stays bound as a lock for the life of the allocator.
+    """
 
     address: str = LOOPBACK
-    given: set[int] = field(factory=set)
+    _locks: list[socket.socket] = field(factory=list)
+    _free: Iterator[int] = field(factory=lambda: iter(()))
 
     def allocate(self) -> int:
         """Returns a free port that was not given before."""
-        for _ in range(100):
-            with socket.socket() as sock:
-                sock.bind((self.address, 0))
-                port = int(sock.getsockname()[1])
-            if port not in self.given:
-                self.given.add(port)
-                return port
-        raise ProcessError("no free port found")
+        while True:
+            for port in self._free:
+                if self._is_free(port):
+                    return port
+            self._take_block()
+
+    def _take_block(self) -> None:
+        firsts = range(LOWEST_PORT, HIGHEST_PORT, PORTS_PER_BLOCK)
+        for first in random.sample(firsts, len(firsts)):
+            sock = socket.socket()
+            try:
+                sock.bind((self.address, first))
+            except OSError:
+                sock.close()
+                continue
+            self._locks.append(sock)
+            self._free = iter(range(first + 1, first + PORTS_PER_BLOCK))
+            return
+        raise ProcessError("no free block of ports")
+
+    def _is_free(self, port: int) -> bool:
+        with socket.socket() as sock:
+            # As servers do, so that a closed connection's wait does not count.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((self.address, port))
+            except OSError:
+                return False
+        return True
 
 
 def stop_all(processes: list[ManagedProcess]) -> None:
