--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -255,7 +255,8 @@
     """Takes the verdict of a problem document; an unknown one stays None."""
     if not isinstance(problem, dict):
         return
-    record.reason = str(problem.get("reason") or "")
+    # An error inside a stream names its reason as the type, as OpenAI's do.
+    record.reason = str(problem.get("reason") or problem.get("type") or "")
     verdict = problem.get("may_have_run")
     record.may_have_run = verdict if isinstance(verdict, bool) else None
 
