Quarantine contents that crash the backend servers that run them

Change: a side whose answer broke checks that its backend server still listens; if not, the fingerprints in flight become suspects everywhere (messages 50 to 53). A side whose backend server refuses connections starts nothing for half a second.

Ruled out: refusing after one crash (refuses the whole batch), counting crashes alone (condemns a batch that is sent again together).

Copies granted before the first crash has spread still cost a server each. The judgement of versions does not read suspicions.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := .venv/ready
 endif
 
-.PHONY: demo test lint format types clean scenarios experiment soak slopes
+.PHONY: bench demo test lint format types clean scenarios experiment soak slopes
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -32,6 +32,9 @@
 soak: $(READY)
 	$(PY) -m benchmarks.soak
 
+bench: $(READY)
+	$(PY) -m benchmarks.decisions
+
 lint: $(READY)
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -42,7 +42,13 @@
     """Returns the mean time of one placement in microseconds."""
     links = links_of(fleet)
     placements = [
-        Placement(_process(), Ticket(_request(i)), lambda route: links, _keep_version)
+        Placement(
+            _process(),
+            Ticket(_request(i)),
+            lambda route: links,
+            _keep_version,
+            lambda req: False,
+        )
         for i in range(DECISIONS)
     ]
     began = time.perf_counter()
--- a/benchmarks/scenario_measures.py
+++ b/benchmarks/scenario_measures.py
@@ -46,6 +46,13 @@
     return sum(record.may_have_run is True for record in _chosen(run, arguments))
 
 
+@measure("refused_as")
+def _refused_as(run: Run, arguments: Mapping[str, Any]) -> float:
+    """Counts the requests that were refused for a reason."""
+    records = _chosen(run, arguments)
+    return sum(record.reason == arguments["reason"] for record in records)
+
+
 @measure("errors")
 def _errors(run: Run, arguments: Mapping[str, Any]) -> float:
     return sum(bool(record.error) for record in _chosen(run, arguments))
--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -141,13 +141,19 @@
         if best is None and may_exceed:
             at_risk = (res for res in waiting if res.at_risk(now))
             best = min(at_risk, key=self._order_key, default=None)
-        if best is None:
-            return None
-        del self._waiting[best.request_id]
-        self._charge(best, best.cost)
+        return best and self.take_one(best)
+
+    def find(self, wanted: Callable[[Reservation], bool]) -> Reservation | None:
+        """Returns the first reservation that a predicate selects."""
+        return next(filter(wanted, self._waiting.values()), None)
+
+    def take_one(self, res: Reservation) -> Reservation:
+        """Removes a reservation that gets a slot."""
+        del self._waiting[res.request_id]
+        self._charge(res, res.cost)
         self._drain.count()
-        self._taken_at[self._order(best)] = now
-        return best
+        self._taken_at[self._order(res)] = self._clock()
+        return res
 
     def floor(self) -> int:
         """Returns the lowest shed order that may get a slot now.
--- /dev/null
+++ b/cornelpin/core/suspicion.py
@@ -0,0 +1,115 @@
+"""Suspicion of contents that were in flight when a backend server died.
+
+A content at its first crash is a suspect and runs alone until it has completed, which
+clears it. A suspect that ran alone at a second crash, or is the only suspect there, is
+quarantined. All of it expires, and the oldest is given up first.
+"""
+
+from __future__ import annotations
+
+import enum
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+SUSPECT_S = 600.0
+QUARANTINE_S = 3600.0
+MAX_CRASHES = 1_000
+MAX_CONTENTS = 10_000
+
+
+class Standing(enum.Enum):
+    """What is held against a content."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@attrs.frozen
+class _Record:
+    """Standing of one content and when it expires, in monotonic seconds."""
+
+    standing: Standing
+    expires: float
+
+
+class SuspicionTable:
+    """What this process knows of crashes, the same in whatever order it arrives."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._crashes: dict[str, float] = {}
+        self._records: dict[str, _Record] = {}
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Returns the standing of a content."""
+        record = self._records.get(fingerprint)
+        if record is None or record.expires < self._clock():
+            return Standing.CLEAR
+        return record.standing
+
+    def crash(self, crash_id: str, fingerprints: Sequence[str]) -> bool:
+        """Takes the contents in flight at a crash; returns whether it is new."""
+        with self._lock:
+            if crash_id in self._crashes:
+                return False
+            self._crashes[crash_id] = self._clock()
+            _give_up_oldest(self._crashes, MAX_CRASHES)
+            self._judge(fingerprints)
+            _give_up_oldest(self._records, MAX_CONTENTS)
+            return True
+
+    def _judge(self, fingerprints: Sequence[str]) -> None:
+        known = [f for f in fingerprints if self.standing(f) is Standing.SUSPECT]
+        if len(known) == 1:
+            self._set(known[0], Standing.QUARANTINED, QUARANTINE_S)
+            return
+        self._suspect(fingerprints)
+
+    def suspect(self, fingerprints: Sequence[str]) -> None:
+        """Takes the suspects of another process, without a crash of their own."""
+        with self._lock:
+            self._suspect(fingerprints)
+            _give_up_oldest(self._records, MAX_CONTENTS)
+
+    def _suspect(self, fingerprints: Sequence[str]) -> None:
+        for fingerprint in fingerprints:
+            if self.standing(fingerprint) is Standing.CLEAR:
+                self._set(fingerprint, Standing.SUSPECT, SUSPECT_S)
+
+    def quarantine(self, fingerprint: str) -> bool:
+        """Takes another process's finding; returns whether it is new."""
+        with self._lock:
+            if self.standing(fingerprint) is Standing.QUARANTINED:
+                return False
+            self._set(fingerprint, Standing.QUARANTINED, QUARANTINE_S)
+            return True
+
+    def clear(self, fingerprint: str) -> bool:
+        """Clears a suspect that has completed; returns whether it was one."""
+        with self._lock:
+            if self.standing(fingerprint) is not Standing.SUSPECT:
+                return False
+            del self._records[fingerprint]
+            return True
+
+    def all(self, standing: Standing) -> list[str]:
+        """Returns the contents with a standing."""
+        with self._lock:
+            return [f for f in self._records if self.standing(f) is standing]
+
+    def _set(self, fingerprint: str, standing: Standing, keep_s: float) -> None:
+        self._records.pop(fingerprint, None)
+        self._records[fingerprint] = _Record(standing, self._clock() + keep_s)
+
+
+def _give_up_oldest(table: dict[str, object] | dict, limit: int) -> None:
+    while len(table) > limit:
+        del table[next(iter(table))]
--- a/cornelpin/daemon/admission.py
+++ b/cornelpin/daemon/admission.py
@@ -19,9 +19,11 @@
     from cornelpin.daemon.messages import Grant
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.runs import RunTable
+    from cornelpin.daemon.suspects import Suspects
 
 ASK_TIMEOUT_S = 2.0
 URGENT_SLOTS = 1
+UNREACHABLE_PAUSE_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -54,8 +56,11 @@
 class Admission:
     """Decides under one lock what may start on the backend server."""
 
-    def __init__(self, slots: int, runs: RunTable) -> None:
+    def __init__(self, slots: int, runs: RunTable, suspects: Suspects) -> None:
         self._runs = runs
+        self._suspects = suspects
+        self._alone = False
+        self._paused_until = 0.0
         self._cond = threading.Condition()
         self._queue = ReservationQueue()
         self._slots = SlotTable(slots)
@@ -133,6 +138,11 @@
                 self._asked.pop(request_id).release()
             self._cond.notify_all()
 
+    def pause(self) -> None:
+        """Starts nothing for a while: the backend server cannot be reached."""
+        with self._cond:
+            self._paused_until = time.monotonic() + UNREACHABLE_PAUSE_S
+
     # Reservations and slots
 
     def reserve(self, res: Reservation) -> list[Reservation]:
@@ -196,28 +206,56 @@
         if self._sessions.get(peer.name) is not peer:
             return None
         if self._take_asked(peer, grant.request_id) is not None:
-            return self._slots.acquire(grant.tier)
-        if not grant.direct or self._closed or len(self._queue):
+            return self._acquire(grant.tier, grant.fingerprint)
+        if not grant.direct or self._closed or len(self._queue) or self._is_held():
+            return None
+        if self._slots.used and self._suspects.is_suspect(grant.fingerprint):
             return None
         policy = self._queue.policy(grant.tier)
         if policy.shed_order < self._queue.floor():
             return None
         if not self._slots.allows(grant.tier, policy.slot_share):
             return None
-        return self._slots.acquire(grant.tier)
+        return self._acquire(grant.tier, grant.fingerprint)
+
+    def _is_held(self) -> bool:
+        """Whether nothing may start beside what runs, or at all for a while."""
+        return self._alone or time.monotonic() < self._paused_until
+
+    def _acquire(self, tier: str, fingerprint: str) -> Callable[[], None]:
+        """Takes a slot; a suspected content keeps the others out."""
+        release = self._slots.acquire(tier)
+        if not self._suspects.is_suspect(fingerprint):
+            return release
+        self._alone = True
+
+        def release_alone() -> None:
+            self._alone = False
+            release()
+
+        return release_alone
+
+    def _take(self) -> Reservation | None:
+        suspect = self._queue.find(
+            lambda res: self._suspects.is_suspect(res.fingerprint)
+        )
+        if suspect is not None:
+            # The backend server drains first, then the suspect runs alone.
+            return None if self._slots.used else self._queue.take_one(suspect)
+        spare = self._slots.free > min(URGENT_SLOTS, self._slots.total - 1)
+        return self._queue.take(self._startable, may_exceed=spare)
 
     def next_asked(self, timeout_s: float) -> Reservation | None:
         """Takes the reservation that goes first and holds a slot for it."""
         with self._cond:
-            if self._slots.free == 0:
+            if self._slots.free == 0 or self._is_held():
                 self._cond.wait(timeout_s)
                 return None
-            spare = self._slots.free > min(URGENT_SLOTS, self._slots.total - 1)
-            res = self._queue.take(self._startable, may_exceed=spare)
+            res = self._take()
             if res is None:
                 self._cond.wait(timeout_s)
                 return None
-            release = self._slots.acquire(res.tier)
+            release = self._acquire(res.tier, res.fingerprint)
             self._asked[res.request_id] = _Asked(res, release, time.monotonic())
             return res
 
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.core.tickets import Request, Ticket
-from cornelpin.daemon.exchange import Exchange
+from cornelpin.core.verdict import Reason, Refusal
+from cornelpin.daemon.exchange import QUARANTINE_DETAIL, Exchange
 from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun, Withdraw
 from cornelpin.daemon.placement import grant_message
 from cornelpin.daemon.ticket_table import TicketLimits, TicketTable
@@ -15,6 +16,7 @@
     from cornelpin.daemon.move_view import MoveView
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
+    from cornelpin.daemon.suspects import Suspects
 
 __all__ = ["Dispatcher", "Exchange"]
 
@@ -27,6 +29,7 @@
         self.links = links
         self.tickets = TicketTable(TicketLimits(limit), self._shed_orders)
         self.moves: MoveView | None = None
+        self.suspects: Suspects | None = None
         self._candidates: dict[str, tuple[tuple[int, int], list[Link]]] = {}
 
     def on_message(self, link: Link, peer: Peer, msg: Any) -> bool:
@@ -66,6 +69,8 @@
         Raises:
             Refusal: If the entry cannot hold the request.
         """
+        if self.suspects is not None and self.suspects.is_quarantined(req.fingerprint):
+            raise Refusal(Reason.QUARANTINED, detail=QUARANTINE_DETAIL)
         ticket = Ticket(req)
         ticket.version = version
         self.tickets.admit(ticket)
@@ -86,6 +91,10 @@
         tiers = self._process.view.config.tiers
         return {name: tier.shed_order for name, tier in tiers.items()}
 
+    def runs_alone(self, req: Request) -> bool:
+        """Whether a request's content is suspected of crashing backend servers."""
+        return self.suspects is not None and self.suspects.is_suspect(req.fingerprint)
+
     def candidates(self, route: str) -> list[Link]:
         """Returns the links to the backend servers of a route.
 
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -37,6 +37,7 @@
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.spread import ConfigSpread
 from cornelpin.daemon.supervisor import every
+from cornelpin.daemon.suspects import Suspects
 from cornelpin.daemon.watcher import ConfigWatcher
 from cornelpin.platform import object_store
 
@@ -102,6 +103,8 @@
         self._census = Census(
             process, own_rows=self._own_rows, neighbour=self._neighbours.peer_of
         )
+        self._suspects = Suspects(process, self._peers)
+        self._dispatcher.suspects = self._suspects
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
         self._inbound: set[Peer] = set()
         self._states: dict[str, tuple[str, Heartbeat]] = {}
@@ -164,6 +167,7 @@
 
     def _greet(self, peer: Peer) -> None:
         self._spread.greet(peer)
+        self._suspects.greet(peer)
         self._moves.view.greet(peer)
 
     def _on_message(self, link: Link, peer: Peer, msg: Any) -> None:
@@ -224,6 +228,8 @@
                 self._census.on_ask(peer, msg)
             case CensusReply():
                 self._census.on_reply(msg)
+            case _ if self._suspects.handle(msg):
+                pass
             case _ if not self._moves.handle(peer, msg, link):
                 self._spread.handle(peer, msg)
 
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -31,6 +31,7 @@
 POLL_S = 0.25
 RESUME_TIMEOUT_S = 6.0
 SERVICE_TRIES = 3
+QUARANTINE_DETAIL = "this content crashed the backend servers that ran it"
 MAX_RETRY_AFTER_S = 30.0
 
 
@@ -51,7 +52,11 @@
         self._check_at = time.monotonic() + POLL_S
         self._times = RequestTimes(process.meters, self._req.tier)
         self._placement = Placement(
-            process, ticket, dispatcher.candidates, dispatcher.choose_version
+            process,
+            ticket,
+            dispatcher.candidates,
+            dispatcher.choose_version,
+            dispatcher.runs_alone,
         )
         self.caller_gone: Callable[[], bool] = lambda: False
 
@@ -156,7 +161,9 @@
     def _on_not_run(self, msg: NotRun, link: Link) -> None:
         """The side surely did not run the request; it may go elsewhere."""
         if msg.attempt:
-            self._ticket.take_back(link, msg.attempt)
+            taken_back = self._ticket.take_back(link, msg.attempt)
+            if taken_back and msg.reason == Reason.QUARANTINED.value:
+                raise self._refusal(Reason.QUARANTINED, QUARANTINE_DETAIL)
             self._place()
             return
         self._ticket.release(link)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cornelpin.core.tickets import Ticket
+    from cornelpin.core.tickets import Request, Ticket
     from cornelpin.daemon.links import Link
     from cornelpin.daemon.process import Process
 
@@ -33,12 +33,14 @@
         ticket: Ticket,
         candidates: Callable[[str], list[Link]],
         choose_version: Callable[[Ticket, list[Link]], None],
+        runs_alone: Callable[[Request], bool],
     ) -> None:
         self._process = process
         self._ticket = ticket
         self._req = ticket.req
         self._candidates = candidates
         self._choose_version = choose_version
+        self._runs_alone = runs_alone
         self.shed_by: set[Link] = set()
         self.wait_until = time.monotonic() + ticket.req.max_wait_s
 
@@ -53,9 +55,11 @@
         self._choose_version(self._ticket, usable)
         version = self._ticket.version
         usable = [link for link in usable if not link.lacks_version(version)]
-        if direct and self._grant_direct(usable):
+        alone = self._runs_alone(self._req)
+        if direct and not alone and self._grant_direct(usable):
             return
         wanted = len(usable) if self._at_risk() else RESERVATIONS
+        wanted = 1 if alone else wanted
         room = wanted - len(self._ticket.reserved())
         free = [link for link in usable if link not in self._ticket.reserved()]
         free.sort(key=lambda link: (_load(link), random.random()))
--- a/cornelpin/daemon/runner.py
+++ b/cornelpin/daemon/runner.py
@@ -41,11 +41,13 @@
         *,
         slots: int,
         on_end: Callable[[Run, RunEnd], None],
+        before_end: Callable[[Run, RunEnd], None] = lambda run, end: None,
     ) -> None:
         self.runs = RunTable()
         self._backend = backend
         self._ring = ring
         self._on_end = on_end
+        self.before_end = before_end
         self._executor = ThreadPoolExecutor(
             slots + EXTRA_RUN_THREADS, thread_name_prefix="run"
         )
@@ -75,6 +77,8 @@
         except Exception as exc:
             logger.exception("run {} failed", run.request_id)
             end = RunEnd(FAILED, f"{type(exc).__name__}: {exc}")
+        try:
+            self.before_end(run, end)
         finally:
             release()
         self._finish(run, end)
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -14,6 +14,7 @@
 from cornelpin.core.verdict import Reason
 from cornelpin.daemon.admission import Admission, Duplicate, Refused, Started
 from cornelpin.daemon.announcer import TICK_S, Announcer
+from cornelpin.daemon.crashes import CrashWatch
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.messages import (
     Ask,
@@ -33,6 +34,7 @@
 from cornelpin.daemon.side_moves import REPORT_S, SideMoves
 from cornelpin.daemon.spread import ConfigSpread
 from cornelpin.daemon.supervisor import every
+from cornelpin.daemon.suspects import Suspects
 
 if TYPE_CHECKING:
     from cornelpin.backends import RunEnd
@@ -64,7 +66,10 @@
             on_end=self._on_end,
         )
         self._runs = self._runner.runs
-        self._admission = Admission(backend_cfg.slots, self._runs)
+        self._suspects = Suspects(process, self._peers)
+        self._admission = Admission(backend_cfg.slots, self._runs, self._suspects)
+        self._crashes = CrashWatch(backend_cfg.url, self._runs, self._suspects)
+        self._runner.before_end = self._before_end
         self._versions: list[str] = []
         self._token_s = 0.0
         self._announcer = Announcer(self._state, self._admission.peers)
@@ -157,6 +162,7 @@
         peer.send(self._state())
         self.spread.opened(peer)
         self._moves.view.greet(peer)
+        self._suspects.greet(peer)
 
     def _close(self, peer: Peer) -> None:
         peer.close()
@@ -188,7 +194,9 @@
             case Heartbeat():
                 peer.send(self._state())
                 self.spread.hear(peer, msg.number)
-            case _ if not self._moves.handle(peer, msg):
+            case _ if not self._suspects.handle(msg) and not self._moves.handle(
+                peer, msg
+            ):
                 self.spread.handle(peer, msg)
 
     # Reservations and grants
@@ -216,6 +224,10 @@
             detail = f"version {grant.version} is not served here"
             self._refuse_grant(peer, grant, Reason.NO_SERVER, detail)
             return
+        if self._suspects.is_quarantined(grant.fingerprint):
+            self._admission.gone(peer, grant.request_id)
+            self._refuse_grant(peer, grant, Reason.QUARANTINED, "crashes servers")
+            return
         match self._admission.start(peer, grant):
             case Started(run, release):
                 self._runner.start(run, release)
@@ -291,6 +303,14 @@
             drain_per_s=self._admission.drain_per_s,
         )
 
+    def _peers(self) -> list[Peer]:
+        return self._admission.peers()
+
+    def _before_end(self, run: Run, end: RunEnd) -> None:
+        if end.unreachable:
+            self._admission.pause()
+        self._crashes.observe(run, end)
+
     def _on_end(self, run: Run, end: RunEnd) -> None:
         self._moves.observe(run, end)
         if not len(self._admission):
--- /dev/null
+++ b/cornelpin/daemon/suspect_messages.py
@@ -0,0 +1,49 @@
+"""Messages about contents that were in flight when a backend server died."""
+
+from __future__ import annotations
+
+import attrs
+
+from cornelpin.daemon._codec import message
+
+
+@message(50)
+@attrs.frozen
+class Crash:
+    """A backend server died with these contents in flight.
+
+    Attributes:
+        crash_id: Random id of the crash.
+        fingerprints: Digests of the contents.
+    """
+
+    crash_id: str
+    fingerprints: list[str]
+
+
+@message(51)
+@attrs.frozen
+class Cleared:
+    """A suspected content has completed."""
+
+    fingerprint: str
+
+
+@message(53)
+@attrs.frozen
+class Suspected:
+    """What a new peer needs to know of earlier crashes.
+
+    Attributes:
+        fingerprints: Digests of the contents that have to run alone.
+    """
+
+    fingerprints: list[str]
+
+
+@message(52)
+@attrs.frozen
+class Quarantined:
+    """A content is refused from here on."""
+
+    fingerprint: str
--- /dev/null
+++ b/cornelpin/tests/test_suspicion.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+import pytest
+
+from cornelpin.core.suspicion import QUARANTINE_S, SUSPECT_S, Standing, SuspicionTable
+
+
+class Clock:
+    now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.mark.parametrize(
+    ("steps", "suspects", "quarantined"),
+    [
+        ([("crash", "pa")], "pa", ""),
+        ([("crash", "p"), ("crash", "p")], "", "p"),
+        ([("crash", "pa"), ("clear", "a"), ("crash", "p")], "", "p"),
+        ([("crash", "pa"), ("crash", "pb")], "a", "p"),
+        ([("crash", "pa"), ("crash", "pa"), ("crash", "p")], "a", "p"),
+        ([("crash", "pa"), ("clear", "p")], "a", ""),
+        ([("crash", "p"), ("crash", "p"), ("clear", "p")], "", "p"),
+        ([("suspect", "p"), ("suspect", "p")], "p", ""),
+        ([("suspect", "p"), ("crash", "p")], "", "p"),
+        ([("crash", "p"), ("expire", SUSPECT_S), ("crash", "p")], "p", ""),
+        ([("crash", "p"), ("crash", "p"), ("expire", QUARANTINE_S)], "", ""),
+    ],
+)
+def test_who_is_suspected_and_quarantined(steps, suspects, quarantined):
+    clock = Clock()
+    table = SuspicionTable(clock)
+    for number, (step, value) in enumerate(steps):
+        match step:
+            case "crash":
+                assert table.crash(str(number), list(value))
+            case "clear":
+                table.clear(value)
+            case "suspect":
+                table.suspect(list(value))
+            case "expire":
+                clock.now += value + 1
+    assert sorted(table.all(Standing.SUSPECT)) == sorted(suspects)
+    assert sorted(table.all(Standing.QUARANTINED)) == sorted(quarantined)
+
+
+def test_a_crash_counts_once_however_often_it_is_told():
+    table = SuspicionTable(Clock())
+    assert table.crash("1", ["p"])
+    assert not table.crash("1", ["p"])
+    assert table.standing("p") is Standing.SUSPECT
--- a/properties/test_dispatch.py
+++ b/properties/test_dispatch.py
@@ -113,7 +113,8 @@
         self.side = Side(fake_process(self.name, f"{self.name}-{self.lives}"))
         self.side._runner = HeldRunner(self)
         self.side._runs = self.side._runner.runs
-        self.side._admission = Admission(1, self.side._runs)
+        self.side._admission = Admission(1, self.side._runs, self.side._suspects)
+        self.side._runner.before_end = lambda run, end: None
 
     @property
     def held(self):
