--- a/benchmarks/scenario_steps.py
+++ b/benchmarks/scenario_steps.py
@@ -27,6 +27,7 @@
 DEFAULT_WAIT_S = 10.0
 OK = 200
 MULTIPLE_CHOICES = 300
+DEFAULT_MAX_BAD_SHARE = 0.1
 CONFLICT = 409
 
 # Processes
@@ -95,6 +96,21 @@
     run.testbed.patch(dict(arguments["patch"]))
 
 
+@step("move")
+def _move(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Submits a move of the model route."""
+    move = {
+        "route": run.testbed.described.model_route,
+        "from_version": arguments["from"],
+        "to_version": arguments["to"],
+        "finish_by": time.time() + arguments["within_s"],
+        "stages": arguments["stages"],
+        "stage_s": arguments["stage_s"],
+        "max_bad_share": arguments.get("max_bad_share", DEFAULT_MAX_BAD_SHARE),
+    }
+    run.testbed.patch({"moves": {arguments["name"]: move}})
+
+
 @step("race")
 def _race(run: Run, arguments: Mapping[str, Any]) -> None:
     """Submits patches on one number at once; just one of them may be accepted."""
