Enforce workspace limits over all entries, and serve tiers until a shed is near

Limits: requests_per_s, tokens_per_s and concurrent were read and never enforced. Each live entry now enforces an equal share, without a call to the object API.

So early refusal is taken out, those at risk go first above the floor again, and the floor begins in the last 30 % of the wait, at most 4 s.

--- a/cornelpin/core/drain.py
+++ b/cornelpin/core/drain.py
@@ -9,7 +9,6 @@
     from collections.abc import Callable
 
 WINDOW_S = 4.0
-SETTLED_COUNT = 8
 
 
 class DrainMeter:
@@ -28,13 +27,6 @@
         self._forget()
         return len(self._departures) / WINDOW_S
 
-    def settled_per_s(self) -> float | None:
-        """Returns the rate, or None where too few departures tell it."""
-        self._forget()
-        if len(self._departures) < SETTLED_COUNT:
-            return None
-        return len(self._departures) / WINDOW_S
-
     def _forget(self) -> None:
         oldest = self._clock() - WINDOW_S
         while self._departures and self._departures[0] < oldest:
--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -19,14 +19,19 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-AT_RISK_SHARE = 0.7
+AT_RISK_SHARE = 0.3
+AT_RISK_MOST_S = 4.0
 DEFAULT_CAPACITY = 2000
 FLOOR_HOLD_S = 1.5
 SHED_MARGIN_S = 0.75
-EARLY_MARGIN = 1.5
 LOWEST_ORDER = -(2**31)
 
 
+def risk_window_s(wait_s: float) -> float:
+    """Returns how long before the end of its wait a request is at risk."""
+    return min(AT_RISK_SHARE * wait_s, AT_RISK_MOST_S)
+
+
 @attrs.frozen
 class TierPolicy:
     """The part of a tier's configuration that orders reservations.
@@ -71,8 +76,8 @@
     fingerprint: str = ""
 
     def at_risk(self, now: float) -> bool:
-        """Whether much of the allowed waiting time is spent."""
-        return now - self.placed > AT_RISK_SHARE * self.wait_s
+        """Whether little of the allowed waiting time is left."""
+        return self.placed + self.wait_s - now < risk_window_s(self.wait_s)
 
 
 class ReservationQueue:
@@ -93,7 +98,6 @@
         self._drain = DrainMeter(clock)
         self._shed_floor = LOWEST_ORDER
         self._shed_until = 0.0
-        self._taken_at: dict[int, float] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -114,8 +118,6 @@
             The reservations shed to keep the queue and the share of each tier
             within their capacity; they may include the new one.
         """
-        if self._cannot_be_served(res):
-            return self._shed([res])
         self._join(res.workspace)
         self._waiting[res.request_id] = res
         shed = self._over_share(res.tier)
@@ -152,7 +154,6 @@
         del self._waiting[res.request_id]
         self._charge(res, res.cost)
         self._drain.count()
-        self._taken_at[self._order(res)] = self._clock()
         return res
 
     def floor(self) -> int:
@@ -225,35 +226,14 @@
             self._shed_until = now + FLOOR_HOLD_S
         return reservations
 
-    def _cannot_be_served(self, res: Reservation) -> bool:
-        """Whether a reservation would expire, judged by the queue's drain rate.
-
-        Only the tiers that are shed first are refused like this: not while one
-        below them waits or was served a moment ago.
-        """
-        now = self._clock()
-        order = self._order(res)
-        waits_below = any(self._order(r) < order for r in self._waiting.values())
-        served_below = any(
-            below < order and now - at < FLOOR_HOLD_S
-            for below, at in self._taken_at.items()
-        )
-        rate = self._drain.settled_per_s()
-        if waits_below or served_below or rate is None:
-            return False
-        urgency = self.policy(res.tier).urgency
-        ahead = sum(
-            self.policy(r.tier).urgency <= urgency for r in self._waiting.values()
-        )
-        return ahead > EARLY_MARGIN * rate * res.wait_s
-
     def _order(self, res: Reservation) -> int:
         return self.policy(res.tier).shed_order
 
     def _order_key(self, res: Reservation) -> tuple:
         policy = self.policy(res.tier)
         served = self._served.get(res.workspace, 0.0)
-        return (policy.urgency, -policy.shed_order, served, res.placed)
+        fresh = not res.at_risk(self._clock())
+        return (fresh, policy.urgency, -policy.shed_order, served, res.placed)
 
     def _shed_key(self, res: Reservation) -> tuple:
         return (self.policy(res.tier).shed_order, -res.placed)
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+from cornelpin.core.config import Limits
+from cornelpin.core.limits import EntryShare, RateLimiter
 from cornelpin.core.tickets import Request, Ticket
 from cornelpin.core.verdict import Reason, Refusal
 from cornelpin.daemon.exchange import QUARANTINE_DETAIL, Exchange
@@ -12,6 +14,8 @@
 from cornelpin.daemon.ticket_table import TicketLimits, TicketTable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornelpin.daemon.links import Link, LinkTable
     from cornelpin.daemon.move_view import MoveView
     from cornelpin.daemon.peer import Peer
@@ -30,6 +34,8 @@
         self.tickets = TicketTable(TicketLimits(limit), self._shed_orders)
         self.moves: MoveView | None = None
         self.suspects: Suspects | None = None
+        self.entry_share: Callable[[], EntryShare] = EntryShare
+        self._rates = RateLimiter()
         self._candidates: dict[str, tuple[tuple[int, int], list[Link]]] = {}
 
     def on_message(self, link: Link, peer: Peer, msg: Any) -> bool:
@@ -71,14 +77,24 @@
         """
         if self.suspects is not None and self.suspects.is_quarantined(req.fingerprint):
             raise Refusal(Reason.QUARANTINED, detail=QUARANTINE_DETAIL)
+        limits = self._limits_of(req)
+        share = self.entry_share()
+        self._rates.admit(req.workspace, limits, share, req.cost)
         ticket = Ticket(req)
         ticket.version = version
         if self.moves is not None and req.kind == "model":
             ticket.version = self.moves.choose(req.route, req.request_id)
-        self.tickets.admit(ticket)
+        concurrent = limits.concurrent
+        if concurrent is not None:
+            concurrent = share.of_count(concurrent)
+        self.tickets.admit(ticket, concurrent)
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
+    def _limits_of(self, req: Request) -> Limits:
+        workspace = self._process.view.config.workspaces.get(req.workspace)
+        return workspace.limits if workspace is not None else Limits()
+
     def choose_version(self, ticket: Ticket, links: list[Link]) -> None:
         """Falls back from a version that may not be used at the links any more."""
         if self.moves is None or ticket.req.kind != "model":
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -10,6 +10,7 @@
 
 from cornelpin.core.configstore import Accepted, ConfigStore
 from cornelpin.core.events import Event, merge_events
+from cornelpin.core.limits import EntryShare, entry_share
 from cornelpin.daemon import readiness
 from cornelpin.daemon.census import (
     Census,
@@ -121,6 +122,7 @@
         )
         self._suspects = Suspects(process, self._peers)
         self._dispatcher.suspects = self._suspects
+        self._dispatcher.entry_share = self._entry_share
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
         self._inbound: set[Peer] = set()
         self._states: dict[str, tuple[str, Heartbeat]] = {}
@@ -176,6 +178,12 @@
 
     # Peers
 
+    def _entry_share(self) -> EntryShare:
+        """Returns this entry's share of the workspaces' limits."""
+        lost = [link.name for link in self._neighbours.all() if link.peer is None]
+        entries = self.process.view.config.entries
+        return entry_share(self.process.settings.name, entries, lost)
+
     def _peers(self) -> list[Peer]:
         with self._lock:
             inbound = list(self._inbound)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from cornelpin.core.reservations import AT_RISK_SHARE
+from cornelpin.core.reservations import risk_window_s
 from cornelpin.daemon.messages import Grant, Reserve
 from cornelpin.daemon.ticket_table import Lost
 
@@ -70,7 +70,7 @@
     def _at_risk(self) -> bool:
         """Whether the request asks every side, ahead of tiers that are shed first."""
         left_s = self.wait_until - time.monotonic()
-        return left_s < (1.0 - AT_RISK_SHARE) * self._req.max_wait_s
+        return left_s < risk_window_s(self._req.max_wait_s)
 
     def _grant_direct(self, links: list[Link]) -> bool:
         idle = [link for link in links if link.idle_slots > 0]
--- a/cornelpin/daemon/ticket_table.py
+++ b/cornelpin/daemon/ticket_table.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import collections
 import threading
 from typing import TYPE_CHECKING
 
 import attrs
 
+from cornelpin.core.limits import over_limit
 from cornelpin.core.verdict import Reason, Refusal
 
 if TYPE_CHECKING:
@@ -53,22 +55,31 @@
         self._lock = threading.Lock()
         self._tickets: dict[str, Ticket] = {}
         self._body_bytes = 0
+        self._by_workspace: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
         return len(self._tickets)
 
-    def admit(self, ticket: Ticket) -> None:
+    def admit(self, ticket: Ticket, concurrent: int | None = None) -> None:
         """Adds a ticket, evicting waiting ones of lower tiers if need be.
 
+        Args:
+            ticket: The ticket.
+            concurrent: Most tickets that its workspace may have here.
+
         Raises:
             Refusal: If what is held is too much and no lower tier's request waits.
         """
         orders = self._shed_orders()
+        workspace = ticket.req.workspace
         with self._lock:
+            if concurrent is not None and self._by_workspace[workspace] >= concurrent:
+                raise over_limit(workspace, DEFAULT_RETRY_AFTER_S)
             while not self._fits(ticket, orders):
                 self._make_room(ticket, orders)
             self._tickets[ticket.req.request_id] = ticket
             self._body_bytes += len(ticket.req.body)
+            self._by_workspace[workspace] += 1
 
     def _fits(self, ticket: Ticket, orders: Mapping[str, int]) -> bool:
         """Whether a ticket leaves the headroom that is kept for higher tiers."""
@@ -103,6 +114,7 @@
         ticket = self._tickets.pop(request_id, None)
         if ticket is not None:
             self._body_bytes -= len(ticket.req.body)
+            self._by_workspace[ticket.req.workspace] -= 1
 
     def find(self, request_id: str) -> Ticket | None:
         """Returns a ticket by request id."""
