--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 from attrs import define, field
@@ -23,7 +24,7 @@
 LOOPBACK = "127.0.0.1"
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 32_000
-MAX_PORT_TRIES = 1000
+PORTS_PER_BLOCK = 100
 
 
 class ProcessError(Exception):
@@ -145,26 +146,42 @@
 
 @define
 class PortAllocator:
-    """Hands out free loopback ports, each at most once."""
+    """Hands out loopback ports of blocks that no other allocator uses.
+
+    The blocks lie below the range from which the system takes the ports of outgoing
+    connections, so nothing else takes a port between its allocation and its use. The
+    first port of a block stays bound as a lock for the life of the allocator.
+    """
 
     address: str = LOOPBACK
-    given: set[int] = field(factory=set)
+    _locks: list[socket.socket] = field(factory=list)
+    _free: Iterator[int] = field(factory=lambda: iter(()))
 
     def allocate(self) -> int:
-        """Returns a free port that was not given before.
-
-        It is none that the kernel gives to outgoing connections, which could take
-        it before the process that it is meant for has started.
-        """
-        for _ in range(MAX_PORT_TRIES):
-            port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
-            if port not in self.given and self._is_free(port):
-                self.given.add(port)
-                return port
-        raise ProcessError("no free port found")
+        """Returns a free port that was not given before."""
+        while True:
+            for port in self._free:
+                if self._is_free(port):
+                    return port
+            self._take_block()
+
+    def _take_block(self) -> None:
+        firsts = range(LOWEST_PORT, HIGHEST_PORT, PORTS_PER_BLOCK)
+        for first in random.sample(firsts, len(firsts)):
+            sock = socket.socket()
+            try:
+                sock.bind((self.address, first))
+            except OSError:
+                sock.close()
+                continue
+            self._locks.append(sock)
+            self._free = iter(range(first + 1, first + PORTS_PER_BLOCK))
+            return
+        raise ProcessError("no free block of ports")
 
     def _is_free(self, port: int) -> bool:
         with socket.socket() as sock:
+            # As servers do, so that a closed connection's wait does not count.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 sock.bind((self.address, port))
