--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -6,14 +6,14 @@
 import time
 from typing import TYPE_CHECKING
 
-from cornelpin.core.reservations import AT_RISK_SHARE
+from cornelpin.core.reservations import risk_window_s
 from cornelpin.daemon.messages import Grant, Reserve
 from cornelpin.daemon.ticket_table import Lost
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cornelpin.core.tickets import Ticket
+    from cornelpin.core.tickets import Request, Ticket
     from cornelpin.daemon.links import Link
     from cornelpin.daemon.process import Process
 
@@ -33,12 +33,14 @@
         ticket: Ticket,
         candidates: Callable[[str], list[Link]],
         choose_version: Callable[[Ticket, list[Link]], None],
+        runs_alone: Callable[[Request], bool],
     ) -> None:
         self._process = process
         self._ticket = ticket
         self._req = ticket.req
         self._candidates = candidates
         self._choose_version = choose_version
+        self._runs_alone = runs_alone
         self.shed_by: set[Link] = set()
         self.wait_until = time.monotonic() + ticket.req.max_wait_s
 
@@ -53,9 +55,11 @@
         self._choose_version(self._ticket, usable)
         version = self._ticket.version
         usable = [link for link in usable if not link.lacks_version(version)]
-        if direct and self._grant_direct(usable):
+        alone = self._runs_alone(self._req)
+        if direct and not alone and self._grant_direct(usable):
             return
         wanted = len(usable) if self._at_risk() else RESERVATIONS
+        wanted = 1 if alone else wanted
         room = wanted - len(self._ticket.reserved())
         free = [link for link in usable if link not in self._ticket.reserved()]
         free.sort(key=lambda link: (_load(link), random.random()))
@@ -66,7 +70,7 @@
     def _at_risk(self) -> bool:
         """Whether the request asks every side, ahead of tiers that are shed first."""
         left_s = self.wait_until - time.monotonic()
-        return left_s < (1.0 - AT_RISK_SHARE) * self._req.max_wait_s
+        return left_s < risk_window_s(self._req.max_wait_s)
 
     def _grant_direct(self, links: list[Link]) -> bool:
         idle = [link for link in links if link.idle_slots > 0]
