--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -15,6 +15,7 @@
 from cornelpin.daemon.links import Endpoint, Link
 from cornelpin.daemon.messages import Heartbeat
 from cornelpin.daemon.placement import Placement
+from cornelpin.daemon.preferences import Preferences
 
 FLEETS = (10, 100, 1_000, 5_000)
 DATA_CENTRES = 3
@@ -41,6 +42,7 @@
 def placement_us(fleet: int) -> float:
     """Returns the mean time of one placement in microseconds."""
     links = links_of(fleet)
+    preferences = Preferences()
     placements = [
         Placement(
             _process(),
@@ -48,6 +50,7 @@
             lambda route: links,
             _keep_version,
             lambda req: False,
+            preferences,
         )
         for i in range(DECISIONS)
     ]
--- /dev/null
+++ b/cornelpin/core/affinity.py
@@ -0,0 +1,82 @@
+"""Prefix affinity: which backend servers hold the prefix of a prompt.
+
+Engines publish their cache events late and with gaps, so an entry goes by its own
+grants: whoever got a prompt last holds its prefix. For a prefix it has not seen it
+falls back on rendezvous hashing, so that entries agree without a message.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+import threading
+from typing import TYPE_CHECKING
+
+from cornelpin.core.choice import weight
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+BLOCK_BYTES = 256
+MAX_BLOCKS = 32
+DIGEST_BYTES = 12
+MAX_DIGESTS = 20_000
+HOLDERS = 2
+
+
+def prefix_digests(workspace: str, text: bytes) -> tuple[str, ...]:
+    """Returns chained digests of a prompt's leading blocks, shortest first.
+
+    Digests are bound to the workspace, so that nobody learns of another's prompts
+    from where a request runs.
+    """
+    blocks = min(MAX_BLOCKS, len(text) // BLOCK_BYTES)
+    digests = []
+    state = workspace.encode()
+    for index in range(blocks):
+        block = text[index * BLOCK_BYTES : (index + 1) * BLOCK_BYTES]
+        state = hashlib.blake2b(state + block, digest_size=DIGEST_BYTES).digest()
+        digests.append(state.hex())
+    return tuple(digests)
+
+
+class PrefixTable:
+    """The backend servers that were granted each prefix last, bounded by count."""
+
+    def __init__(self, limit: int = MAX_DIGESTS) -> None:
+        self._limit = limit
+        self._lock = threading.Lock()
+        self._holders: collections.OrderedDict[str, tuple[str, ...]]
+        self._holders = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def note(self, digests: Sequence[str], server: str) -> None:
+        """Notes that a server has got a prompt with these prefixes."""
+        with self._lock:
+            for digest in digests:
+                others = [s for s in self._holders.pop(digest, ()) if s != server]
+                self._holders[digest] = (server, *others[: HOLDERS - 1])
+            while len(self._holders) > self._limit:
+                self._holders.popitem(last=False)
+
+    def held_bytes(self, digests: Sequence[str]) -> dict[str, int]:
+        """Returns the bytes of a prompt's prefix that each server should hold."""
+        held: dict[str, int] = {}
+        with self._lock:
+            for count, digest in enumerate(digests, start=1):
+                holders = self._holders.get(digest)
+                if holders is None:
+                    break
+                for server in holders:
+                    held[server] = count * BLOCK_BYTES
+        return held
+
+
+def home(digests: Sequence[str], servers: Iterable[str]) -> str:
+    """Returns the server on which all entries agree for a prefix not seen yet."""
+    names = list(servers)
+    if not digests or not names:
+        return ""
+    return max(names, key=lambda name: weight(digests[0], name))
--- a/cornelpin/core/tickets.py
+++ b/cornelpin/core/tickets.py
@@ -42,6 +42,8 @@
         idempotent: Whether it may run more than once.
         fingerprint: Digest of workspace and content.
         keep: Whether the run outlives its entry.
+        prefix: Chained digests of the prompt's leading blocks.
+        prompt_bytes: Length of the prompt.
     """
 
     request_id: str
@@ -59,6 +61,8 @@
     idempotent: bool = False
     fingerprint: str = ""
     keep: bool = False
+    prefix: tuple[str, ...] = ()
+    prompt_bytes: int = 0
 
     def left_s(self) -> float:
         """Returns the seconds left until the deadline."""
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -11,6 +11,7 @@
 from cornelpin.daemon.exchange import QUARANTINE_DETAIL, Exchange
 from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun, Withdraw
 from cornelpin.daemon.placement import grant_message
+from cornelpin.daemon.preferences import Preferences
 from cornelpin.daemon.ticket_table import TicketLimits, TicketTable
 
 if TYPE_CHECKING:
@@ -31,6 +32,7 @@
     def __init__(self, process: Process, links: LinkTable, limit: int) -> None:
         self._process = process
         self.links = links
+        self.preferences = Preferences()
         self.tickets = TicketTable(TicketLimits(limit), self._shed_orders)
         self.moves: MoveView | None = None
         self.suspects: Suspects | None = None
@@ -60,6 +62,7 @@
         if ticket is not None and ticket.waiting:
             self.choose_version(ticket, [link])
         if ticket is not None and ticket.grant(link, peer.incarnation):
+            self.preferences.note(ticket.req, link)
             self._process.ring.record(
                 "request.granted", request=request_id, detail=link.name
             )
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -57,6 +57,7 @@
             dispatcher.candidates,
             dispatcher.choose_version,
             dispatcher.runs_alone,
+            dispatcher.preferences,
         )
         self.caller_gone: Callable[[], bool] = lambda: False
 
--- a/cornelpin/daemon/http/callers.py
+++ b/cornelpin/daemon/http/callers.py
@@ -8,6 +8,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from cornelpin.core.affinity import prefix_digests
 from cornelpin.core.tickets import Request
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.http.answers import join_events, stream_events
@@ -80,6 +81,7 @@
             route=(route, route_cfg),
             path=http.path,
             cost=_model_cost(document, len(http.body)),
+            prompt=_prompt(document),
         )
         exchange = self._open(http, req, version=route_cfg.version or "")
         if document.get("stream") is True:
@@ -150,6 +152,7 @@
         route: tuple[str, Route],
         path: str,
         cost: int,
+        prompt: bytes = b"",
     ) -> Request:
         config = self._process.view.config
         route_name, route_cfg = route
@@ -176,6 +179,8 @@
             max_wait_s=min(timeout_s, config.tiers[tier].max_wait_s),
             idempotent=route_cfg.kind == "service" and route_cfg.idempotent,
             fingerprint=_fingerprint(workspace[0], http),
+            prefix=prefix_digests(workspace[0], prompt),
+            prompt_bytes=len(prompt),
         )
 
     def _tier(self, http: HttpRequest, workspace: Workspace, route: Route) -> str:
@@ -301,6 +306,13 @@
     return body_bytes // BYTES_PER_TOKEN + (limit or DEFAULT_OUTPUT_TOKENS)
 
 
+def _prompt(document: dict[str, Any]) -> bytes:
+    """Returns the text whose prefix an engine may have cached."""
+    prompt = document.get("prompt", document.get("messages"))
+    text = prompt if isinstance(prompt, str) else json.dumps(prompt)
+    return text.encode("utf-8", "surrogatepass")
+
+
 def _fingerprint(workspace: str, http: HttpRequest) -> str:
     digest = hashlib.sha256()
     for part in (workspace.encode(), http.path.encode(), http.body):
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from typing import TYPE_CHECKING
 
@@ -15,6 +14,7 @@
 
     from cornelpin.core.tickets import Request, Ticket
     from cornelpin.daemon.links import Link
+    from cornelpin.daemon.preferences import Preferences
     from cornelpin.daemon.process import Process
 
 RESERVATIONS = 3
@@ -34,6 +34,7 @@
         candidates: Callable[[str], list[Link]],
         choose_version: Callable[[Ticket, list[Link]], None],
         runs_alone: Callable[[Request], bool],
+        preferences: Preferences,
     ) -> None:
         self._process = process
         self._ticket = ticket
@@ -41,6 +42,7 @@
         self._candidates = candidates
         self._choose_version = choose_version
         self._runs_alone = runs_alone
+        self._preferences = preferences
         self.shed_by: set[Link] = set()
         self.wait_until = time.monotonic() + ticket.req.max_wait_s
 
@@ -62,8 +64,9 @@
         wanted = 1 if alone else wanted
         room = wanted - len(self._ticket.reserved())
         free = [link for link in usable if link not in self._ticket.reserved()]
-        free.sort(key=lambda link: (_load(link), random.random()))
-        for link in free[: max(0, room)]:
+        if room <= 0 or not free:
+            return
+        for link in self._preferences.order(self._req, free)[:room]:
             if self._ticket.reserve(link):
                 link.send(self._reserve_message())
 
@@ -76,11 +79,12 @@
         idle = [link for link in links if link.idle_slots > 0]
         if not idle:
             return False
-        link = max(idle, key=lambda link: (link.idle_slots, random.random()))
+        link = self._preferences.order(self._req, idle)[0]
         peer = link.peer
         if peer is None or not self._ticket.grant(link, peer.incarnation):
             return False
         link.direct += 1
+        self._preferences.note(self._req, link)
         self._process.ring.record(
             "request.granted", request=self._req.request_id, detail=link.name
         )
@@ -106,13 +110,6 @@
         )
 
 
-def _load(link: Link) -> float:
-    state = link.state
-    if state is None:
-        return float("inf")
-    return (state.waiting + state.slots - state.free + link.direct) / state.slots
-
-
 def grant_message(ticket: Ticket, *, direct: bool) -> Grant:
     """Builds the message that gives a request to a side."""
     req = ticket.req
--- /dev/null
+++ b/cornelpin/daemon/preferences.py
@@ -0,0 +1,45 @@
+"""An entry's preferences among links: unlike speeds, load, prefix affinity."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from cornelpin.core.affinity import PrefixTable, home
+from cornelpin.core.ranking import BYTES_PER_TOKEN, Standing, Work, rank
+
+if TYPE_CHECKING:
+    from cornelpin.core.tickets import Request
+    from cornelpin.daemon.links import Link
+
+
+class Preferences:
+    """Orders links for a request and learns from grants."""
+
+    def __init__(self) -> None:
+        self.prefixes = PrefixTable()
+
+    def note(self, req: Request, link: Link) -> None:
+        """Notes that a request was granted to a link."""
+        self.prefixes.note(req.prefix, link.name)
+
+    def order(self, req: Request, links: list[Link]) -> list[Link]:
+        """Returns the links, the one estimated to answer first in front."""
+        held = self.prefixes.held_bytes(req.prefix)
+        if req.prefix and not held:
+            held = {home(req.prefix, [link.name for link in links]): req.prompt_bytes}
+        prompt_tokens = req.prompt_bytes // BYTES_PER_TOKEN
+        work = Work(req.prompt_bytes, max(1, req.cost - prompt_tokens))
+        by_name = {link.name: link for link in links}
+        # Equal estimates must not send everybody to the same server.
+        names = random.sample(list(by_name), len(by_name))
+        standings = [_standing(by_name[name]) for name in names]
+        return [by_name[name] for name in rank(standings, work, held)]
+
+
+def _standing(link: Link) -> Standing:
+    state = link.state
+    if state is None:
+        return Standing(link.name, 0.0, float("inf"))
+    busy = state.waiting + state.slots - state.free + link.direct
+    return Standing(link.name, state.token_s, busy / max(1, state.slots))
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from cornelpin.backends import FAILED, make_backend
+from cornelpin.backends import DONE, FAILED, make_backend
 from cornelpin.core.reservations import Reservation, TierPolicy
 from cornelpin.core.verdict import Reason
 from cornelpin.daemon.admission import Admission, Duplicate, Refused, Started
@@ -36,6 +36,7 @@
 from cornelpin.daemon.spread import REPAIR_S, ConfigSpread
 from cornelpin.daemon.supervisor import every
 from cornelpin.daemon.suspects import Suspects
+from cornelpin.daemon.token_time import TokenTime
 
 if TYPE_CHECKING:
     from cornelpin.backends import RunEnd
@@ -72,7 +73,7 @@
         self._crashes = CrashWatch(backend_cfg.url, self._runs, self._suspects)
         self._runner.before_end = self._before_end
         self._versions: list[str] = []
-        self._token_s = 0.0
+        self._token_time = TokenTime()
         self._listed_at = 0
         self._announcer = Announcer(self._state, self._admission.peers)
         self.spread = ConfigSpread(process, self._admission.peers)
@@ -322,7 +323,7 @@
             free=slots.free,
             waiting=len(self._admission),
             versions=list(self._versions),
-            token_s=self._token_s,
+            token_s=self._token_time.seconds,
             drain_per_s=self._admission.drain_per_s,
         )
 
@@ -336,6 +337,8 @@
 
     def _on_end(self, run: Run, end: RunEnd) -> None:
         self._moves.observe(run, end)
+        if end.outcome == DONE:
+            self._token_time.observe(run)
         if not len(self._admission):
             run.tell(self._state())
 
--- /dev/null
+++ b/cornelpin/tests/test_ranking.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import pytest
+
+from cornelpin.core.affinity import BLOCK_BYTES, PrefixTable, home, prefix_digests
+from cornelpin.core.ranking import Standing, Work, rank
+
+PROMPT = b"a long shared prefix " * 100
+WORK = Work(prompt_bytes=3000, output_tokens=20)
+
+# standings as (name, token_s, load), held bytes, names in order
+RANKINGS = [
+    ([("a", 0.02, 0.0), ("b", 0.04, 0.0)], {}, ["a", "b"]),
+    ([("a", 0.04, 0.0), ("b", 0.02, 0.0)], {}, ["b", "a"]),
+    ([("a", 0.02, 1.0), ("b", 0.02, 0.5)], {}, ["b", "a"]),
+    ([("a", 0.02, 0.0), ("b", 0.02, 0.0)], {"b": 3000}, ["b", "a"]),
+    ([("a", 0.02, 0.0), ("b", 0.02, 3.0)], {"b": 3000}, ["a", "b"]),
+    ([("a", 0.02, 0.0), ("b", 0.2, 0.0)], {"b": 3000}, ["a", "b"]),
+    ([("a", 0.0, 0.0), ("b", 0.04, 0.0), ("c", 0.02, 0.0)], {}, ["c", "a", "b"]),
+    ([("a", 0.02, float("inf")), ("b", 0.09, 2.0)], {}, ["b", "a"]),
+    ([], {}, []),
+]
+
+
+@pytest.mark.parametrize(("standings", "held", "expected"), RANKINGS)
+def test_servers_are_ranked_by_estimated_time(
+    standings: list[tuple[str, float, float]],
+    held: dict[str, int],
+    expected: list[str],
+) -> None:
+    assert rank([Standing(*s) for s in standings], WORK, held) == expected
+
+
+def test_prompts_share_digests_as_far_as_they_agree() -> None:
+    first = prefix_digests("w", PROMPT + b"x" * BLOCK_BYTES)
+    second = prefix_digests("w", PROMPT + b"y" * BLOCK_BYTES)
+    shared = len(PROMPT) // BLOCK_BYTES
+    assert first[:shared] == second[:shared]
+    assert first[shared] != second[shared]
+
+
+def test_digests_of_workspaces_differ() -> None:
+    assert not set(prefix_digests("w", PROMPT)) & set(prefix_digests("v", PROMPT))
+
+
+def test_the_longest_known_prefix_counts() -> None:
+    table = PrefixTable()
+    digests = prefix_digests("w", PROMPT)
+    table.note(digests[:2], "a")
+    table.note(digests[:4], "b")
+    assert table.held_bytes(digests) == {"a": 2 * BLOCK_BYTES, "b": 4 * BLOCK_BYTES}
+
+
+def test_the_table_is_bounded() -> None:
+    table = PrefixTable(limit=10)
+    for index in range(50):
+        table.note((f"d{index}",), "a")
+    assert len(table) == 10
+    assert table.held_bytes(("d49",)) and not table.held_bytes(("d0",))
+
+
+def test_entries_agree_on_the_home_of_a_prefix() -> None:
+    servers = [f"s{i}" for i in range(9)]
+    digests = prefix_digests("w", PROMPT)
+    homes = {home(digests, order) for order in (servers, servers[::-1])}
+    assert len(homes) == 1
+    fewer = [name for name in servers if name not in homes]
+    assert home(digests, fewer) != home(digests, servers)
