Claim keyed requests and store durable ones before dispatch

Ruled out: a write a call (the object API takes a few hundred a second); a mark of dispatch besides the claim for keyed calls (twice the writes and the wait; a dead owner's call is answered may_have_run instead); refusing a durable request "not run" when its write is unresolved, since another entry may adopt it later: that one refusal says may_have_run.

Keyed requests are claimed before dispatch and answered alike after; durable ones are stored before acceptance, granted only after the side is noted, and adopted by lease.

--- /dev/null
+++ b/cornelpin/core/claims.py
@@ -0,0 +1,276 @@
+"""Records of claimed and durable requests, and the changes that they allow.
+
+A record is filed before its request is dispatched. Each change looks at the stored
+record and decides what to store instead, so that it can be repeated on a fresh copy
+after a conflict; it recognises its own effect by the owner's random id.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import attrs
+
+RECORD_KEY_CHARS = 24
+
+
+class ClaimState(enum.Enum):
+    """Life of a record."""
+
+    ACCEPTED = "accepted"
+    DISPATCHED = "dispatched"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def final(self) -> bool:
+        """Whether the record no longer changes."""
+        return self not in (ClaimState.ACCEPTED, ClaimState.DISPATCHED)
+
+
+@attrs.frozen
+class Packed:
+    """A compressed call or answer, inside its record or as an object apart.
+
+    Attributes:
+        value: The compressed bytes, empty if they are elsewhere.
+        object_key: Key of the object that holds them, empty if there is none.
+    """
+
+    value: bytes = b""
+    object_key: str = ""
+
+    @property
+    def present(self) -> bool:
+        """Whether there is anything to read."""
+        return bool(self.value or self.object_key)
+
+
+NOTHING = Packed()
+
+
+@attrs.frozen
+class Record:
+    """One claimed or durable request.
+
+    Attributes:
+        key: Key of the record.
+        request_id: Id of the request.
+        workspace: Name of the caller's workspace.
+        fingerprint: Digest of the request's content.
+        owner: Random id of the claim; whoever holds it may change the record.
+        entry: Name of the owner's entry.
+        incarnation: Incarnation of the owner's entry.
+        state: State of the request.
+        at: Unix time of the last change in seconds, for retention only.
+        durable: Whether another entry adopts the request.
+        side: Backend server that the request was granted to.
+        side_incarnation: Incarnation of that backend server's side.
+        reason: Reason of the refusal of a failed request.
+        detail: One sentence on the failure.
+        call: The request itself while it may still have to be dispatched.
+        answer: The answer while it is kept.
+    """
+
+    key: str
+    request_id: str
+    workspace: str
+    fingerprint: str
+    owner: str
+    entry: str
+    incarnation: str
+    state: ClaimState
+    at: float
+    durable: bool = False
+    side: str = ""
+    side_incarnation: str = ""
+    reason: str = ""
+    detail: str = ""
+    call: Packed = NOTHING
+    answer: Packed = NOTHING
+
+
+@dataclass(frozen=True)
+class Held:
+    """The record is stored and belongs to the owner who asked."""
+
+    record: Record
+
+
+@dataclass(frozen=True)
+class Existing:
+    """Another owner holds the record, or it is final."""
+
+    record: Record
+
+
+@dataclass(frozen=True)
+class Absent:
+    """There is no such record."""
+
+
+@dataclass(frozen=True)
+class NotStored:
+    """The change was given up.
+
+    Attributes:
+        reason: What the object store said last.
+        unresolved: Whether a write of the change may yet take effect.
+    """
+
+    reason: str
+    unresolved: bool = False
+
+
+Outcome = Held | Existing | Absent
+
+
+@attrs.frozen
+class Decision:
+    """What a change makes of a record.
+
+    Attributes:
+        record: Record to store; None for none.
+        outcome: Outcome once the record is stored.
+        fence: Whether to write even if nothing changes, so that an earlier write
+            whose answer was lost can no longer take effect.
+    """
+
+    record: Record | None
+    outcome: Outcome
+    fence: bool = False
+
+
+Change = Callable[[Record | None], Decision]
+
+
+def record_key(workspace: str, key: str) -> str:
+    """Returns the record key of a caller's idempotency key."""
+    digest = hashlib.sha256()
+    for part in (workspace.encode(), key.encode("utf-8", "surrogateescape")):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return f"r-{digest.hexdigest()[:RECORD_KEY_CHARS]}"
+
+
+def claim(new: Record) -> Change:
+    """Files a record unless there is one."""
+
+    def change(found: Record | None) -> Decision:
+        if found is None or found.owner == new.owner:
+            return Decision(found or new, Held(found or new))
+        return Decision(found, Existing(found))
+
+    return change
+
+
+def take_over(seen: Record, *, owner: str, entry: str, incarnation: str) -> Change:
+    """Makes another owner the owner of a record as it was seen."""
+
+    def change(found: Record | None) -> Decision:
+        if found is None:
+            return Decision(None, Absent())
+        if found.owner == owner:
+            return Decision(found, Held(found))
+        if found.owner != seen.owner or found.state.final:
+            return Decision(found, Existing(found))
+        taken = attrs.evolve(found, owner=owner, entry=entry, incarnation=incarnation)
+        return Decision(taken, Held(taken))
+
+    return change
+
+
+def dispatch(owner: str, *, side: str, incarnation: str, at: float) -> Change:
+    """Notes, before the grant, which side a request is granted to."""
+
+    def change(found: Record | None) -> Decision:
+        refused = _not_held(found, owner)
+        if refused is not None or found is None:
+            return refused or Decision(None, Absent())
+        new = attrs.evolve(
+            found,
+            state=ClaimState.DISPATCHED,
+            side=side,
+            side_incarnation=incarnation,
+            at=at,
+        )
+        return Decision(new, Held(new))
+
+    return change
+
+
+def conclude(
+    owner: str,
+    state: ClaimState,
+    *,
+    at: float,
+    answer: Packed = NOTHING,
+    reason: str = "",
+    detail: str = "",
+) -> Change:
+    """Notes the end of a request; the call itself is no longer kept."""
+
+    def change(found: Record | None) -> Decision:
+        refused = _not_held(found, owner)
+        if refused is not None or found is None:
+            return refused or Decision(None, Absent())
+        new = attrs.evolve(
+            found,
+            state=state,
+            at=at,
+            answer=answer,
+            reason=reason,
+            detail=detail,
+            call=NOTHING,
+        )
+        return Decision(new, Held(new))
+
+    return change
+
+
+def release(owner: str) -> Change:
+    """Removes the record of a request that surely did not run.
+
+    It writes in any case: the write that filed the record may still be under way.
+    """
+
+    def change(found: Record | None) -> Decision:
+        if found is None or found.owner != owner or found.state.final:
+            return Decision(found, Absent(), fence=True)
+        return Decision(None, Absent())
+
+    return change
+
+
+def cancel(workspace: str, *, at: float) -> Change:
+    """Cancels a durable request of a workspace."""
+
+    def change(found: Record | None) -> Decision:
+        if found is None or not found.durable or found.workspace != workspace:
+            return Decision(found, Absent())
+        if found.state.final:
+            return Decision(found, Existing(found))
+        ran = found.state is ClaimState.DISPATCHED
+        new = attrs.evolve(
+            found,
+            state=ClaimState.FAILED if ran else ClaimState.CANCELLED,
+            reason="cancelled",
+            detail="cancelled by its caller",
+            at=at,
+            call=NOTHING,
+        )
+        return Decision(new, Held(new))
+
+    return change
+
+
+def _not_held(found: Record | None, owner: str) -> Decision | None:
+    if found is None:
+        return Decision(None, Absent())
+    if found.owner != owner or found.state.final:
+        return Decision(found, Existing(found))
+    return None
--- a/cornelpin/core/tickets.py
+++ b/cornelpin/core/tickets.py
@@ -73,6 +73,7 @@
         self.events: queue.SimpleQueue[tuple[Any, Any]] = queue.SimpleQueue()
         self.version = ""
         self.incarnation = ""
+        self.adopted = False
         self._lock = threading.Lock()
         self._state = State.WAITING
         self._holder: Any = None
--- a/cornelpin/core/verdict.py
+++ b/cornelpin/core/verdict.py
@@ -42,6 +42,7 @@
     BACKEND_FAILED = "backend_failed"
     CANCELLED = "cancelled"
     IN_PROGRESS = "in_progress"
+    ANSWER_EXPIRED = "answer_expired"
 
 
 HTTP_STATUS: dict[Reason, int] = {
@@ -65,6 +66,7 @@
     Reason.BACKEND_FAILED: 502,
     Reason.CANCELLED: 499,
     Reason.IN_PROGRESS: 409,
+    Reason.ANSWER_EXPIRED: 410,
 }
 
 
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -73,7 +73,7 @@
             self._tickets[ticket.req.request_id] = ticket
 
     def _make_room(self, ticket: Ticket, shed_order: Callable[[str], int]) -> None:
-        waiting = [t for t in self._tickets.values() if t.waiting]
+        waiting = [t for t in self._tickets.values() if t.waiting and not t.req.keep]
         victim = min(waiting, key=lambda t: shed_order(t.req.tier), default=None)
         mine = shed_order(ticket.req.tier)
         if victim is None or shed_order(victim.req.tier) >= mine:
@@ -119,7 +119,7 @@
         """
         match msg:
             case Ask():
-                self._on_ask(link, peer, msg.request_id)
+                self._on_ask(link, peer, msg)
             case NotRun() | Head() | Chunk() | End():
                 ticket = self.tickets.find(msg.request_id)
                 if ticket is not None:
@@ -128,9 +128,13 @@
                 return False
         return True
 
-    def _on_ask(self, link: Link, peer: Peer, request_id: str) -> None:
+    def _on_ask(self, link: Link, peer: Peer, msg: Ask) -> None:
+        request_id = msg.request_id
         ticket = self.tickets.find(request_id)
-        if ticket is not None and ticket.grant(link, peer.incarnation):
+        if ticket is not None and ticket.waiting and ticket.req.keep:
+            # Its own task stores the grant before it is sent.
+            ticket.events.put((msg, link))
+        elif ticket is not None and ticket.grant(link, peer.incarnation):
             self._process.ring.record(
                 "request.granted", request=request_id, detail=link.name
             )
@@ -150,6 +154,25 @@
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
+    def adopt(
+        self, req: Request, *, server: str, incarnation: str, version: str
+    ) -> Exchange:
+        """Returns the exchange of a request that another entry had granted.
+
+        Raises:
+            Refusal: If its backend server is gone or the entry cannot hold it.
+        """
+        links = self.links.of_servers([server])
+        if not links:
+            raise Refusal(Reason.SERVER_LOST, Verdict.MAY_HAVE_RUN, f"{server} is gone")
+        ticket = Ticket(req)
+        ticket.version = version
+        ticket.adopted = True
+        ticket.grant(links[0], incarnation)
+        self.tickets.admit(ticket, self._shed_order)
+        ticket.events.put((Lost(), links[0]))
+        return Exchange(self._process, self, ticket)
+
     def _shed_order(self, tier: str) -> int:
         cfg = self._process.view.config.tiers.get(tier)
         return cfg.shed_order if cfg is not None else -1
@@ -176,6 +199,12 @@
         self._tries = 0
         self._wait_until = time.monotonic() + self._req.max_wait_s
         self.caller_gone: Callable[[], bool] = lambda: False
+        self.before_grant: Callable[[str, str], bool] = lambda server, run: True
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the request is not granted yet."""
+        return self._ticket.waiting
 
     def head(self) -> Head:
         """Waits for the head of the answer.
@@ -210,6 +239,8 @@
                     self._resume(link)
                 case NotRun():
                     raise self._failed("the backend server lost the request")
+                case Ask():
+                    link.send(Gone(msg.request_id))
 
     def close(self) -> None:
         """Ends the exchange; cancels what still runs or waits."""
@@ -234,7 +265,7 @@
         if not links:
             raise self._refusal(Reason.NO_SERVER, "the route has no backend server")
         usable = [link for link in links if link.usable and link not in self._shed_by]
-        if direct and self._grant_direct(usable):
+        if direct and not self._req.keep and self._grant_direct(usable):
             return
         room = RESERVATIONS - len(self._ticket.reserved())
         free = [link for link in usable if link not in self._ticket.reserved()]
@@ -252,15 +283,18 @@
         if peer is None or not self._ticket.grant(link, peer.incarnation):
             return False
         link.direct += 1
+        self._send_grant(link, peer, direct=True)
+        return True
+
+    def _send_grant(self, link: Link, peer: Peer, *, direct: bool) -> None:
         self._process.ring.record(
             "request.granted", request=self._req.request_id, detail=link.name
         )
-        peer.send(grant_message(self._ticket, direct=True))
+        peer.send(grant_message(self._ticket, direct=direct))
         if link.peer is not peer:
             # The session ended meanwhile; its loss may have been announced before
             # this grant was visible.
             self._ticket.events.put((Lost(), link))
-        return True
 
     def _reserve_message(self) -> Reserve:
         req = self._req
@@ -288,7 +322,10 @@
                 self._place()
 
     def _check_time(self) -> None:
-        if self.caller_gone() and not self._req.keep:
+        if self._req.keep:
+            # A durable request is not shed; it tries all sides again.
+            self._shed_by.clear()
+        if self.caller_gone():
             raise self._refusal(Reason.CANCELLED, "the caller has gone away")
         if self._req.left_s() <= 0:
             raise self._refusal(Reason.DEADLINE, "the deadline has passed")
@@ -299,6 +336,8 @@
         match msg:
             case Evicted():
                 raise self._refusal(Reason.SHED, "shed for a higher tier")
+            case Ask():
+                self._on_ask(link)
             case NotRun():
                 self._on_not_run(msg, link)
             case Lost():
@@ -308,6 +347,9 @@
 
     def _on_not_run(self, msg: NotRun, link: Link) -> None:
         """The side surely did not run the request; it may go elsewhere."""
+        if self._ticket.adopted:
+            # The former owner's grant may still be under way to the side.
+            raise self._failed("the backend server does not know the request")
         taken_back = self._ticket.take_back(link)
         self._ticket.release(link)
         if not taken_back and msg.reason == Reason.SHED.value:
@@ -316,7 +358,24 @@
                 self._refuse_if_all_shed()
         self._place()
 
+    def _on_ask(self, link: Link) -> None:
+        """Grants a durable request once the grant is stored."""
+        peer = link.peer
+        if peer is None:
+            self._ticket.release(link)
+        elif (
+            self._ticket.waiting
+            and self.before_grant(link.name, peer.incarnation)
+            and self._ticket.grant(link, peer.incarnation)
+        ):
+            self._send_grant(link, peer, direct=False)
+        else:
+            self._ticket.release(link)
+            peer.send(Gone(self._req.request_id))
+
     def _refuse_if_all_shed(self) -> None:
+        if self._req.keep:
+            return
         usable = [
             link for link in self._dispatcher.candidates(self._req.route) if link.usable
         ]
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -24,6 +24,7 @@
 )
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.messages import EventsAsk, EventsReply, Heartbeat
+from cornelpin.daemon.records import EntryRecords
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.spread import ConfigSpread
 from cornelpin.daemon.supervisor import every
@@ -68,6 +69,7 @@
         self._dispatcher = Dispatcher(
             process, self._links, settings.limits.held_requests
         )
+        self._records = EntryRecords(process, self._dispatcher, self._objects)
         self._spread = ConfigSpread(process, self._peers)
         self._watcher = ConfigWatcher(self._store, self._spread, process.view)
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
@@ -77,7 +79,7 @@
         process.view.on_change(self._links.on_config)
         process.view.on_change(self._neighbours.on_config)
         process.view.on_change(self._on_config)
-        app = EntryApp(process, CallerApi(process, self._dispatcher), AdminApi(self))
+        app = EntryApp(process, self._caller_api(), AdminApi(self))
         self._http = HttpServer(
             as_wsgi(app.handle),
             address=settings.address,
@@ -95,10 +97,17 @@
             self.process, settings.address, settings.peer_port, self._serve
         )
         sup.start("peer-listener", listener.run)
+        self._records.start()
         sup.start("config-watcher", self._watcher.run)
         sup.start("heartbeat", every(HEARTBEAT_S, self._heartbeat))
         self._http.start()
 
+    def _caller_api(self) -> CallerApi:
+        records = self._records
+        return CallerApi(
+            self.process, self._dispatcher, records.claimed, records.durable
+        )
+
     def leave(self) -> None:
         """Stops taking new requests."""
         if not self.process.leaving.is_set():
@@ -115,6 +124,7 @@
         """Waits until every request in hand is answered."""
         while len(self._dispatcher.tickets):
             time.sleep(DRAIN_POLL_S)
+        self._records.wait_idle()
 
     # Peers
 
--- a/cornelpin/daemon/http/app.py
+++ b/cornelpin/daemon/http/app.py
@@ -8,6 +8,7 @@
 
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.http.callers import new_request_id
+from cornelpin.daemon.http.durable import REQUESTS_PREFIX
 from cornelpin.daemon.http.wsgi import (
     HttpRequest,
     HttpResponse,
@@ -56,6 +57,8 @@
             return self._callers.complete(http, request_id)
         if http.path.startswith("/v1/services/"):
             return self._callers.service(http, request_id)
+        if http.path.startswith(REQUESTS_PREFIX):
+            return self._callers.requests(http)
         if http.path == "/v1/models":
             self._need_method(http, "GET")
             return self._callers.models(http)
--- a/cornelpin/daemon/http/callers.py
+++ b/cornelpin/daemon/http/callers.py
@@ -11,6 +11,7 @@
 from cornelpin.core.tickets import Request
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.http.answers import join_events, stream_events
+from cornelpin.daemon.http.keyed import KEY_HEADER
 from cornelpin.daemon.http.wsgi import (
     JSON_TYPE,
     HttpRequest,
@@ -19,10 +20,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from cornelpin.core.config import Config, Route, Workspace
     from cornelpin.daemon.dispatch import Dispatcher, Exchange
+    from cornelpin.daemon.http.durable import DurableApi
+    from cornelpin.daemon.http.keyed import ClaimedCalls
     from cornelpin.daemon.messages import Head
     from cornelpin.daemon.process import Process
 
@@ -43,9 +46,22 @@
 class CallerApi:
     """Accepts callers' requests and returns their answers."""
 
-    def __init__(self, process: Process, dispatcher: Dispatcher) -> None:
+    def __init__(
+        self,
+        process: Process,
+        dispatcher: Dispatcher,
+        claimed: ClaimedCalls,
+        durable: DurableApi,
+    ) -> None:
         self._process = process
         self._dispatcher = dispatcher
+        self._claimed = claimed
+        self._durable = durable
+
+    def requests(self, http: HttpRequest) -> HttpResponse:
+        """Collects or cancels a durable request."""
+        name, _ = self._workspace(http, self._process.view.config)
+        return self._durable.handle(http, name)
 
     def models(self, http: HttpRequest) -> HttpResponse:
         """Lists the model routes of the caller's workspace."""
@@ -81,10 +97,18 @@
             path=http.path,
             cost=_model_cost(document, len(http.body)),
         )
-        exchange = self._open(http, req, version=route_cfg.version or "")
-        if document.get("stream") is True:
-            return self._streamed(exchange, request_id)
-        return self._whole(exchange, request_id)
+        version = route_cfg.version or ""
+        streamed = document.get("stream") is True
+        if req.keep:
+            self._check_open()
+            return self._durable.submit(http, req, version=version, streamed=streamed)
+
+        def perform() -> HttpResponse:
+            exchange = self._open(http, req, version=version)
+            answer = self._streamed if streamed else self._whole
+            return answer(exchange, request_id)
+
+        return self._once(http, req, perform)
 
     def service(self, http: HttpRequest, request_id: str) -> HttpResponse:
         """Passes a call to a plain service."""
@@ -101,18 +125,40 @@
             path=path,
             cost=SERVICE_COST_TOKENS,
         )
+        if req.keep:
+            self._check_open()
+            return self._durable.submit(http, req, version="", streamed=False)
+        return self._once(http, req, lambda: self._passed(http, req))
+
+    def _once(
+        self, http: HttpRequest, req: Request, perform: Callable[[], HttpResponse]
+    ) -> HttpResponse:
+        """Performs a request; one with a key is claimed before, and only once."""
+        key = http.header(KEY_HEADER)
+        if not key or req.idempotent:
+            return perform()
+        self._check_open()
+        return self._claimed.answer(req, key, perform)
+
+    def _passed(self, http: HttpRequest, req: Request) -> HttpResponse:
         exchange = self._open(http, req)
         try:
             head = exchange.head()
             body = b"".join(part for batch in exchange.parts() for part in batch)
         finally:
             exchange.close()
-        headers = {**head.headers, **_answered(request_id)}
+        headers = {**head.headers, **_answered(req.request_id)}
         headers["Content-Length"] = str(len(body))
         return HttpResponse(head.status, headers, [body])
 
     # Acceptance
 
+    def _check_open(self) -> None:
+        if self._process.leaving.is_set():
+            raise Refusal(
+                Reason.LEAVING, detail="this entry is stopping", retry_after_s=1.0
+            )
+
     def _workspace(self, http: HttpRequest, config: Config) -> tuple[str, Workspace]:
         if config.number == 0:
             raise Refusal(Reason.NOT_READY, detail="no configuration is in force yet")
@@ -176,6 +222,7 @@
             max_wait_s=min(timeout_s, config.tiers[tier].max_wait_s),
             idempotent=route_cfg.kind == "service" and route_cfg.idempotent,
             fingerprint=_fingerprint(workspace[0], http),
+            keep=config.tiers[tier].durable,
         )
 
     def _tier(self, http: HttpRequest, workspace: Workspace, route: Route) -> str:
@@ -190,13 +237,11 @@
         return tier
 
     def _open(self, http: HttpRequest, req: Request, *, version: str = "") -> Exchange:
-        if self._process.leaving.is_set():
-            raise Refusal(
-                Reason.LEAVING, detail="this entry is stopping", retry_after_s=1.0
-            )
+        self._check_open()
         exchange = self._dispatcher.open(req, version=version)
         gone = http.environ.get("waitress.client_disconnected")
-        if gone is not None:
+        # A repeat under the same key may come for the answer of a caller who left.
+        if gone is not None and not http.header(KEY_HEADER):
             exchange.caller_gone = gone
         return exchange
 
--- /dev/null
+++ b/properties/test_claims.py
@@ -0,0 +1,336 @@
+from __future__ import annotations
+
+import time
+
+import attrs
+import pytest
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cornelpin.core.claim_shards import Retention, decode_shard, encode_shard
+from cornelpin.core.claims import (
+    Absent,
+    Change,
+    ClaimState,
+    Existing,
+    Held,
+    NotStored,
+    Outcome,
+    Packed,
+    Record,
+    claim,
+    conclude,
+    dispatch,
+    release,
+    take_over,
+)
+from cornelpin.daemon.ledger import PendingChange, Shard, WriteBudget
+from cornelpin.platform.memory_objects import MemoryObjectStore
+from cornelpin.platform.objects import Conflict, Unavailable, Unknown, Written
+from properties.claims_model import NaiveClaims
+
+OWNERS = ("e1", "e2", "e3")
+KEYS = ("k1", "k2", "k3", "k4")
+SHARD = 0
+TRIES = 8
+KEEP = Retention(answers_s=3600.0, claims_s=7200.0)
+MACHINE_SETTINGS = settings(
+    derandomize=True,
+    max_examples=300,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much],
+)
+
+
+class DelayedWrites(MemoryObjectStore):
+    """A store whose lost writes may yet take effect, any time later."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.delay_writes = 0
+        self.delayed: list[tuple[str, bytes, int | None]] = []
+
+    def put(
+        self, key: str, value: bytes, *, if_version: int | None
+    ) -> Written | Conflict | Unavailable | Unknown:
+        if self.delay_writes > 0 and not self.outage:
+            self.delay_writes -= 1
+            self.delayed.append((key, value, if_version))
+            return Unknown("delayed")
+        return super().put(key, value, if_version=if_version)
+
+    def deliver(self) -> None:
+        key, value, if_version = self.delayed.pop(0)
+        lost = self.lose_answers, self.lose_writes
+        self.lose_answers = self.lose_writes = 0
+        super().put(key, value, if_version=if_version)
+        self.lose_answers, self.lose_writes = lost
+
+
+def new_record(key: str, owner: str, state: ClaimState) -> Record:
+    return Record(
+        key=key,
+        request_id=key,
+        workspace="w",
+        fingerprint="f",
+        owner=owner,
+        entry=owner.partition(":")[0],
+        incarnation="i",
+        state=state,
+        at=time.time(),
+        durable=state is ClaimState.ACCEPTED,
+    )
+
+
+def open_shard(store: MemoryObjectStore) -> Shard:
+    return Shard(SHARD, store, WriteBudget(1e6, 1e6), lambda: KEEP)
+
+
+@attrs.define
+class Work:
+    """A request that an owner holds but has not dispatched yet."""
+
+    record: Record
+    dispatched: bool = False
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Several entries claim, pause, lose answers, die and take over."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = DelayedWrites()
+        self.shards = {name: open_shard(self.store) for name in OWNERS}
+        self.model = NaiveClaims()
+        self.work: dict[str, list[Work]] = {name: [] for name in OWNERS}
+        self.count = 0
+
+    def _apply(self, entry: str, key: str, change: Change) -> Outcome | NotStored:
+        pending = PendingChange(key, change, 0.0)
+        shard = self.shards[entry]
+        shard.submit(pending)
+        for _ in range(TRIES):
+            if pending.settled:
+                break
+            shard.write_batch()
+        return pending.wait(0.0)
+
+    def _owner(self, entry: str) -> str:
+        self.count += 1
+        return f"{entry}:{self.count}"
+
+    @rule(entry=st.sampled_from(OWNERS), key=st.sampled_from(KEYS))
+    def call(self, entry: str, key: str) -> None:
+        """A keyed call: claimed and dispatched in one go, or refused."""
+        record = new_record(key, self._owner(entry), ClaimState.DISPATCHED)
+        match self._apply(entry, key, claim(record)):
+            case Held():
+                self.model.dispatch(key, record.owner)
+                self.work[entry].append(Work(record, dispatched=True))
+            case NotStored():
+                self.model.refused_not_run.append(record.owner)
+                self.shards[entry].submit(
+                    PendingChange(key, release(record.owner), 0.0)
+                )
+            case Existing(found):
+                if found.state is ClaimState.DONE:
+                    self.model.read(key, found.answer.value)
+
+    @rule(entry=st.sampled_from(OWNERS), key=st.sampled_from(KEYS))
+    def accept(self, entry: str, key: str) -> None:
+        """A durable request: stored first, dispatched later."""
+        record = new_record(key, self._owner(entry), ClaimState.ACCEPTED)
+        if isinstance(self._apply(entry, key, claim(record)), Held):
+            self.work[entry].append(Work(record))
+
+    @rule(entry=st.sampled_from(OWNERS))
+    def grant(self, entry: str) -> None:
+        """The owner, perhaps after a long pause, goes on to dispatch."""
+        for work in self.work[entry]:
+            if work.dispatched:
+                continue
+            change = dispatch(work.record.owner, side="s", incarnation="j", at=0.0)
+            if isinstance(self._apply(entry, work.record.key, change), Held):
+                work.dispatched = True
+                self.model.dispatch(work.record.key, work.record.owner)
+            return
+
+    @rule(entry=st.sampled_from(OWNERS), runs=st.booleans())
+    def finish(self, entry: str, runs: bool) -> None:
+        """A dispatched request ends, with an answer or broken."""
+        done = [work for work in self.work[entry] if work.dispatched]
+        if not done:
+            return
+        work = done[0]
+        self.work[entry].remove(work)
+        state = ClaimState.DONE if runs else ClaimState.FAILED
+        body = work.record.owner.encode()
+        answer = Packed(value=body if runs else b"")
+        change = conclude(work.record.owner, state, at=time.time(), answer=answer)
+        if runs:
+            self.model.answer(work.record.key, body)
+        self.shards[entry].submit(PendingChange(work.record.key, change, 0.0))
+        self.shards[entry].write_batch()
+
+    @rule(entry=st.sampled_from(OWNERS), key=st.sampled_from(KEYS))
+    def adopt(self, entry: str, key: str) -> None:
+        """An entry thinks, rightly or not, that the owner is dead."""
+        copy = self.shards[entry].read(0.0)
+        seen = copy.records.get(key) if copy else None
+        if seen is None or not seen.durable or seen.entry == entry:
+            return
+        owner = self._owner(entry)
+        change = take_over(seen, owner=owner, entry=entry, incarnation="i")
+        outcome = self._apply(entry, key, change)
+        if isinstance(outcome, Held) and outcome.record.state is ClaimState.ACCEPTED:
+            self.work[entry].append(Work(outcome.record))
+
+    @rule(entry=st.sampled_from(OWNERS))
+    def die(self, entry: str) -> None:
+        """An entry loses all its memory; what it sent may yet arrive."""
+        self.shards[entry] = open_shard(self.store)
+        self.work[entry] = []
+
+    @rule(
+        outage=st.booleans(),
+        answers=st.integers(0, 2),
+        writes=st.integers(0, 2),
+        delays=st.integers(0, 2),
+    )
+    def fault(self, outage: bool, answers: int, writes: int, delays: int) -> None:
+        self.store.outage = outage
+        self.store.lose_answers = answers
+        self.store.lose_writes = writes
+        self.store.delay_writes = delays
+
+    @rule()
+    def heal(self) -> None:
+        self.store.outage = False
+        self.store.lose_answers = 0
+        self.store.lose_writes = 0
+        self.store.delay_writes = 0
+        for shard in self.shards.values():
+            for _ in range(TRIES):
+                shard.write_batch()
+
+    @rule()
+    def late_write(self) -> None:
+        if self.store.delayed and not self.store.outage:
+            self.store.deliver()
+
+    @invariant()
+    def never_twice(self) -> None:
+        assert all(count == 1 for count in self.model.dispatched.values())
+
+    def teardown(self) -> None:
+        """Once the store is well, no key of a refused caller stays taken by it."""
+        while self.store.delayed:
+            self.store.outage = False
+            self.store.deliver()
+        self.heal()
+        copy = open_shard(self.store).read(0.0)
+        assert copy is not None
+        for key, record in copy.records.items():
+            if record.state is ClaimState.DONE:
+                self.model.read(key, record.answer.value)
+            if record.owner in self.model.refused_not_run:
+                assert self.model.dispatched[key] == 0
+
+
+TestClaims = ClaimsMachine.TestCase
+TestClaims.settings = MACHINE_SETTINGS
+
+
+ACCEPTED, DISPATCHED = ClaimState.ACCEPTED, ClaimState.DISPATCHED
+TAKE = {"owner": "b", "entry": "e2", "incarnation": "i"}
+
+
+@pytest.mark.parametrize(
+    ("stored", "change", "outcome", "state"),
+    [
+        (None, claim(new_record("k", "a", DISPATCHED)), Held, DISPATCHED),
+        ("a", claim(new_record("k", "a", DISPATCHED)), Held, ACCEPTED),
+        ("a", claim(new_record("k", "b", DISPATCHED)), Existing, ACCEPTED),
+        ("a", take_over(new_record("k", "a", ACCEPTED), **TAKE), Held, ACCEPTED),
+        ("c", take_over(new_record("k", "a", ACCEPTED), **TAKE), Existing, ACCEPTED),
+        (None, take_over(new_record("k", "a", ACCEPTED), **TAKE), Absent, None),
+        ("a", dispatch("a", side="s", incarnation="j", at=0.0), Held, DISPATCHED),
+        ("b", dispatch("a", side="s", incarnation="j", at=0.0), Existing, ACCEPTED),
+        ("a", conclude("a", ClaimState.DONE, at=0.0), Held, ClaimState.DONE),
+        ("b", conclude("a", ClaimState.DONE, at=0.0), Existing, ACCEPTED),
+        ("a", release("a"), Absent, None),
+        ("b", release("a"), Absent, ACCEPTED),
+    ],
+)
+def test_change_decides_by_the_owner(
+    stored: str | None, change: Change, outcome: type, state: ClaimState | None
+) -> None:
+    found = new_record("k", stored, ACCEPTED) if stored else None
+    decision = change(found)
+    assert isinstance(decision.outcome, outcome)
+    assert (decision.record.state if decision.record else None) is state
+
+
+@pytest.mark.parametrize(
+    ("faults", "outcome", "unresolved"),
+    [
+        ({}, Held, None),
+        ({"lose_answers": 1}, Held, None),
+        ({"lose_writes": 2}, Held, None),
+        ({"delay_writes": 1}, Held, None),
+        ({"outage": True}, NotStored, False),
+        ({"lose_writes": 99}, NotStored, True),
+        ({"delay_writes": 99}, NotStored, True),
+    ],
+)
+def test_fault_of_the_store_is_resolved_or_refused(
+    faults: dict[str, int], outcome: type, unresolved: bool | None
+) -> None:
+    store = DelayedWrites()
+    for name, value in faults.items():
+        setattr(store, name, value)
+    shard = open_shard(store)
+    pending = PendingChange("k", claim(new_record("k", "a", DISPATCHED)), 0.0)
+    shard.submit(pending)
+    for _ in range(TRIES):
+        shard.write_batch()
+    found = pending.wait(0.0)
+    assert isinstance(found, outcome)
+    assert getattr(found, "unresolved", None) is unresolved
+
+
+def test_many_claims_take_one_write() -> None:
+    store = MemoryObjectStore()
+    shard = open_shard(store)
+    changes = [
+        PendingChange(f"k{i}", claim(new_record(f"k{i}", "a", DISPATCHED)), 0.0)
+        for i in range(100)
+    ]
+    for pending in changes:
+        shard.submit(pending)
+    shard.write_batch()
+    assert all(isinstance(pending.wait(0.0), Held) for pending in changes)
+    assert store.calls.counts().writes == 1
+
+
+def test_shard_survives_its_encoding() -> None:
+    record = attrs.evolve(
+        new_record("k", "a", ACCEPTED), call=Packed(object_key="calls/k")
+    )
+    assert decode_shard(encode_shard({"k": record})) == {"k": record}
+
+
+def test_release_fences_a_claim_that_is_still_under_way() -> None:
+    store = DelayedWrites()
+    store.delay_writes = 1
+    shard = open_shard(store)
+    shard.submit(PendingChange("k", claim(new_record("k", "a", DISPATCHED)), 0.0))
+    shard.write_batch()
+    given_up = open_shard(store)
+    given_up.submit(PendingChange("k", release("a"), 0.0))
+    given_up.write_batch()
+    store.deliver()
+    copy = open_shard(store).read(0.0)
+    assert copy is not None
+    assert copy.records == {}
