--- a/cornelpin/core/claims.py
+++ b/cornelpin/core/claims.py
@@ -70,6 +70,7 @@
         durable: Whether another entry adopts the request.
         side: Backend server that the request was granted to.
         side_incarnation: Incarnation of that backend server's side.
+        version: Version that the request was granted for, empty for a service.
         reason: Reason of the refusal of a failed request.
         detail: One sentence on the failure.
         call: The request itself while it may still have to be dispatched.
@@ -88,6 +89,7 @@
     durable: bool = False
     side: str = ""
     side_incarnation: str = ""
+    version: str = ""
     reason: str = ""
     detail: str = ""
     call: Packed = NOTHING
@@ -184,7 +186,9 @@
     return change
 
 
-def dispatch(owner: str, *, side: str, incarnation: str, at: float) -> Change:
+def dispatch(
+    owner: str, *, side: str, incarnation: str, at: float, version: str = ""
+) -> Change:
     """Notes, before the grant, which side a request is granted to."""
 
     def change(found: Record | None) -> Decision:
@@ -196,6 +200,7 @@
             state=ClaimState.DISPATCHED,
             side=side,
             side_incarnation=incarnation,
+            version=version,
             at=at,
         )
         return Decision(new, Held(new))
--- a/cornelpin/daemon/durable.py
+++ b/cornelpin/daemon/durable.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cornelpin.core.tickets import Ticket
     from cornelpin.daemon.blobs import Blobs
     from cornelpin.daemon.dispatch import Dispatcher, Exchange
     from cornelpin.daemon.leases import EntryLeases
@@ -210,7 +211,7 @@
                 req,
                 server=record.side,
                 incarnation=record.side_incarnation,
-                version=call.version,
+                version=record.version,
             )
         else:
             exchange = self._dispatcher.open(req, version=call.version)
@@ -218,12 +219,16 @@
         exchange.caller_gone = lambda: self._stopped(record, exchange)
         return exchange
 
-    def _note_grant(self, record: Record) -> Callable[[str, str], bool]:
+    def _note_grant(self, record: Record) -> Callable[[str, Ticket], bool]:
         """Returns the function that stores whom a request is granted to."""
 
-        def note(server: str, incarnation: str) -> bool:
+        def note(server: str, ticket: Ticket) -> bool:
             change = dispatch(
-                record.owner, side=server, incarnation=incarnation, at=time.time()
+                record.owner,
+                side=server,
+                incarnation=ticket.incarnation,
+                version=ticket.version,
+                at=time.time(),
             )
             outcome = self._ledger.apply(
                 record.key, change, timeout_s=DISPATCH_TIMEOUT_S
