Say "not run" without the store only if no entry can have run the key

Change: an entry remembers the keys that it claims and, before it refuses for want of the store, asks all other entries. The refusal says "not run" only if each has a copy of the shard, read since its start, without the key and no memory of it; an entry that does not answer may have run it.

--- /dev/null
+++ b/cornelpin/daemon/claim_peers.py
@@ -0,0 +1,117 @@
+"""What the entries remember of claims, for the time that the store is away.
+
+A request that cannot be claimed is refused "not run" only if no entry can have run
+its key: neither by its copy of the shard nor by its memory.
+"""
+
+from __future__ import annotations
+
+import queue
+import secrets
+import threading
+import time
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any
+
+from cornelpin.daemon.claim_messages import ClaimAsk, ClaimReply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornelpin.daemon.ledger import Ledger
+    from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.process import Process
+
+MAX_KEYS = 50_000
+ASK_TIMEOUT_S = 0.5
+ASK_ID_BYTES = 8
+
+
+class ClaimPeers:
+    """Remembers the keys of this entry and asks the other entries for theirs."""
+
+    def __init__(
+        self, process: Process, ledger: Ledger, peers: Callable[[], list[Peer]]
+    ) -> None:
+        self._process = process
+        self._ledger = ledger
+        self._peers = peers
+        self._lock = threading.Lock()
+        self._owners: OrderedDict[str, set[str]] = OrderedDict()
+        self._asking: dict[str, queue.SimpleQueue[tuple[str, ClaimReply]]] = {}
+
+    def remember(self, key: str, owner: str) -> None:
+        """Notes that a request under a key may be dispatched here."""
+        with self._lock:
+            self._owners.setdefault(key, set()).add(owner)
+            self._owners.move_to_end(key)
+            if len(self._owners) > MAX_KEYS:
+                self._owners.popitem(last=False)
+
+    def forget(self, key: str, owner: str) -> None:
+        """Notes that a request surely was not and will not be dispatched here."""
+        with self._lock:
+            owners = self._owners.get(key, set())
+            owners.discard(owner)
+            if not owners:
+                self._owners.pop(key, None)
+
+    def may_know(self, key: str, owner: str) -> bool:
+        """Whether a key may have been dispatched, but for the given owner's request.
+
+        The memory of this entry begins with its start; the copy of the shard was read
+        after that, so it holds what former entries claimed.
+        """
+        copy = self._ledger.copy_of(key)
+        if copy is None:
+            return True
+        found = copy.records.get(key)
+        with self._lock:
+            others = self._owners.get(key, set()) - {owner}
+        return bool(others) or (found is not None and found.owner != owner)
+
+    def handle(self, peer: Peer, msg: Any) -> bool:
+        """Handles another entry's message; returns whether it was about claims."""
+        match msg:
+            case ClaimAsk():
+                known = self.may_know(msg.key, msg.owner)
+                peer.send(ClaimReply(msg.ask_id, known))
+            case ClaimReply():
+                replies = self._asking.get(msg.ask_id)
+                if replies is not None:
+                    replies.put((peer.name, msg))
+            case _:
+                return False
+        return True
+
+    def may_have_run(self, key: str, owner: str) -> bool:
+        """Whether another request under a key may have run at any entry.
+
+        An entry that does not answer may have run it.
+        """
+        if self.may_know(key, owner):
+            return True
+        others = set(self._process.view.config.entries) - {self._process.settings.name}
+        replies = self._ask(key, owner, others)
+        known = any(reply.known for reply in replies.values())
+        return known or replies.keys() != others
+
+    def _ask(self, key: str, owner: str, others: set[str]) -> dict[str, ClaimReply]:
+        """Collects the replies of the other entries that answer in time."""
+        ask_id = secrets.token_hex(ASK_ID_BYTES)
+        arriving: queue.SimpleQueue[tuple[str, ClaimReply]] = queue.SimpleQueue()
+        self._asking[ask_id] = arriving
+        for peer in self._peers():
+            if peer.name in others:
+                peer.send(ClaimAsk(ask_id, key, owner))
+        until = time.monotonic() + ASK_TIMEOUT_S
+        replies: dict[str, ClaimReply] = {}
+        try:
+            while replies.keys() != others:
+                name, reply = arriving.get(timeout=max(0.0, until - time.monotonic()))
+                replies[name] = reply
+        except queue.Empty:
+            pass
+        finally:
+            del self._asking[ask_id]
+        return replies
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -70,7 +70,9 @@
         self._dispatcher = Dispatcher(
             process, self._links, settings.limits.held_requests
         )
-        self._records = EntryRecords(process, self._dispatcher, self._objects)
+        self._records = EntryRecords(
+            process, self._dispatcher, self._objects, self._peers
+        )
         self._spread = ConfigSpread(process, self._peers)
         self._moves = EntryMoves(
             process,
@@ -200,6 +202,8 @@
                 answer_events(self.process.ring, peer, msg)
             case EventsReply():
                 self._on_events(msg)
+            case _ if self._records.peers.handle(peer, msg):
+                pass
             case _ if not self._moves.handle(peer, msg, link):
                 self._spread.handle(peer, msg)
 
--- a/cornelpin/daemon/http/durable.py
+++ b/cornelpin/daemon/http/durable.py
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from cornelpin.core.tickets import Request
     from cornelpin.daemon.blobs import Blobs
+    from cornelpin.daemon.claim_peers import ClaimPeers
     from cornelpin.daemon.durable import DurableRequests
     from cornelpin.daemon.http.waiters import Waiters
     from cornelpin.daemon.ledger import Ledger
@@ -50,11 +51,13 @@
         ledger: Ledger,
         blobs: Blobs,
         waiters: Waiters,
+        peers: ClaimPeers,
     ) -> None:
         self._requests = requests
         self._ledger = ledger
         self._blobs = blobs
         self._waiters = waiters
+        self._peers = peers
 
     def submit(
         self, http: HttpRequest, req: Request, *, version: str, streamed: bool
@@ -64,10 +67,11 @@
         filed_as = record_key(req.workspace, key) if key else req.request_id
         fingerprint = fingerprint_of(req)
         record = self._requests.new_record(req, key=filed_as, fingerprint=fingerprint)
+        self._peers.remember(record.key, record.owner)
         outcome = self._requests.file(record, _call(req, version, streamed))
         match outcome:
             case NotStored():
-                raise store_refusal(outcome.reason, unresolved=outcome.unresolved)
+                raise self._not_stored(record, outcome)
             case Existing(found):
                 check_same(found, fingerprint)
                 current = found
@@ -83,6 +87,13 @@
         finally:
             self._waiters.leave(req.request_id)
 
+    def _not_stored(self, record: Record, outcome: NotStored) -> Refusal:
+        if outcome.unresolved:
+            return store_refusal(outcome.reason, unresolved=True)
+        self._peers.forget(record.key, record.owner)
+        ran = self._peers.may_have_run(record.key, record.owner)
+        return store_refusal(outcome.reason, unresolved=ran)
+
     def _wait(self, record: Record, req: Request) -> HttpResponse:
         current = record
         while not current.state.final:
--- a/cornelpin/daemon/http/keyed.py
+++ b/cornelpin/daemon/http/keyed.py
@@ -32,6 +32,7 @@
 
     from cornelpin.core.tickets import Request
     from cornelpin.daemon.blobs import Blobs
+    from cornelpin.daemon.claim_peers import ClaimPeers
     from cornelpin.daemon.http.waiters import Waiters
     from cornelpin.daemon.leases import EntryLeases
     from cornelpin.daemon.ledger import Ledger
@@ -107,12 +108,14 @@
         blobs: Blobs,
         leases: EntryLeases,
         waiters: Waiters,
+        peers: ClaimPeers,
     ) -> None:
         self._process = process
         self._ledger = ledger
         self._blobs = blobs
         self._leases = leases
         self._waiters = waiters
+        self._peers = peers
 
     def answer(
         self, req: Request, key: str, perform: Callable[[], HttpResponse]
@@ -142,6 +145,7 @@
         self, record: Record, req: Request, perform: Callable[[], HttpResponse]
     ) -> HttpResponse:
         while True:
+            self._peers.remember(record.key, record.owner)
             timeout_s = max(0.0, min(CHANGE_TIMEOUT_S, req.left_s()))
             outcome = self._ledger.apply(record.key, claim(record), timeout_s=timeout_s)
             match outcome:
@@ -149,11 +153,12 @@
                     return self._perform(record, perform)
                 case NotStored():
                     # Nothing was dispatched, and what may yet be written is fenced.
+                    self._peers.forget(record.key, record.owner)
                     self._ledger.apply_later(record.key, release(record.owner))
-                    known = self._ledger.known(record.key)
-                    ran = known is not None and known.owner != record.owner
+                    ran = self._peers.may_have_run(record.key, record.owner)
                     raise store_refusal(outcome.reason, unresolved=ran)
                 case Existing(found):
+                    self._peers.forget(record.key, record.owner)
                     resp = self._join(found, record, req)
                     if resp is not None:
                         return resp
@@ -190,6 +195,7 @@
 
     def _refused(self, record: Record, exc: Refusal) -> None:
         if exc.verdict is Verdict.NOT_RUN:
+            self._peers.forget(record.key, record.owner)
             self._ledger.apply_later(record.key, release(record.owner))
         else:
             self._failed(record, exc.reason.value, exc.detail)
--- a/cornelpin/daemon/ledger.py
+++ b/cornelpin/daemon/ledger.py
@@ -216,10 +216,11 @@
         if len(value) > NEW_RECORDS_BELOW_BYTES and _refuse_new(batch, copy):
             _end(batch, unresolved=False)
             return False
+        written_at = time.monotonic()
         done = self._objects.put(self._key, value, if_version=copy.version)
         if not isinstance(done, Written):
             return self._not_written(batch, done)
-        self._keep_newer(ShardCopy(records, done.version, time.monotonic()))
+        self._keep_newer(ShardCopy(records, done.version, written_at))
         _settle(batch, outcomes)
         self._delete_unused(copy.records, records)
         return True
@@ -274,8 +275,8 @@
     def _read(self) -> ShardCopy | None:
         known = self._copy
         version = known.version if known and known.version else None
-        found = self._objects.get(self._key, unless_version=version)
         now = time.monotonic()
+        found = self._objects.get(self._key, unless_version=version)
         match found:
             case Found():
                 copy = ShardCopy(decode_shard(found.value), found.version, now)
@@ -346,9 +347,13 @@
             raise LedgerUnavailable
         return copy.records.get(key)
 
+    def copy_of(self, key: str) -> ShardCopy | None:
+        """Returns the latest copy of a key's shard, without a call."""
+        return self._shard(key).copy
+
     def known(self, key: str) -> Record | None:
         """Returns a record as it was last read or written here, without a call."""
-        copy = self._shard(key).copy
+        copy = self.copy_of(key)
         return copy.records.get(key) if copy is not None else None
 
     def unfinished(self, max_age_s: float) -> list[Record]:
--- a/cornelpin/daemon/records.py
+++ b/cornelpin/daemon/records.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import threading
 import time
 from typing import TYPE_CHECKING
 
 from cornelpin.core.claim_shards import Retention
 from cornelpin.daemon.blobs import Blobs
+from cornelpin.daemon.claim_peers import ClaimPeers
 from cornelpin.daemon.durable import DurableRequests
 from cornelpin.daemon.http.durable import DurableApi
 from cornelpin.daemon.http.keyed import ClaimedCalls
@@ -16,7 +18,10 @@
 from cornelpin.daemon.supervisor import every
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornelpin.daemon.dispatch import Dispatcher
+    from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
     from cornelpin.platform.objects import ObjectStore
 
@@ -29,7 +34,11 @@
     """Claims and durable requests of an entry, with their periodic duties."""
 
     def __init__(
-        self, process: Process, dispatcher: Dispatcher, objects: ObjectStore
+        self,
+        process: Process,
+        dispatcher: Dispatcher,
+        objects: ObjectStore,
+        peers: Callable[[], list[Peer]],
     ) -> None:
         self._process = process
         self._ledger = Ledger(objects, self._retention)
@@ -41,10 +50,13 @@
         self._requests = DurableRequests(
             process, dispatcher, self._ledger, blobs, self._leases
         )
+        self.peers = ClaimPeers(process, self._ledger, peers)
         self.claimed = ClaimedCalls(
-            process, self._ledger, blobs, self._leases, self._waiters
+            process, self._ledger, blobs, self._leases, self._waiters, self.peers
+        )
+        self.durable = DurableApi(
+            self._requests, self._ledger, blobs, self._waiters, self.peers
         )
-        self.durable = DurableApi(self._requests, self._ledger, blobs, self._waiters)
 
     def _retention(self) -> Retention:
         retention = self._process.view.config.retention
@@ -55,7 +67,12 @@
         sup = self._process.supervisor
         self._ledger.start(sup)
         sup.start("leases", every(RENEW_S, self._leases.refresh))
-        sup.start("adoption", every(SCAN_S, self._requests.scan))
+        sup.start("adoption", self._adopt)
+
+    def _adopt(self, stop: threading.Event) -> None:
+        """Scans at once, so that a copy of every shard is there, then periodically."""
+        self._requests.scan()
+        every(SCAN_S, self._requests.scan)(stop)
 
     def wait_idle(self) -> None:
         """Hands durable requests over, and waits for callers and writes."""
