--- a/cornelpin/core/claims.py
+++ b/cornelpin/core/claims.py
@@ -71,6 +71,7 @@
         side: Backend server that the request was granted to.
         side_incarnation: Incarnation of that backend server's side.
         version: Version that the request was granted for, empty for a service.
+        attempt: Number of the latest grant.
         reason: Reason of the refusal of a failed request.
         detail: One sentence on the failure.
         call: The request itself while it may still have to be dispatched.
@@ -90,6 +91,7 @@
     side: str = ""
     side_incarnation: str = ""
     version: str = ""
+    attempt: int = 0
     reason: str = ""
     detail: str = ""
     call: Packed = NOTHING
@@ -187,7 +189,13 @@
 
 
 def dispatch(
-    owner: str, *, side: str, incarnation: str, at: float, version: str = ""
+    owner: str,
+    *,
+    side: str,
+    incarnation: str,
+    at: float,
+    version: str = "",
+    attempt: int = 1,
 ) -> Change:
     """Notes, before the grant, which side a request is granted to."""
 
@@ -201,6 +209,7 @@
             side=side,
             side_incarnation=incarnation,
             version=version,
+            attempt=attempt,
             at=at,
         )
         return Decision(new, Held(new))
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -7,7 +7,7 @@
 from cornelpin.core.tickets import Request, Ticket
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.exchange import Exchange
-from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun
+from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun, Withdraw
 from cornelpin.daemon.placement import grant_message
 from cornelpin.daemon.ticket_table import Lost, TicketTable
 
@@ -60,23 +60,37 @@
                 "request.granted", request=request_id, detail=link.name
             )
             peer.send(grant_message(ticket, direct=False))
+            for other in ticket.take_reserved():
+                other.send(Withdraw(request_id))
         else:
             peer.send(Gone(request_id))
 
-    def open(self, req: Request, *, version: str = "") -> Exchange:
+    def open(self, req: Request, *, version: str = "", attempt: int = 0) -> Exchange:
         """Admits a request and returns its exchange.
 
+        Args:
+            req: The request.
+            version: Version of its route.
+            attempt: Number of grants that it had before.
+
         Raises:
             Refusal: If the entry cannot hold the request.
         """
         ticket = Ticket(req)
         ticket.version = version
+        ticket.resume_from(attempt)
         self.tickets.admit(ticket, self._shed_order)
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
     def adopt(
-        self, req: Request, *, server: str, incarnation: str, version: str
+        self,
+        req: Request,
+        *,
+        server: str,
+        incarnation: str,
+        version: str,
+        attempt: int,
     ) -> Exchange:
         """Returns the exchange of a request that another entry had granted.
 
@@ -89,6 +103,7 @@
         ticket = Ticket(req)
         ticket.version = version
         ticket.adopted = True
+        ticket.resume_from(attempt - 1)
         ticket.grant(links[0], incarnation)
         self.tickets.admit(ticket, self._shed_order)
         ticket.events.put((Lost(), links[0]))
--- a/cornelpin/daemon/durable.py
+++ b/cornelpin/daemon/durable.py
@@ -212,9 +212,13 @@
                 server=record.side,
                 incarnation=record.side_incarnation,
                 version=record.version,
+                attempt=record.attempt,
             )
         else:
-            exchange = self._dispatcher.open(req, version=call.version)
+            known = self._ledger.known(record.key)
+            exchange = self._dispatcher.open(
+                req, version=call.version, attempt=known.attempt if known else 0
+            )
         exchange.before_grant = self._note_grant(record)
         exchange.caller_gone = lambda: self._stopped(record, exchange)
         return exchange
@@ -228,6 +232,7 @@
                 side=server,
                 incarnation=ticket.incarnation,
                 version=ticket.version,
+                attempt=ticket.attempt + 1,
                 at=time.time(),
             )
             outcome = self._ledger.apply(
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -47,8 +47,10 @@
         self._ticket = ticket
         self._req = ticket.req
         self._received = 0
+        self._head_taken = False
         self._complete = False
         self._tries = 0
+        self._check_at = time.monotonic() + POLL_S
         self._times = RequestTimes(process.meters, self._req.tier)
         self._placement = Placement(
             process, ticket, dispatcher.candidates, dispatcher.choose_version
@@ -71,6 +73,7 @@
         while True:
             msg, link = self._next()
             if isinstance(msg, Head):
+                self._head_taken = True
                 self._times.head()
                 return msg
             self._before_head(msg, link)
@@ -81,33 +84,37 @@
         Raises:
             Refusal: If the answer breaks off.
         """
-        while True:
-            msg, link = self._next()
-            match msg:
-                case Chunk():
-                    fresh = self._fresh(msg)
-                    if fresh:
-                        yield fresh
-                case End():
-                    self._check_end(msg)
-                    return
-                case Lost():
-                    self._resume(link)
-                case NotRun():
-                    raise self._failed("the backend server lost the request")
-                case Ask():
-                    link.send(Gone(msg.request_id))
+        while not self._complete:
+            fresh = self._on_part(*self._next())
+            if fresh:
+                yield fresh
+
+    def _on_part(self, msg: Any, link: Any) -> list[bytes]:
+        """Handles an event after the head; returns the new parts."""
+        match msg:
+            case Chunk():
+                return self._fresh(msg)
+            case End():
+                self._check_end(msg)
+            case Lost() if self._ticket.holder is link:
+                self._resume(link)
+            case NotRun() if self._ticket.held_by(link, msg.attempt):
+                raise self._failed("the backend server lost the request")
+            case Ask():
+                link.send(Gone(msg.request_id))
+        return []
 
     def close(self) -> None:
         """Ends the exchange; cancels what still runs or waits."""
         ticket = self._ticket
-        holder = ticket.holder
         request_id = self._req.request_id
-        if not ticket.close() and holder is not None:
+        ticket.close()
+        holder = ticket.holder
+        if holder is not None:
             if not self._complete:
-                holder.send(Cancel(request_id))
+                holder.send(Cancel(request_id, ticket.attempt))
             holder.send(Withdraw(request_id))
-        for link in ticket.reserved():
+        for link in ticket.take_reserved():
             link.send(Withdraw(request_id))
         self._dispatcher.tickets.remove(request_id)
         self._times.close(complete=self._complete)
@@ -117,14 +124,27 @@
     def _next(self) -> tuple[Any, Any]:
         """Returns the next event; refuses at the deadline or without a caller."""
         while True:
+            # An answer that keeps coming must not hide that its caller is gone.
+            if time.monotonic() >= self._check_at:
+                self._check_time()
             try:
-                return self._ticket.events.get(timeout=POLL_S)
+                msg, link = self._ticket.events.get(timeout=POLL_S)
             except queue.Empty:
-                self._check_time()
+                pass
+            else:
+                if not self._superseded(msg, link):
+                    return msg, link
             if self._ticket.waiting:
                 self._place()
 
+    def _superseded(self, msg: Any, link: Any) -> bool:
+        """Whether an event belongs to a grant that is no longer in force."""
+        if not isinstance(msg, Head | Chunk | End):
+            return False
+        return not self._ticket.held_by(link, msg.attempt)
+
     def _check_time(self) -> None:
+        self._check_at = time.monotonic() + POLL_S
         if self._req.keep:
             # A durable request is not shed; it tries all sides again.
             self._placement.shed_by.clear()
@@ -153,9 +173,12 @@
         if self._ticket.adopted:
             # The former owner's grant may still be under way to the side.
             raise self._failed("the backend server does not know the request")
-        taken_back = self._ticket.take_back(link)
+        if msg.attempt:
+            self._ticket.take_back(link, msg.attempt)
+            self._place()
+            return
         self._ticket.release(link)
-        if not taken_back and msg.reason == Reason.SHED.value:
+        if msg.reason == Reason.SHED.value:
             self._placement.shed_by.add(link)
             if not self._ticket.reserved() and self._ticket.waiting:
                 self._refuse_if_all_shed()
@@ -166,6 +189,8 @@
         peer = link.peer
         if peer is not None and self._grant_stored(link, peer):
             self._placement.send_grant(link, peer, direct=False)
+            for other in self._ticket.take_reserved():
+                other.send(Withdraw(self._req.request_id))
             return
         self._ticket.release(link)
         link.send(Gone(self._req.request_id))
@@ -200,10 +225,12 @@
         holder = self._ticket.holder
         if (
             self._req.idempotent
+            and not self._head_taken
             and self._tries < SERVICE_TRIES
             and holder is not None
-            and self._ticket.take_back(holder)
+            and self._ticket.take_back(holder, self._ticket.attempt, ran=True)
         ):
+            holder.send(Cancel(self._req.request_id, self._ticket.attempt))
             holder.send(Withdraw(self._req.request_id))
             self._place()
             return
@@ -224,6 +251,8 @@
             route=self._req.route,
             version=self._ticket.version,
             path=self._req.path,
+            attempt=self._ticket.attempt,
+            age_s=self._ticket.granted_s,
         )
         link.send(resume)
 
--- a/cornelpin/daemon/ticket_table.py
+++ b/cornelpin/daemon/ticket_table.py
@@ -51,17 +51,22 @@
             self._tickets[ticket.req.request_id] = ticket
 
     def _make_room(self, ticket: Ticket, shed_order: Callable[[str], int]) -> None:
-        waiting = [t for t in self._tickets.values() if t.waiting and not t.req.keep]
-        victim = min(waiting, key=lambda t: shed_order(t.req.tier), default=None)
         mine = shed_order(ticket.req.tier)
-        if victim is None or shed_order(victim.req.tier) >= mine:
-            raise Refusal(
-                Reason.SHED,
-                detail="this entry holds as many requests as it may",
-                retry_after_s=DEFAULT_RETRY_AFTER_S,
-            )
-        del self._tickets[victim.req.request_id]
-        victim.events.put((Evicted(), None))
+        waiting = [
+            t
+            for t in self._tickets.values()
+            if t.waiting and not t.req.keep and shed_order(t.req.tier) < mine
+        ]
+        for victim in sorted(waiting, key=lambda t: shed_order(t.req.tier)):
+            if victim.evict():
+                del self._tickets[victim.req.request_id]
+                victim.events.put((Evicted(), None))
+                return
+        raise Refusal(
+            Reason.SHED,
+            detail="this entry holds as many requests as it may",
+            retry_after_s=DEFAULT_RETRY_AFTER_S,
+        )
 
     def find(self, request_id: str) -> Ticket | None:
         """Returns a ticket by request id."""
@@ -72,6 +77,14 @@
         with self._lock:
             self._tickets.pop(request_id, None)
 
+    def links(self) -> set[Link]:
+        """Returns the links that carry requests or reservations."""
+        with self._lock:
+            tickets = list(self._tickets.values())
+        found = {link for ticket in tickets for link in ticket.reserved()}
+        found.update(ticket.holder for ticket in tickets if ticket.holder is not None)
+        return found
+
     def tell_lost(self, link: Link) -> None:
         """Tells the tickets that use a link that its session has ended."""
         with self._lock:
