--- a/cornelpin/daemon/ledger.py
+++ b/cornelpin/daemon/ledger.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
 from cornelpin.core.claim_shards import (
     NEW_RECORDS_BELOW_BYTES,
@@ -279,7 +280,10 @@
         found = self._objects.get(self._key, unless_version=version)
         match found:
             case Found():
-                copy = ShardCopy(decode_shard(found.value), found.version, now)
+                records = self._decode(found.value)
+                if records is None:
+                    return None
+                copy = ShardCopy(records, found.version, now)
             case Unchanged() if known is not None:
                 copy = attrs.evolve(known, read_at=now)
             case Missing():
@@ -288,6 +292,14 @@
                 return None
         return self._keep_newer(copy)
 
+    def _decode(self, value: bytes) -> dict[str, Record] | None:
+        """Returns a shard's records; an unreadable one is never written over."""
+        try:
+            return decode_shard(value)
+        except ValueError as exc:
+            logger.error("{} is unreadable: {}", self._key, exc)
+            return None
+
     def _keep_newer(self, copy: ShardCopy) -> ShardCopy:
         """Keeps the newest copy: a slow read must not displace a later write."""
         with self._cond:
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -9,6 +9,7 @@
 import attrs
 from loguru import logger
 
+from cornelpin.core.choice import subset
 from cornelpin.daemon.messages import Heartbeat, ProtocolError
 from cornelpin.daemon.peer import PeerClosed, connect
 
@@ -18,6 +19,7 @@
     from cornelpin.core.config import Config
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
+    from cornelpin.daemon.settings import Settings
 
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
@@ -37,9 +39,20 @@
     data_centre: str
 
 
-def side_endpoints(config: Config) -> dict[str, Endpoint]:
-    """Returns the sides by backend server."""
-    return _endpoints(config, config.backend_servers)
+def side_endpoints(config: Config, name: str, data_centre: str) -> dict[str, Endpoint]:
+    """Returns the sides that an entry is linked to, by backend server.
+
+    They are a bounded subset for each route, and one of the backend servers that
+    belong to no route.
+    """
+    known = _endpoints(config, config.backend_servers)
+    routed = [set(route.backend_servers) for route in config.routes.values()]
+    pools = [*routed, set(known).difference(*routed)]
+    chosen: set[str] = set()
+    for pool in pools:
+        centres = {s: known[s].data_centre for s in pool if s in known}
+        chosen.update(subset(name, data_centre, centres))
+    return {server: known[server] for server in sorted(chosen)}
 
 
 def neighbour_endpoints(config: Config, name: str) -> dict[str, Endpoint]:
@@ -58,6 +71,14 @@
     return _endpoints(config, {n: config.entries[n] for n in chosen})
 
 
+def seed_endpoints(settings: Settings) -> dict[str, Endpoint]:
+    """Returns the entries to learn from before a configuration is known."""
+    own = f"{settings.address}:{settings.peer_port}"
+    return {
+        f"seed-{seed}": Endpoint(seed, "") for seed in settings.seeds if seed != own
+    }
+
+
 def _endpoints(config: Config, listed: Mapping[str, Any]) -> dict[str, Endpoint]:
     found = {}
     for name, item in listed.items():
@@ -86,7 +107,9 @@
     def usable(self) -> bool:
         """Whether the side is connected and takes new work."""
         state = self.state
-        return self._peer is not None and state is not None and not state.leaving
+        if self._peer is None or state is None:
+            return False
+        return state.number > 0 and not state.leaving
 
     @property
     def fresh(self) -> bool:
@@ -184,6 +207,7 @@
         self._lock = threading.Lock()
         self._links: dict[str, Link] = {}
         self._stops: dict[str, threading.Event] = {}
+        self.generation = 0
 
     def all(self) -> list[Link]:
         """Returns all links."""
@@ -203,8 +227,12 @@
 
     def on_config(self, config: Config) -> None:
         """Starts and stops links as the configuration wants them."""
-        wanted = self._wanted(config)
+        self.keep(self._wanted(config))
+
+    def keep(self, wanted: Mapping[str, Endpoint]) -> None:
+        """Starts and stops links so that just the wanted ones are kept."""
         with self._lock:
+            self.generation += 1
             for name in list(self._links):
                 if wanted.get(name) != self._links[name].endpoint:
                     self._drop(name)
--- a/properties/test_claims.py
+++ b/properties/test_claims.py
@@ -7,7 +7,7 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from cornelpin.core.claim_shards import Retention, decode_shard, encode_shard
+from cornelpin.core.claim_shards import Retention, decode_shard, encode_shard, shard_key
 from cornelpin.core.claims import (
     Absent,
     Change,
@@ -334,3 +334,14 @@
     copy = open_shard(store).read(0.0)
     assert copy is not None
     assert copy.records == {}
+
+
+def test_unreadable_shard_is_never_written_over() -> None:
+    store = MemoryObjectStore()
+    store.put(shard_key(SHARD), b"", if_version=0)
+    shard = open_shard(store)
+    pending = PendingChange("k", claim(new_record("k", "a", DISPATCHED)), 0.0)
+    shard.submit(pending)
+    assert not shard.write_batch()
+    assert isinstance(pending.wait(0.0), NotStored)
+    assert store.calls.counts().writes == 1
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -166,12 +166,16 @@
     def _read_request(self) -> Request:
         url = urlsplit(self.path)
         length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length)
+        if len(body) < length:
+            # The client died while it sent: what arrived is no request.
+            raise ConnectionDropError
         return Request(
             method=self.command,
             path=unquote(url.path),
             query=dict(parse_qsl(url.query, keep_blank_values=True)),
             headers=self.headers,
-            body=self.rfile.read(length),
+            body=body,
             client_gone=self._client_gone,
         )
 
