--- a/cornelpin/tests/test_moves.py
+++ b/cornelpin/tests/test_moves.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import random
+from types import SimpleNamespace
+from unittest import mock
 
 import attrs
 import pytest
@@ -10,6 +12,7 @@
 from cornelpin.core.move_plan import Facts, next_record, ready_to_switch
 from cornelpin.core.move_state import MoveBook, MoveRecord, MoveState
 from cornelpin.core.observations import Comparison, Sample
+from cornelpin.daemon.move_view import MoveView, Quota
 
 MOVE = Move(
     name="m",
@@ -41,7 +44,7 @@
         (STAGE_0, {}, {"stage_age_s": 1.0}, MoveState.RUNNING, 0.05),
         (STAGE_0, {}, {"opinion": SUSPICIOUS}, MoveState.RUNNING, 0.05),
         (STAGE_0, {}, {"opinion": UNSURE}, MoveState.RUNNING, 0.05),
-        (STAGE_0, {}, {"opinion": UNSURE, "left_s": 9.0}, MoveState.RUNNING, 0.5),
+        (STAGE_0, {}, {"opinion": UNSURE, "left_s": 8.0}, MoveState.RUNNING, 0.5),
         (STAGE_0, {}, {"opinion": BAD}, MoveState.TAKEN_BACK, 0.0),
         (STAGE_0, {}, {"brake": "fault"}, MoveState.TAKEN_BACK, 0.0),
         (STAGE_0, {}, {"left_s": 0.0}, MoveState.LATE, 0.05),
@@ -111,14 +114,37 @@
     rng = random.Random(3)
     now = 0.0
     compared = Comparison(clock=lambda: now)
-    for i in range(400):
+    for i in range(420):
         now = i * 0.1
         sample = Sample("t", 2, 0, now, False, rng.lognormvariate(-4, 0.2), 0.0)
         compared.add_old(sample)
-        if i % 10 == 9:
+        if i < 400 and i % 10 == 9:
             slowed = attrs.evolve(sample, token_s=sample.token_s * factor)
             compared.add_new(slowed)
     now += 2.0
     tally = compared.tallies()[0]
     assert tally.timed == 40
     assert (tally.slow > 0) is slow
+
+
+@pytest.mark.parametrize("share", [0.01, 0.05, 0.5])
+@pytest.mark.parametrize("seed", range(5))
+def test_new_version_never_gets_more_than_its_share(share, seed):
+    rng = random.Random(seed)
+    quota = Quota(("m-1", 0), share)
+    for seen in range(1, 2000):
+        quota.take(rng.random() < share)
+        assert quota.given <= share * seen + 1
+    assert quota.given >= 0.5 * share * 2000
+
+
+def test_version_taken_back_is_not_served_after_a_late_switch():
+    route = SimpleNamespace(version="v2")
+    config = SimpleNamespace(routes={"furnace": route})
+    process = SimpleNamespace(view=SimpleNamespace(config=config), ring=mock.Mock())
+    view = MoveView(process, list)
+    taken_back = attrs.evolve(RECORD, state=MoveState.TAKEN_BACK)
+    view.publish(MoveBook(1, 1, {"m": taken_back}))
+    assert view.choose("furnace", "request") == "v1"
+    assert view.valid_version("furnace", "v2") == "v1"
+    assert view.refused("furnace", "v2")
