--- a/cornelpin/tests/test_standins_objects.py
+++ b/cornelpin/tests/test_standins_objects.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import socket
 import threading
 from typing import Any
 
@@ -153,3 +154,14 @@
             patterns.append([put(api, b"x").broken for _ in range(20)])
     assert patterns[0] == patterns[1]
     assert set(patterns[0]) == {True, False}
+
+
+def test_request_that_breaks_off_writes_nothing() -> None:
+    with running("objects") as api:
+        with socket.create_connection(("127.0.0.1", api.port)) as sock:
+            sock.sendall(
+                f"PUT {KEY} HTTP/1.1\r\nContent-Length: 9\r\n\r\npart".encode()
+            )
+        first = version_of(put(api, b"whole"))
+        assert [e["version"] for e in api.call("GET", "/log").json()] == [first]
+        assert api.call("GET", KEY).body == b"whole"
