Read a shard anew before calling a durable request unknown

A GET at another entry within 0.2 s of the acceptance answered 404 from a copy (test_durable_request_is_collected_at_any_entry[e2] failed once while landing).

--- a/cornelpin/daemon/http/durable.py
+++ b/cornelpin/daemon/http/durable.py
@@ -127,7 +127,8 @@
 
     def _collect(self, key: str, workspace: str) -> HttpResponse:
         try:
-            record = self._ledger.find(key)
+            # Another entry may have accepted it since the latest read here.
+            record = self._ledger.find(key) or self._ledger.find(key, max_age_s=0.0)
         except LedgerUnavailable as exc:
             raise store_refusal("the record cannot be read now") from exc
         if record is None or not record.durable or record.workspace != workspace:
