--- a/cornelpin/daemon/durable.py
+++ b/cornelpin/daemon/durable.py
@@ -198,7 +198,8 @@
         return True
 
     def _refused(self, record: Record, exc: Refusal) -> bool:
-        if exc.verdict is Verdict.NOT_RUN:
+        final = exc.reason is Reason.QUARANTINED
+        if exc.verdict is Verdict.NOT_RUN and not final:
             return False
         self._fail(record, exc.reason, exc.detail)
         return True
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -34,6 +34,7 @@
 POLL_S = 0.25
 RESUME_TIMEOUT_S = 6.0
 SERVICE_TRIES = 3
+QUARANTINE_DETAIL = "this content crashed the backend servers that ran it"
 MAX_RETRY_AFTER_S = 30.0
 
 
@@ -54,7 +55,11 @@
         self._check_at = time.monotonic() + POLL_S
         self._times = RequestTimes(process.meters, self._req.tier)
         self._placement = Placement(
-            process, ticket, dispatcher.candidates, dispatcher.choose_version
+            process,
+            ticket,
+            dispatcher.candidates,
+            dispatcher.choose_version,
+            dispatcher.runs_alone,
         )
         self.caller_gone: Callable[[], bool] = lambda: False
         self.before_grant: Callable[[str, Ticket], bool] | None = None
@@ -175,7 +180,9 @@
             # The former owner's grant may still be under way to the side.
             raise self._failed("the backend server does not know the request")
         if msg.attempt:
-            self._ticket.take_back(link, msg.attempt)
+            taken_back = self._ticket.take_back(link, msg.attempt)
+            if taken_back and msg.reason == Reason.QUARANTINED.value:
+                raise self._refusal(Reason.QUARANTINED, QUARANTINE_DETAIL)
             self._place()
             return
         self._ticket.release(link)
