--- a/cornelpin/core/choice.py
+++ b/cornelpin/core/choice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import hashlib
 import heapq
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 SUBSET_SIZE = 24
 MAX_PLACES = 96
 MIN_SUBSET_SIZE = 2
+COVERING_ENTRIES = 2
 OWN_DATA_CENTRE_SHARE = 0.5
 WEIGHT_BYTES = 8
 
@@ -58,6 +60,23 @@
     return sorted([*chosen, *heaviest(entry, others, size - len(chosen))])
 
 
+def covered(entry: str, entries: Iterable[str], servers: Iterable[str]) -> list[str]:
+    """Returns the backend servers that an entry is linked to besides its subset.
+
+    Subsets leave out some backend servers by chance where there are few entries, so
+    each one is also linked to the entries that follow it on a ring of hashes.
+    """
+    ring = sorted((weight("", name), name) for name in entries)
+    followers = min(COVERING_ENTRIES, len(ring))
+    chosen = []
+    for server in servers:
+        start = bisect.bisect(ring, (weight("", server), ""))
+        following = [ring[(start + i) % len(ring)][1] for i in range(followers)]
+        if entry in following:
+            chosen.append(server)
+    return chosen
+
+
 def heaviest(key: str, names: Iterable[str], count: int) -> list[str]:
     """Returns the names with the highest rendezvous weights, the highest first."""
     return heapq.nlargest(count, names, key=lambda name: weight(key, name))
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -9,7 +9,7 @@
 import attrs
 from loguru import logger
 
-from cornelpin.core.choice import subset, subset_size
+from cornelpin.core.choice import covered, subset, subset_size
 from cornelpin.daemon.messages import Heartbeat, ProtocolError
 from cornelpin.daemon.peer import PeerClosed, connect
 
@@ -53,6 +53,7 @@
     for pool in pools:
         centres = {s: known[s].data_centre for s in pool if s in known}
         chosen.update(subset(name, data_centre, centres, size=size))
+    chosen.update(covered(name, config.entries, known))
     return {server: known[server] for server in sorted(chosen)}
 
 
--- a/cornelpin/tests/test_choice.py
+++ b/cornelpin/tests/test_choice.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from cornelpin.core.choice import MAX_PLACES, SUBSET_SIZE, subset, subset_size
+from cornelpin.core.choice import (
+    MAX_PLACES,
+    SUBSET_SIZE,
+    covered,
+    subset,
+    subset_size,
+)
 
 
 def fleet(count):
@@ -44,3 +50,11 @@
 def test_places_of_all_routes_are_bounded(routes, size):
     assert subset_size(routes) == size <= SUBSET_SIZE
     assert routes * size <= MAX_PLACES
+
+
+@pytest.mark.parametrize("entries, servers", [(1, 5), (2, 40), (10, 92), (200, 50)])
+def test_each_backend_server_is_covered_by_entries(entries, servers):
+    names = [f"e{i}" for i in range(entries)]
+    sides = [f"f{i}" for i in range(servers)]
+    chosen = [side for name in names for side in covered(name, names, sides)]
+    assert {chosen.count(side) for side in sides} == {min(2, entries)}
