--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -4,17 +4,23 @@
 
 from typing import TYPE_CHECKING, Any
 
+from cornelpin.core.config import Limits
+from cornelpin.core.limits import EntryShare, RateLimiter
 from cornelpin.core.tickets import Request, Ticket
-from cornelpin.daemon.exchange import Exchange
+from cornelpin.core.verdict import Reason, Refusal
+from cornelpin.daemon.exchange import QUARANTINE_DETAIL, Exchange
 from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun, Withdraw
 from cornelpin.daemon.placement import grant_message
 from cornelpin.daemon.ticket_table import TicketLimits, TicketTable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornelpin.daemon.links import Link, LinkTable
     from cornelpin.daemon.move_view import MoveView
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
+    from cornelpin.daemon.suspects import Suspects
 
 __all__ = ["Dispatcher", "Exchange"]
 
@@ -27,6 +33,9 @@
         self.links = links
         self.tickets = TicketTable(TicketLimits(limit), self._shed_orders)
         self.moves: MoveView | None = None
+        self.suspects: Suspects | None = None
+        self.entry_share: Callable[[], EntryShare] = EntryShare
+        self._rates = RateLimiter()
         self._candidates: dict[str, tuple[tuple[int, int], list[Link]]] = {}
 
     def on_message(self, link: Link, peer: Peer, msg: Any) -> bool:
@@ -66,14 +75,26 @@
         Raises:
             Refusal: If the entry cannot hold the request.
         """
+        if self.suspects is not None and self.suspects.is_quarantined(req.fingerprint):
+            raise Refusal(Reason.QUARANTINED, detail=QUARANTINE_DETAIL)
+        limits = self._limits_of(req)
+        share = self.entry_share()
+        self._rates.admit(req.workspace, limits, share, req.cost)
         ticket = Ticket(req)
         ticket.version = version
         if self.moves is not None and req.kind == "model":
             ticket.version = self.moves.choose(req.route, req.request_id)
-        self.tickets.admit(ticket)
+        concurrent = limits.concurrent
+        if concurrent is not None:
+            concurrent = share.of_count(concurrent)
+        self.tickets.admit(ticket, concurrent)
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
+    def _limits_of(self, req: Request) -> Limits:
+        workspace = self._process.view.config.workspaces.get(req.workspace)
+        return workspace.limits if workspace is not None else Limits()
+
     def choose_version(self, ticket: Ticket, links: list[Link]) -> None:
         """Falls back from a version that may not be used at the links any more."""
         if self.moves is None or ticket.req.kind != "model":
@@ -88,6 +109,10 @@
         tiers = self._process.view.config.tiers
         return {name: tier.shed_order for name, tier in tiers.items()}
 
+    def runs_alone(self, req: Request) -> bool:
+        """Whether a request's content is suspected of crashing backend servers."""
+        return self.suspects is not None and self.suspects.is_suspect(req.fingerprint)
+
     def candidates(self, route: str) -> list[Link]:
         """Returns the links to the backend servers of a route.
 
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -10,6 +10,7 @@
 
 from cornelpin.core.configstore import Accepted, ConfigStore
 from cornelpin.core.events import Event, merge_events
+from cornelpin.core.limits import EntryShare, entry_share
 from cornelpin.daemon import readiness
 from cornelpin.daemon.census import (
     Census,
@@ -41,6 +42,7 @@
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.spread import REPAIR_S, ConfigSpread
 from cornelpin.daemon.supervisor import every
+from cornelpin.daemon.suspects import Suspects
 from cornelpin.daemon.watcher import ConfigWatcher
 from cornelpin.platform import host_list, object_store
 
@@ -118,6 +120,9 @@
         self._census = Census(
             process, own_rows=self._own_rows, neighbour=self._neighbours.peer_of
         )
+        self._suspects = Suspects(process, self._peers)
+        self._dispatcher.suspects = self._suspects
+        self._dispatcher.entry_share = self._entry_share
         self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
         self._inbound: set[Peer] = set()
         self._states: dict[str, tuple[str, Heartbeat]] = {}
@@ -173,6 +178,12 @@
 
     # Peers
 
+    def _entry_share(self) -> EntryShare:
+        """Returns this entry's share of the workspaces' limits."""
+        lost = [link.name for link in self._neighbours.all() if link.peer is None]
+        entries = self.process.view.config.entries
+        return entry_share(self.process.settings.name, entries, lost)
+
     def _peers(self) -> list[Peer]:
         with self._lock:
             inbound = list(self._inbound)
@@ -186,6 +197,7 @@
 
     def _greet(self, peer: Peer) -> None:
         self._spread.greet(peer)
+        self._suspects.greet(peer)
         self._moves.view.greet(peer)
 
     def _on_message(self, link: Link, peer: Peer, msg: Any) -> None:
@@ -253,6 +265,8 @@
                 self._census.on_ask(peer, msg)
             case CensusReply():
                 self._census.on_reply(msg)
+            case _ if self._suspects.handle(msg):
+                pass
             case _ if not self._moves.handle(peer, msg, link):
                 self._spread.handle(peer, msg)
 
