--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -8,9 +8,11 @@
 
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.messages import (
+    Ask,
     Cancel,
     Chunk,
     End,
+    Gone,
     Head,
     NotRun,
     Resume,
@@ -26,6 +28,7 @@
     from cornelpin.core.tickets import Ticket
     from cornelpin.daemon.dispatch import Dispatcher
     from cornelpin.daemon.links import Link
+    from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
 
 POLL_S = 0.25
@@ -60,6 +63,12 @@
             dispatcher.preferences,
         )
         self.caller_gone: Callable[[], bool] = lambda: False
+        self.before_grant: Callable[[str, Ticket], bool] | None = None
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the request is not granted yet."""
+        return self._ticket.waiting
 
     def head(self) -> Head:
         """Waits for the head of the answer.
@@ -98,6 +107,8 @@
                 self._resume(link)
             case NotRun() if self._ticket.held_by(link, msg.attempt):
                 raise self._failed("the backend server lost the request")
+            case Ask():
+                link.send(Gone(msg.request_id))
         return []
 
     def close(self) -> None:
@@ -141,7 +152,10 @@
 
     def _check_time(self) -> None:
         self._check_at = time.monotonic() + POLL_S
-        if self.caller_gone() and not self._req.keep:
+        if self._req.keep:
+            # A durable request is not shed; it tries all sides again.
+            self._placement.shed_by.clear()
+        if self.caller_gone():
             raise self._refusal(Reason.CANCELLED, "the caller has gone away")
         if self._req.left_s() <= 0:
             raise self._refusal(Reason.DEADLINE, "the deadline has passed")
@@ -152,6 +166,8 @@
         match msg:
             case Evicted():
                 raise self._refusal(Reason.SHED, "shed for a higher tier")
+            case Ask():
+                self._on_ask(link)
             case NotRun():
                 self._on_not_run(msg, link)
             case Lost():
@@ -161,6 +177,9 @@
 
     def _on_not_run(self, msg: NotRun, link: Link) -> None:
         """The side surely did not run the request; it may go elsewhere."""
+        if self._ticket.adopted:
+            # The former owner's grant may still be under way to the side.
+            raise self._failed("the backend server does not know the request")
         if msg.attempt:
             taken_back = self._ticket.take_back(link, msg.attempt)
             if taken_back and msg.reason == Reason.QUARANTINED.value:
@@ -174,7 +193,28 @@
                 self._refuse_if_all_shed()
         self._place()
 
+    def _on_ask(self, link: Link) -> None:
+        """Grants a durable request to a side once that is stored."""
+        peer = link.peer
+        if peer is not None and self._grant_stored(link, peer):
+            self._placement.send_grant(link, peer, direct=False)
+            for other in self._ticket.take_reserved():
+                other.send(Withdraw(self._req.request_id))
+            return
+        self._ticket.release(link)
+        link.send(Gone(self._req.request_id))
+
+    def _grant_stored(self, link: Link, peer: Peer) -> bool:
+        if not self._ticket.waiting or self.before_grant is None:
+            return False
+        self._dispatcher.choose_version(self._ticket, [link])
+        self._ticket.incarnation = peer.incarnation
+        stored = self.before_grant(link.name, self._ticket)
+        return stored and self._ticket.grant(link, peer.incarnation)
+
     def _refuse_if_all_shed(self) -> None:
+        if self._req.keep:
+            return
         usable = [
             link for link in self._dispatcher.candidates(self._req.route) if link.usable
         ]
