--- a/cornelpin/core/tickets.py
+++ b/cornelpin/core/tickets.py
@@ -73,6 +73,7 @@
         self.events: queue.SimpleQueue[tuple[Any, Any]] = queue.SimpleQueue()
         self.version = ""
         self.incarnation = ""
+        self.adopted = False
         self._lock = threading.Lock()
         self._state = State.WAITING
         self._holder: Any = None
@@ -125,6 +126,11 @@
         with self._lock:
             self._reserved.discard(session)
 
+    def resume_from(self, attempt: int) -> None:
+        """Counts the grants of a request that had some before this ticket."""
+        with self._lock:
+            self._attempt = attempt
+
     def grant(self, session: Any, incarnation: str) -> bool:
         """Grants the request to a session unless it is granted or closed."""
         with self._lock:
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -7,11 +7,11 @@
 from cornelpin.core.config import Limits
 from cornelpin.core.limits import EntryShare, RateLimiter
 from cornelpin.core.tickets import Request, Ticket
-from cornelpin.core.verdict import Reason, Refusal
+from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.exchange import QUARANTINE_DETAIL, Exchange
 from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun, Withdraw
 from cornelpin.daemon.placement import grant_message
-from cornelpin.daemon.ticket_table import TicketLimits, TicketTable
+from cornelpin.daemon.ticket_table import Lost, TicketLimits, TicketTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,7 +46,7 @@
         """
         match msg:
             case Ask():
-                self._on_ask(link, peer, msg.request_id)
+                self._on_ask(link, peer, msg)
             case NotRun() | Head() | Chunk() | End():
                 ticket = self.tickets.find(msg.request_id)
                 if ticket is not None:
@@ -55,8 +55,13 @@
                 return False
         return True
 
-    def _on_ask(self, link: Link, peer: Peer, request_id: str) -> None:
+    def _on_ask(self, link: Link, peer: Peer, msg: Ask) -> None:
+        request_id = msg.request_id
         ticket = self.tickets.find(request_id)
+        if ticket is not None and ticket.waiting and ticket.req.keep:
+            # Its own task stores the grant before it is sent.
+            ticket.events.put((msg, link))
+            return
         if ticket is not None and ticket.waiting:
             self.choose_version(ticket, [link])
         if ticket is not None and ticket.grant(link, peer.incarnation):
@@ -69,9 +74,14 @@
         else:
             peer.send(Gone(request_id))
 
-    def open(self, req: Request, *, version: str = "") -> Exchange:
+    def open(self, req: Request, *, version: str = "", attempt: int = 0) -> Exchange:
         """Admits a request and returns its exchange.
 
+        Args:
+            req: The request.
+            version: Version of its route.
+            attempt: Number of grants that it had before.
+
         Raises:
             Refusal: If the entry cannot hold the request.
         """
@@ -82,6 +92,7 @@
         self._rates.admit(req.workspace, limits, share, req.cost)
         ticket = Ticket(req)
         ticket.version = version
+        ticket.resume_from(attempt)
         if self.moves is not None and req.kind == "model":
             ticket.version = self.moves.choose(req.route, req.request_id)
         concurrent = limits.concurrent
@@ -91,6 +102,32 @@
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
+    def adopt(
+        self,
+        req: Request,
+        *,
+        server: str,
+        incarnation: str,
+        version: str,
+        attempt: int,
+    ) -> Exchange:
+        """Returns the exchange of a request that another entry had granted.
+
+        Raises:
+            Refusal: If its backend server is gone or the entry cannot hold it.
+        """
+        links = self.links.of_servers([server])
+        if not links:
+            raise Refusal(Reason.SERVER_LOST, Verdict.MAY_HAVE_RUN, f"{server} is gone")
+        ticket = Ticket(req)
+        ticket.version = version
+        ticket.adopted = True
+        ticket.resume_from(attempt - 1)
+        ticket.grant(links[0], incarnation)
+        self.tickets.admit(ticket)
+        ticket.events.put((Lost(), links[0]))
+        return Exchange(self._process, self, ticket)
+
     def _limits_of(self, req: Request) -> Limits:
         workspace = self._process.view.config.workspaces.get(req.workspace)
         return workspace.limits if workspace is not None else Limits()
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -39,6 +39,7 @@
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.liveness import TICK_S, Pinger
 from cornelpin.daemon.messages import EventsAsk, EventsReply, Heartbeat
+from cornelpin.daemon.records import EntryRecords
 from cornelpin.daemon.replies import answer_events
 from cornelpin.daemon.spread import REPAIR_S, ConfigSpread
 from cornelpin.daemon.supervisor import every
@@ -89,6 +90,9 @@
         self._dispatcher = Dispatcher(
             process, self._links, settings.limits.held_requests
         )
+        self._records = EntryRecords(
+            process, self._dispatcher, self._objects, self._peers
+        )
         self._spread = ConfigSpread(process, self._peers, self._eager_peers)
         self._pinger = Pinger(
             process,
@@ -130,7 +134,7 @@
         process.view.on_change(self._links.on_config)
         process.view.on_change(self._neighbours.on_config)
         process.view.on_change(self._on_config)
-        app = EntryApp(process, CallerApi(process, self._dispatcher), AdminApi(self))
+        app = EntryApp(process, self._caller_api(), AdminApi(self))
         self._http = HttpServer(
             as_wsgi(app.handle),
             address=settings.address,
@@ -150,6 +154,7 @@
         # Nothing can bring a configuration yet, whose links these would replace.
         self._neighbours.keep(seed_endpoints(settings))
         sup.start("peer-listener", listener.run)
+        self._records.start()
         sup.start("config-watcher", self._watcher.run)
         sup.start("readiness", every(readiness.TICK_S, self._readiness.tick))
         sup.start("config-repair", every(REPAIR_S, self._spread.repair))
@@ -158,6 +163,12 @@
         sup.start("moves", self._moves.controller.run)
         self._http.start()
 
+    def _caller_api(self) -> CallerApi:
+        records = self._records
+        return CallerApi(
+            self.process, self._dispatcher, records.claimed, records.durable
+        )
+
     def leave(self) -> None:
         """Stops taking new requests."""
         if not self.process.leaving.is_set():
@@ -175,6 +186,7 @@
         """Waits until every request in hand is answered."""
         while len(self._dispatcher.tickets):
             time.sleep(DRAIN_POLL_S)
+        self._records.wait_idle()
 
     # Peers
 
@@ -265,7 +277,9 @@
                 self._census.on_ask(peer, msg)
             case CensusReply():
                 self._census.on_reply(msg)
-            case _ if self._suspects.handle(msg):
+            case _ if self._records.peers.handle(peer, msg) or self._suspects.handle(
+                msg
+            ):
                 pass
             case _ if not self._moves.handle(peer, msg, link):
                 self._spread.handle(peer, msg)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -15,6 +15,7 @@
 
     from cornelpin.core.tickets import Request, Ticket
     from cornelpin.daemon.links import Link
+    from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
 
 RESERVATIONS = 3
@@ -56,7 +57,8 @@
         version = self._ticket.version
         usable = [link for link in usable if not link.lacks_version(version)]
         alone = self._runs_alone(self._req)
-        if direct and not alone and self._grant_direct(usable):
+        stored = self._req.keep
+        if direct and not alone and not stored and self._grant_direct(usable):
             return
         wanted = len(usable) if self._at_risk() else RESERVATIONS
         wanted = 1 if alone else wanted
@@ -81,15 +83,19 @@
         if peer is None or not self._ticket.grant(link, peer.incarnation):
             return False
         link.direct += 1
+        self.send_grant(link, peer, direct=True)
+        return True
+
+    def send_grant(self, link: Link, peer: Peer, *, direct: bool) -> None:
+        """Sends a request to the side that it was just granted to."""
         self._process.ring.record(
             "request.granted", request=self._req.request_id, detail=link.name
         )
-        peer.send(grant_message(self._ticket, direct=True))
+        peer.send(grant_message(self._ticket, direct=direct))
         if link.peer is not peer:
             # The session ended meanwhile; its loss may have been announced before
             # this grant was visible.
             self._ticket.events.put((Lost(), link))
-        return True
 
     def _reserve_message(self) -> Reserve:
         req = self._req
--- /dev/null
+++ b/cornelpin/daemon/records.py
@@ -0,0 +1,82 @@
+"""The parts of an entry that keep records in the object store."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from cornelpin.core.claim_shards import Retention
+from cornelpin.daemon.blobs import Blobs
+from cornelpin.daemon.claim_peers import ClaimPeers
+from cornelpin.daemon.durable import DurableRequests
+from cornelpin.daemon.http.durable import DurableApi
+from cornelpin.daemon.http.keyed import ClaimedCalls
+from cornelpin.daemon.http.waiters import Waiters
+from cornelpin.daemon.leases import RENEW_S, EntryLeases
+from cornelpin.daemon.ledger import Ledger
+from cornelpin.daemon.supervisor import every
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornelpin.daemon.dispatch import Dispatcher
+    from cornelpin.daemon.peer import Peer
+    from cornelpin.daemon.process import Process
+    from cornelpin.platform.objects import ObjectStore
+
+SCAN_S = 2.0
+FLUSH_TIMEOUT_S = 5.0
+DRAIN_POLL_S = 0.05
+
+
+class EntryRecords:
+    """Claims and durable requests of an entry, with their periodic duties."""
+
+    def __init__(
+        self,
+        process: Process,
+        dispatcher: Dispatcher,
+        objects: ObjectStore,
+        peers: Callable[[], list[Peer]],
+    ) -> None:
+        self._process = process
+        self._ledger = Ledger(objects, self._retention)
+        self._leases = EntryLeases(
+            objects, name=process.settings.name, incarnation=process.incarnation
+        )
+        blobs = Blobs(objects)
+        self._waiters = Waiters()
+        self._requests = DurableRequests(
+            process, dispatcher, self._ledger, blobs, self._leases
+        )
+        self.peers = ClaimPeers(process, self._ledger, peers)
+        self.claimed = ClaimedCalls(
+            process, self._ledger, blobs, self._leases, self._waiters, self.peers
+        )
+        self.durable = DurableApi(
+            self._requests, self._ledger, blobs, self._waiters, self.peers
+        )
+
+    def _retention(self) -> Retention:
+        retention = self._process.view.config.retention
+        return Retention(retention.answers_s, retention.claims_s)
+
+    def start(self) -> None:
+        """Starts the writers and the periodic duties."""
+        sup = self._process.supervisor
+        self._ledger.start(sup)
+        sup.start("leases", every(RENEW_S, self._leases.refresh))
+        sup.start("adoption", self._adopt)
+
+    def _adopt(self, stop: threading.Event) -> None:
+        """Scans at once, so that a copy of every shard is there, then periodically."""
+        self._requests.scan()
+        every(SCAN_S, self._requests.scan)(stop)
+
+    def wait_idle(self) -> None:
+        """Hands durable requests over, and waits for callers and writes."""
+        self._leases.give_back()
+        while len(self._waiters):
+            time.sleep(DRAIN_POLL_S)
+        self._ledger.flush(FLUSH_TIMEOUT_S)
--- a/cornelpin/daemon/ticket_table.py
+++ b/cornelpin/daemon/ticket_table.py
@@ -97,7 +97,7 @@
         waiting = [
             t
             for t in self._tickets.values()
-            if t.waiting and orders.get(t.req.tier, -1) < mine
+            if t.waiting and not t.req.keep and orders.get(t.req.tier, -1) < mine
         ]
         for victim in sorted(waiting, key=lambda t: orders.get(t.req.tier, -1)):
             if victim.evict():
