--- a/cornelpin/tests/test_docs.py
+++ b/cornelpin/tests/test_docs.py
@@ -12,6 +12,8 @@
 from cornelpin.daemon import settings
 
 ROOT = Path(__file__).parents[2]
+LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
+TABLE_ROW = re.compile(r"^\|.*\|$", re.M)
 INTERNAL = {Reason.STALE_NUMBER, Reason.INVALID_PATCH, Reason.CANCELLED}
 
 # Page and the classes whose every field it must name.
@@ -72,3 +74,29 @@
     text = (ROOT / "docs/operators/command-line.md").read_text()
     for code, meaning in exit_codes.MEANINGS.items():
         assert re.search(rf"\| {code} \| .*{re.escape(meaning[:20])}", text), code
+
+
+def test_the_page_of_promises_names_scenarios_and_files_that_exist() -> None:
+    rows = TABLE_ROW.findall((ROOT / "docs/PROMISES.md").read_text())
+    scenarios = {p.stem for p in (ROOT / "cornelpin/tests/scenarios").glob("*.jsonc")}
+    files = {str(p.relative_to(ROOT)) for p in ROOT.rglob("*.py")}
+    named = re.findall(r"`([a-z_/]+(?:\.py)?\*?)`", " ".join(rows))
+    missing = [
+        name
+        for name in named
+        if name not in scenarios
+        and not any(file.endswith(f"/{name}") or file == name for file in files)
+        and not name.endswith("*")
+    ]
+    assert missing == []
+
+
+@pytest.mark.parametrize(
+    "page",
+    [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))],
+    ids=lambda page: str(page.relative_to(ROOT)),
+)
+def test_links_between_pages_lead_somewhere(page: Path) -> None:
+    targets = LINK.findall(page.read_text())
+    missing = [t for t in targets if not (page.parent / t).exists()]
+    assert missing == []
