--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := .venv/ready
 endif
 
-.PHONY: bench demo moves test lint format types clean scenarios experiment soak slopes
+.PHONY: bench demo fuzz moves test lint format types clean scenarios experiment soak slopes
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -49,5 +49,8 @@
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
 
+fuzz: $(READY)
+	CORNELPIN_FUZZ=20 $(PY) -m pytest --timeout 3600 -n 5 --dist worksteal properties
+
 clean:
 	rm -rf .venv build
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import queue
-import secrets
 import threading
 import time
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.core.configstore import Accepted, ConfigStore
-from cornelpin.core.events import Event, merge_events
 from cornelpin.core.limits import EntryShare, entry_share
 from cornelpin.daemon import readiness
 from cornelpin.daemon.census import (
@@ -41,9 +38,11 @@
 from cornelpin.daemon.messages import EventsAsk, EventsReply, Heartbeat
 from cornelpin.daemon.records import EntryRecords
 from cornelpin.daemon.replies import answer_events
+from cornelpin.daemon.reports import process_row, route_rows, tier_rows
 from cornelpin.daemon.spread import REPAIR_S, ConfigSpread
 from cornelpin.daemon.supervisor import every
 from cornelpin.daemon.suspects import Suspects
+from cornelpin.daemon.timeline import TimelineCollector
 from cornelpin.daemon.watcher import ConfigWatcher
 from cornelpin.platform import host_list, object_store
 
@@ -52,12 +51,10 @@
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
     from cornelpin.daemon.settings import Settings
-    from cornelpin.daemon.view import ConfigView
     from cornelpin.platform.hosts import HostList
 
 EAGER_NEIGHBOURS = 3
 STATUS_TIMEOUT_S = 0.5
-TIMELINE_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 
 
@@ -127,7 +124,7 @@
         self._suspects = Suspects(process, self._peers)
         self._dispatcher.suspects = self._suspects
         self._dispatcher.entry_share = self._entry_share
-        self._collecting: dict[str, queue.SimpleQueue[list[Event]]] = {}
+        self.timeline = TimelineCollector(process.ring, self._peers)
         self._inbound: set[Peer] = set()
         self._states: dict[str, tuple[str, Heartbeat]] = {}
         self._lock = threading.Lock()
@@ -270,7 +267,7 @@
             case EventsAsk():
                 answer_events(self.process.ring, peer, msg)
             case EventsReply():
-                self._on_events(msg)
+                self.timeline.on_reply(msg)
             case HostsLeaving():
                 self._host_watch.handle(msg)
             case CensusAsk():
@@ -312,7 +309,7 @@
             }
         ]
         states = dict(self._states)
-        rows += [_row(name, *states[name], view) for name in sorted(states)]
+        rows += [process_row(name, *states[name], view) for name in sorted(states)]
         return rows
 
     def config_status(self) -> list[dict[str, Any]]:
@@ -342,73 +339,16 @@
 
     def routes(self) -> list[dict[str, Any]]:
         """Returns the routes and how many of their servers are usable."""
-        return [
-            {
-                "name": name,
-                "kind": route.kind,
-                "version": route.version,
-                "backend_servers": len(route.backend_servers),
-                "usable": sum(
-                    link.usable for link in self._dispatcher.candidates(name)
-                ),
-            }
-            for name, route in self.process.view.config.routes.items()
-        ]
+        return route_rows(self.process.view.config, self._dispatcher.candidates)
 
     def tiers(self) -> list[dict[str, Any]]:
         """Returns the tiers in shedding order."""
-        tiers = self.process.view.config.tiers.values()
-        return [
-            {"name": t.name, "shed_order": t.shed_order, "urgency": t.urgency}
-            for t in sorted(tiers, key=lambda tier: tier.shed_order)
-        ]
+        return tier_rows(self.process.view.config)
 
     def moves(self) -> list[dict[str, Any]]:
         """Returns the moves of the configuration and their state."""
         return self._moves.rows()
 
-    # Time line
-
-    def timeline(self, *, request: str, move: str) -> list[Event]:
-        """Collects the events of this process and of its peers."""
-        ask_id = secrets.token_hex(8)
-        replies: queue.SimpleQueue[list[Event]] = queue.SimpleQueue()
-        self._collecting[ask_id] = replies
-        peers = self._peers()
-        for peer in peers:
-            peer.send(EventsAsk(ask_id, request, move))
-        parts = [self.process.ring.select(request=request, move=move)]
-        until = time.monotonic() + TIMELINE_TIMEOUT_S
-        try:
-            for _ in peers:
-                parts.append(replies.get(timeout=max(0, until - time.monotonic())))
-        except queue.Empty:
-            pass
-        finally:
-            del self._collecting[ask_id]
-        return merge_events(parts)
-
-    def _on_events(self, msg: EventsReply) -> None:
-        replies = self._collecting.get(msg.ask_id)
-        if replies is not None:
-            replies.put([Event(*row) for row in msg.events])
-
-
-def _row(name: str, role: str, state: Heartbeat, view: ConfigView) -> dict[str, Any]:
-    """Describes a process as it announced itself last."""
-    behind = state.number < view.number
-    return {
-        "name": name,
-        "role": role,
-        "number": state.number,
-        "lag_s": round(time.monotonic() - view.since, 3) if behind else 0.0,
-        "leaving": state.leaving,
-        "slots": state.slots,
-        "free": state.free,
-        "waiting": state.waiting,
-        "versions": list(state.versions),
-    }
-
 
 def _host_list(settings: Settings) -> HostList | None:
     listed = settings.host_list
--- a/cornelpin/daemon/http/admin.py
+++ b/cornelpin/daemon/http/admin.py
@@ -112,7 +112,7 @@
 
     def _timeline(self, http: HttpRequest) -> HttpResponse:
         query = parse_qs(http.query)
-        events = self._entry.timeline(
+        events = self._entry.timeline.collect(
             request=query.get("request", [""])[0], move=query.get("move", [""])[0]
         )
         host = query.get("host", [""])[0]
--- /dev/null
+++ b/cornelpin/daemon/reports.py
@@ -0,0 +1,56 @@
+"""Rows of the operators' status report."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornelpin.core.config import Config
+    from cornelpin.daemon.links import Link
+    from cornelpin.daemon.messages import Heartbeat
+    from cornelpin.daemon.view import ConfigView
+
+
+def route_rows(
+    config: Config, candidates: Callable[[str], list[Link]]
+) -> list[dict[str, Any]]:
+    """Describes the routes and how many of their servers are usable."""
+    return [
+        {
+            "name": name,
+            "kind": route.kind,
+            "version": route.version,
+            "backend_servers": len(route.backend_servers),
+            "usable": sum(link.usable for link in candidates(name)),
+        }
+        for name, route in config.routes.items()
+    ]
+
+
+def tier_rows(config: Config) -> list[dict[str, Any]]:
+    """Describes the tiers in shedding order."""
+    return [
+        {"name": t.name, "shed_order": t.shed_order, "urgency": t.urgency}
+        for t in sorted(config.tiers.values(), key=lambda tier: tier.shed_order)
+    ]
+
+
+def process_row(
+    name: str, role: str, state: Heartbeat, view: ConfigView
+) -> dict[str, Any]:
+    """Describes a process as it announced itself last."""
+    behind = state.number < view.number
+    return {
+        "name": name,
+        "role": role,
+        "number": state.number,
+        "lag_s": round(time.monotonic() - view.since, 3) if behind else 0.0,
+        "leaving": state.leaving,
+        "slots": state.slots,
+        "free": state.free,
+        "waiting": state.waiting,
+        "versions": list(state.versions),
+    }
--- a/properties/test_claims.py
+++ b/properties/test_claims.py
@@ -4,7 +4,7 @@
 
 import attrs
 import pytest
-from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis import HealthCheck, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cornelpin.core.claim_shards import Retention, decode_shard, encode_shard, shard_key
@@ -28,17 +28,16 @@
 from cornelpin.platform.memory_objects import MemoryObjectStore
 from cornelpin.platform.objects import Conflict, Unavailable, Unknown, Written
 from properties.claims_model import NaiveClaims
+from properties.profiles import run_settings
 
 OWNERS = ("e1", "e2", "e3")
 KEYS = ("k1", "k2", "k3", "k4")
 SHARD = 0
 TRIES = 8
 KEEP = Retention(answers_s=3600.0, claims_s=7200.0)
-MACHINE_SETTINGS = settings(
-    derandomize=True,
-    max_examples=300,
+MACHINE_SETTINGS = run_settings(
+    300,
     stateful_step_count=40,
-    deadline=None,
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much],
 )
 
--- a/properties/test_codec.py
+++ b/properties/test_codec.py
@@ -2,7 +2,7 @@
 
 import attrs
 import msgpack
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from cornelpin.daemon.messages import (
     Chunk,
@@ -13,8 +13,9 @@
     decode,
     encode,
 )
+from properties.profiles import run_settings
 
-FIXED = settings(derandomize=True, max_examples=400, deadline=None)
+FIXED = run_settings(400)
 
 values = st.recursive(
     st.none()
--- a/properties/test_configuration.py
+++ b/properties/test_configuration.py
@@ -3,7 +3,7 @@
 import collections
 import types
 
-from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis import HealthCheck, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cornelpin.core.configstore import Accepted, ConfigStore, Snapshot, Undecided
@@ -12,6 +12,7 @@
 from cornelpin.daemon.view import ConfigView
 from cornelpin.daemon.watcher import ConfigWatcher
 from cornelpin.platform.memory_objects import MemoryObjectStore
+from properties.profiles import run_settings
 
 NAMES = ("e1", "e2", "s1")
 PROCESSES = st.sampled_from(NAMES)
@@ -221,11 +222,7 @@
         assert {world.view.number for world in self.worlds.values()} == {stored}
 
 
-Configuration.TestCase.settings = settings(
-    max_examples=60,
-    stateful_step_count=40,
-    deadline=None,
-    derandomize=True,
-    suppress_health_check=list(HealthCheck),
+Configuration.TestCase.settings = run_settings(
+    60, stateful_step_count=40, suppress_health_check=list(HealthCheck)
 )
 TestConfiguration = Configuration.TestCase
--- a/properties/test_dispatch.py
+++ b/properties/test_dispatch.py
@@ -13,7 +13,7 @@
 import types
 from unittest import mock
 
-from hypothesis import HealthCheck, Phase, settings, strategies as st
+from hypothesis import HealthCheck, Phase, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
@@ -33,6 +33,7 @@
 from cornelpin.daemon.runs import RETAIN_S, RunTable
 from cornelpin.daemon.side import Side
 from cornelpin.daemon.ticket_table import Lost
+from properties.profiles import run_settings
 
 SERVERS = ("s1", "s2")
 PLACES = 4
@@ -400,11 +401,9 @@
 
 
 TestDispatch = Dispatch.TestCase
-TestDispatch.settings = settings(
-    max_examples=300,
+TestDispatch.settings = run_settings(
+    300,
     stateful_step_count=30,
-    derandomize=True,
     phases=(Phase.explicit, Phase.generate),
-    deadline=None,
     suppress_health_check=list(HealthCheck),
 )
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from hypothesis import settings, strategies as st
+from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cornelpin.core.lease import HOLD_SHARE, TERM_S, Lease
 from cornelpin.platform.memory_objects import MemoryObjectStore
 from cornelpin.platform.objects import Found, Written
+from properties.profiles import run_settings
 
 CONTENDERS = 3
 LEASE_KEY = "lease"
@@ -113,7 +114,5 @@
         assert fences == sorted(fences)
 
 
-LeaseMachine.TestCase.settings = settings(
-    max_examples=150, stateful_step_count=60, deadline=None
-)
+LeaseMachine.TestCase.settings = run_settings(150, stateful_step_count=60)
 TestLeases = LeaseMachine.TestCase
--- a/properties/test_move_controller.py
+++ b/properties/test_move_controller.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from hypothesis import settings, strategies as st
+from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cornelpin.core.configstore import HEAD_KEY, Accepted, ConfigStore
@@ -20,6 +20,7 @@
 from cornelpin.daemon.move_view import MoveView
 from cornelpin.platform.memory_objects import MemoryObjectStore
 from cornelpin.platform.objects import Found
+from properties.profiles import run_settings
 
 CONTROLLERS = 2
 FINISH_BY = 10_000.0
@@ -247,7 +248,5 @@
             assert self.stored().records["m"].state.final
 
 
-MoveMachine.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=50, deadline=None
-)
+MoveMachine.TestCase.settings = run_settings(60, stateful_step_count=50)
 TestMoveController = MoveMachine.TestCase
