--- a/properties/test_claims.py
+++ b/properties/test_claims.py
@@ -24,7 +24,9 @@
     release,
     take_over,
 )
-from cornelpin.daemon.ledger import PendingChange, Shard, WriteBudget
+from cornelpin.daemon.pending_changes import PendingChange
+from cornelpin.daemon.shard_writer import ShardWriter
+from cornelpin.daemon.write_budget import WriteBudget
 from cornelpin.platform.memory_objects import MemoryObjectStore
 from cornelpin.platform.objects import Conflict, Unavailable, Unknown, Written
 from properties.claims_model import NaiveClaims
@@ -82,8 +84,8 @@
     )
 
 
-def open_shard(store: MemoryObjectStore) -> Shard:
-    return Shard(SHARD, store, WriteBudget(1e6, 1e6), lambda: KEEP)
+def open_shard(store: MemoryObjectStore) -> ShardWriter:
+    return ShardWriter(SHARD, store, WriteBudget(1e6, 1e6), lambda: KEEP)
 
 
 @attrs.define
@@ -175,7 +177,7 @@
     @rule(entry=st.sampled_from(OWNERS), key=st.sampled_from(KEYS))
     def adopt(self, entry: str, key: str) -> None:
         """An entry thinks, rightly or not, that the owner is dead."""
-        copy = self.shards[entry].read(0.0)
+        copy = self.shards[entry].reader.read(0.0)
         seen = copy.records.get(key) if copy else None
         if seen is None or not seen.durable or seen.entry == entry:
             return
@@ -228,7 +230,7 @@
             self.store.outage = False
             self.store.deliver()
         self.heal()
-        copy = open_shard(self.store).read(0.0)
+        copy = open_shard(self.store).reader.read(0.0)
         assert copy is not None
         for key, record in copy.records.items():
             if record.state is ClaimState.DONE:
@@ -330,7 +332,7 @@
     given_up.submit(PendingChange("k", release("a"), 0.0))
     given_up.write_batch()
     store.deliver()
-    copy = open_shard(store).read(0.0)
+    copy = open_shard(store).reader.read(0.0)
     assert copy is not None
     assert copy.records == {}
 
