Fold the changes of held records

take_over, dispatch, conclude and cancel each repeated the check of the owner; one function makes the change now. No change of behaviour: properties/test_claims.py passes unchanged.

--- a/cornelpin/core/claims.py
+++ b/cornelpin/core/claims.py
@@ -11,6 +11,7 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import attrs
 
@@ -166,7 +167,7 @@
 
     def change(found: Record | None) -> Decision:
         if found is None or found.owner == new.owner:
-            return Decision(found or new, Held(found or new))
+            return _keep(found or new)
         return Decision(found, Existing(found))
 
     return change
@@ -174,16 +175,12 @@
 
 def take_over(seen: Record, *, owner: str, entry: str, incarnation: str) -> Change:
     """Makes another owner the owner of a record as it was seen."""
+    taking = _change_held(seen.owner, owner=owner, entry=entry, incarnation=incarnation)
 
     def change(found: Record | None) -> Decision:
-        if found is None:
-            return Decision(None, Absent())
-        if found.owner == owner:
-            return Decision(found, Held(found))
-        if found.owner != seen.owner or found.state.final:
-            return Decision(found, Existing(found))
-        taken = attrs.evolve(found, owner=owner, entry=entry, incarnation=incarnation)
-        return Decision(taken, Held(taken))
+        if found is not None and found.owner == owner:
+            return _keep(found)
+        return taking(found)
 
     return change
 
@@ -198,23 +195,15 @@
     attempt: int = 1,
 ) -> Change:
     """Notes, before the grant, which side a request is granted to."""
-
-    def change(found: Record | None) -> Decision:
-        refused = _not_held(found, owner)
-        if refused is not None or found is None:
-            return refused or Decision(None, Absent())
-        new = attrs.evolve(
-            found,
-            state=ClaimState.DISPATCHED,
-            side=side,
-            side_incarnation=incarnation,
-            version=version,
-            attempt=attempt,
-            at=at,
-        )
-        return Decision(new, Held(new))
-
-    return change
+    return _change_held(
+        owner,
+        state=ClaimState.DISPATCHED,
+        side=side,
+        side_incarnation=incarnation,
+        version=version,
+        attempt=attempt,
+        at=at,
+    )
 
 
 def conclude(
@@ -227,23 +216,15 @@
     detail: str = "",
 ) -> Change:
     """Notes the end of a request; the call itself is no longer kept."""
-
-    def change(found: Record | None) -> Decision:
-        refused = _not_held(found, owner)
-        if refused is not None or found is None:
-            return refused or Decision(None, Absent())
-        new = attrs.evolve(
-            found,
-            state=state,
-            at=at,
-            answer=answer,
-            reason=reason,
-            detail=detail,
-            call=NOTHING,
-        )
-        return Decision(new, Held(new))
-
-    return change
+    return _change_held(
+        owner,
+        state=state,
+        at=at,
+        answer=answer,
+        reason=reason,
+        detail=detail,
+        call=NOTHING,
+    )
 
 
 def release(owner: str) -> Change:
@@ -266,25 +247,31 @@
     def change(found: Record | None) -> Decision:
         if found is None or not found.durable or found.workspace != workspace:
             return Decision(found, Absent())
-        if found.state.final:
-            return Decision(found, Existing(found))
         ran = found.state is ClaimState.DISPATCHED
-        new = attrs.evolve(
-            found,
-            state=ClaimState.FAILED if ran else ClaimState.CANCELLED,
+        ended = conclude(
+            found.owner,
+            ClaimState.FAILED if ran else ClaimState.CANCELLED,
+            at=at,
             reason="cancelled",
             detail="cancelled by its caller",
-            at=at,
-            call=NOTHING,
         )
-        return Decision(new, Held(new))
+        return ended(found)
 
     return change
 
 
-def _not_held(found: Record | None, owner: str) -> Decision | None:
-    if found is None:
-        return Decision(None, Absent())
-    if found.owner != owner or found.state.final:
-        return Decision(found, Existing(found))
-    return None
+def _change_held(held_by: str, /, **fields: Any) -> Change:
+    """Changes fields of an owner's record unless it is final."""
+
+    def change(found: Record | None) -> Decision:
+        if found is None:
+            return Decision(None, Absent())
+        if found.owner != held_by or found.state.final:
+            return Decision(found, Existing(found))
+        return _keep(attrs.evolve(found, **fields))
+
+    return change
+
+
+def _keep(record: Record) -> Decision:
+    return Decision(record, Held(record))
