Seal old claims into segments by time

Considered: more shards (each entry reads and writes them all, so calls at the store grow with them while a shard stays as full) and compact records (at most 4 times). Now a shard above 400 kB writes the older half of its ended records to an immutable segment, which the shard's next conditional write names; small segments are joined up to 800 kB or an eighth of the retention, and deleted whole. Every entry holds a filter of a segment's keys in memory and reads the segment only if the filter says yes. Filters, 25,000 keys: Bloom of 12 bits 1.5 B a key, 0.33 % false; of 16 bits 2 B, 0.038 %, 168 ms to build; sorted 32 bit hashes 4 B, 0.001 %, 42 ms. The last is used, since a false yes costs a read of up to 800 kB for each claim that meets it.

A segment's key has the shard's version that it was sealed from: once the shard has a later version that does not name it, it is garbage. A keyed call that never ended is dropped an hour after its retention; before it stayed for ever.

--- a/cornelpin/core/claim_shards.py
+++ b/cornelpin/core/claim_shards.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import attrs
 import msgpack
 
+from cornelpin.core.claim_segments import Segment
 from cornelpin.core.claims import NOTHING, ClaimState, Packed, Record
 
 SHARDS = 16
 SHARD_PREFIX = "claims/"
 # Room above is left for the ends of requests whose records are already there.
 NEW_RECORDS_BELOW_BYTES = 800_000
+# A keyed call that has not ended this long after its retention never ends.
+UNFINISHED_S = 3600.0
+FORMAT = 2
 
 
 @attrs.frozen
@@ -24,6 +28,11 @@
     answers_s: float
     claims_s: float
 
+    @property
+    def keep_s(self) -> float:
+        """Longest time that anything of a final record is kept."""
+        return max(self.answers_s, self.claims_s)
+
 
 def shard_of(key: str) -> int:
     """Returns the shard that holds a record key."""
@@ -35,36 +44,70 @@
     return f"{SHARD_PREFIX}{shard:02d}"
 
 
-def encode_shard(records: Mapping[str, Record]) -> bytes:
+@attrs.frozen
+class StoredShard:
+    """Content of a shard.
+
+    Attributes:
+        records: Its own records by key.
+        segments: Sealed segments, the oldest first.
+    """
+
+    records: Mapping[str, Record] = attrs.field(factory=dict)
+    segments: tuple[Segment, ...] = ()
+
+
+def encode_shard(shard: StoredShard) -> bytes:
     """Returns the value of a shard."""
-    return msgpack.packb([_row(record) for record in records.values()])
+    rows = [_row(record) for record in shard.records.values()]
+    segments = [attrs.astuple(segment) for segment in shard.segments]
+    return msgpack.packb([FORMAT, rows, segments])
 
 
-def decode_shard(value: bytes) -> dict[str, Record]:
-    """Returns the records of a shard.
+def decode_shard(value: bytes) -> StoredShard:
+    """Returns the content of a shard.
 
     Raises:
         ValueError: If the value is not a shard.
     """
     try:
-        records = [_record(row) for row in msgpack.unpackb(value)]
+        content = msgpack.unpackb(value)
+        if content[:1] != [FORMAT]:
+            # Before there were segments, a shard was just its records.
+            content = [FORMAT, content, []]
+        _, rows, segments = content
+        records = [_record(row) for row in rows]
+        named = tuple(Segment(*segment) for segment in segments)
     except (TypeError, ValueError, msgpack.UnpackException) as exc:
         raise ValueError(f"not a shard of claims: {exc}") from exc
-    return {record.key: record for record in records}
+    return StoredShard({record.key: record for record in records}, named)
 
 
 def expire(
     records: Mapping[str, Record], retention: Retention, now: float
 ) -> dict[str, Record]:
-    """Drops final records and answers that were kept long enough."""
-    kept = {}
-    for key, record in records.items():
-        age_s = now - record.at
-        if not record.state.final or age_s <= retention.answers_s:
-            kept[key] = record
-        elif age_s <= retention.claims_s:
-            kept[key] = _without_answer(record)
-    return kept
+    """Drops records and answers that were kept long enough."""
+    kept = ((key, expire_record(r, retention, now)) for key, r in records.items())
+    return {key: record for key, record in kept if record is not None}
+
+
+def expire_record(record: Record, retention: Retention, now: float) -> Record | None:
+    """Returns what is kept of a record, None if nothing."""
+    age_s = now - record.at
+    if record.state.final:
+        if age_s <= retention.answers_s:
+            return record
+        return _without_answer(record) if age_s <= retention.claims_s else None
+    # The entry that ran the call is long dead; nobody adopts it.
+    ended = not record.durable and age_s > retention.keep_s + UNFINISHED_S
+    return None if ended else record
+
+
+def expire_segments(
+    segments: Iterable[Segment], retention: Retention, now: float
+) -> tuple[Segment, ...]:
+    """Drops segments whose newest record was kept long enough."""
+    return tuple(s for s in segments if now - s.newest <= retention.keep_s)
 
 
 def drop_answers(records: Mapping[str, Record]) -> dict[str, Record]:
--- a/cornelpin/core/claims.py
+++ b/cornelpin/core/claims.py
@@ -260,6 +260,11 @@
     return change
 
 
+def rewrite(found: Record | None) -> Decision:
+    """Changes nothing but has the shard written, without what has expired."""
+    return Decision(found, Absent(), fence=True)
+
+
 def _change_held(held_by: str, /, **fields: Any) -> Change:
     """Changes fields of an owner's record unless it is final."""
 
--- a/cornelpin/daemon/claim_peers.py
+++ b/cornelpin/daemon/claim_peers.py
@@ -68,7 +68,8 @@
         found = copy.records.get(key)
         with self._lock:
             others = self._owners.get(key, set()) - {owner}
-        return bool(others) or (found is not None and found.owner != owner)
+        stored = copy.may_have(key) if found is None else found.owner != owner
+        return bool(others) or stored
 
     def handle(self, peer: Peer, msg: Any) -> bool:
         """Handles another entry's message; returns whether it was about claims."""
--- a/cornelpin/daemon/ledger.py
+++ b/cornelpin/daemon/ledger.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from cornelpin.core.claim_shards import SHARDS, Retention, shard_of
+from cornelpin.core.claim_shards import SHARDS, Retention, expire_record, shard_of
 from cornelpin.core.claims import Change, NotStored, Outcome, Record
 from cornelpin.daemon.pending_changes import PendingChange
-from cornelpin.daemon.shard_reader import ShardCopy
+from cornelpin.daemon.segments import SegmentUnreadableError
+from cornelpin.daemon.shard_reader import ShardCopy, ShardReader
 from cornelpin.daemon.shard_writer import ShardWriter
 from cornelpin.daemon.write_budget import WriteBudget
 from cornelpin.platform.objects import ObjectStore
@@ -38,6 +39,7 @@
         *,
         writes_per_s: float = WRITES_PER_S,
     ) -> None:
+        self._retention = retention
         budget = WriteBudget(writes_per_s, WRITE_BURST)
         self._shards = [
             ShardWriter(number, objects, budget, retention) for number in range(SHARDS)
@@ -74,10 +76,11 @@
         Raises:
             LedgerUnavailable: If the store does not answer.
         """
-        copy = self._shard(key).reader.read(max_age_s)
-        if copy is None:
-            raise LedgerUnavailable
-        return copy.records.get(key)
+        try:
+            found = self._shard(key).reader.find(key, max_age_s)
+        except SegmentUnreadableError as exc:
+            raise LedgerUnavailable from exc
+        return found and expire_record(found, self._retention(), time.time())
 
     def copy_of(self, key: str) -> ShardCopy | None:
         """Returns the latest copy of a key's shard, without a call."""
@@ -99,6 +102,16 @@
             if record.durable and not record.state.final
         ]
 
+    @property
+    def readers(self) -> list[ShardReader]:
+        """The readers of all shards, by number."""
+        return [shard.reader for shard in self._shards]
+
+    def tidy(self) -> None:
+        """Has shards written again that hold something expired."""
+        for shard in self._shards:
+            shard.submit_tidying()
+
     def flush(self, timeout_s: float) -> bool:
         """Waits until no change is left to write."""
         until = time.monotonic() + timeout_s
--- a/cornelpin/daemon/shard_reader.py
+++ b/cornelpin/daemon/shard_reader.py
@@ -9,8 +9,10 @@
 import attrs
 from loguru import logger
 
+from cornelpin.core.claim_segments import key_hash
 from cornelpin.core.claim_shards import decode_shard, shard_key
 from cornelpin.core.claims import Record
+from cornelpin.daemon.segments import OpenSegment, Segments, SegmentUnreadableError
 from cornelpin.platform.objects import Found, Missing, ObjectStore, Unchanged
 
 
@@ -19,14 +21,22 @@
     """A shard as it was last read or written.
 
     Attributes:
-        records: The records.
+        records: The records that are not sealed.
         version: Version of the object, 0 if it does not exist.
         read_at: Monotonic time in seconds.
+        segments: Sealed segments, the oldest first.
     """
 
     records: Mapping[str, Record]
     version: int
     read_at: float
+    segments: tuple[OpenSegment, ...] = ()
+
+    def may_have(self, key: str) -> bool:
+        """Whether a key may have a record, by what is in memory."""
+        hashed = key_hash(key)
+        sealed = any(item.filter.may_have(hashed) for item in self.segments)
+        return key in self.records or sealed
 
 
 class ShardReader:
@@ -35,6 +45,7 @@
     def __init__(self, number: int, objects: ObjectStore) -> None:
         self._key = shard_key(number)
         self._objects = objects
+        self.segments = Segments(number, objects)
         self._lock = threading.Lock()
         self._reading = threading.Lock()
         self._copy: ShardCopy | None = None
@@ -67,10 +78,9 @@
         found = self._objects.get(self._key, unless_version=version)
         match found:
             case Found():
-                records = self._decode(found.value)
-                if records is None:
+                copy = self._decode(found, now)
+                if copy is None:
                     return None
-                copy = ShardCopy(records, found.version, now)
             case Unchanged() if known is not None:
                 copy = attrs.evolve(known, read_at=now)
             case Missing():
@@ -79,13 +89,35 @@
                 return None
         return self.keep_newer(copy)
 
-    def _decode(self, value: bytes) -> dict[str, Record] | None:
-        """Returns a shard's records; an unreadable one is never written over."""
+    def _decode(self, found: Found, read_at: float) -> ShardCopy | None:
+        """Returns a shard's content; an unreadable one is never written over."""
+        known = self._copy.segments if self._copy is not None else ()
         try:
-            return decode_shard(value)
+            shard = decode_shard(found.value)
+            segments = self.segments.open(shard.segments, known)
         except ValueError as exc:
             logger.error("{} is unreadable: {}", self._key, exc)
             return None
+        except SegmentUnreadableError:
+            return None
+        return ShardCopy(shard.records, found.version, read_at, segments)
+
+    def find(self, key: str, max_age_s: float) -> Record | None:
+        """Returns a record, sealed or not, perhaps an expired one.
+
+        Raises:
+            SegmentUnreadableError: If the store does not answer.
+        """
+        for age_s in (max_age_s, 0.0):
+            copy = self.read(age_s)
+            if copy is None:
+                break
+            try:
+                return copy.records.get(key) or self.segments.find(copy.segments, key)
+            except SegmentUnreadableError:
+                # It may have been replaced since the copy was read.
+                continue
+        raise SegmentUnreadableError(self._key)
 
     def keep_newer(self, copy: ShardCopy) -> ShardCopy:
         """Keeps the newest copy: a slow read must not displace a later write."""
--- a/cornelpin/daemon/shard_writer.py
+++ b/cornelpin/daemon/shard_writer.py
@@ -12,16 +12,29 @@
 import time
 from collections.abc import Callable, Mapping
 
+from cornelpin.core.claim_segments import Segment
 from cornelpin.core.claim_shards import (
     NEW_RECORDS_BELOW_BYTES,
     Retention,
+    StoredShard,
     drop_answers,
     encode_shard,
     expire,
+    expire_record,
+    expire_segments,
     shard_key,
 )
-from cornelpin.core.claims import NotStored, Outcome, Record
+from cornelpin.core.claims import Record, rewrite
+from cornelpin.daemon.batches import (
+    decide,
+    end,
+    refuse_new,
+    settle,
+    settle_unchanged,
+)
 from cornelpin.daemon.pending_changes import PendingChange
+from cornelpin.daemon.sealing import SealLimits, seal
+from cornelpin.daemon.segments import OpenSegment, SegmentUnreadableError
 from cornelpin.daemon.shard_reader import ShardCopy, ShardReader
 from cornelpin.daemon.write_budget import WriteBudget
 from cornelpin.platform.objects import (
@@ -35,6 +48,7 @@
 FIRST_BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.2
 IDLE_POLL_S = 0.5
+LIMITS = SealLimits()
 
 
 class ShardWriter:
@@ -46,13 +60,19 @@
         objects: ObjectStore,
         budget: WriteBudget,
         retention: Callable[[], Retention],
+        *,
+        limits: SealLimits = LIMITS,
+        clock: Callable[[], float] = time.time,
     ) -> None:
         self._key = shard_key(number)
         self._objects = objects
         self._budget = budget
         self._retention = retention
+        self._limits = limits
+        self._clock = clock
         self._cond = threading.Condition()
         self._pending: list[PendingChange] = []
+        self._discarded: list[tuple[int, Segment]] = []
         self.reader = ShardReader(number, objects)
 
     def submit(self, pending: PendingChange) -> None:
@@ -61,6 +81,17 @@
             self._pending.append(pending)
             self._cond.notify_all()
 
+    def submit_tidying(self) -> None:
+        """Has the shard written again if something in it has expired."""
+        copy = self.reader.copy
+        now = self._clock()
+        if copy is None:
+            return
+        kept = expire(copy.records, self._retention(), now)
+        live = self._live_segments(copy, now)
+        if kept != copy.records or live != copy.segments:
+            self.submit(PendingChange("", rewrite, time.monotonic()))
+
     @property
     def idle(self) -> bool:
         """Whether no change waits."""
@@ -103,93 +134,140 @@
         copy = self.reader.refresh()
         if copy is None:
             return False
-        self._settle_unchanged(copy)
+        self._delete_discarded(copy)
         with self._cond:
-            batch = [pending for pending in self._pending if pending.begin()]
-        if not batch:
-            return True
-        records = expire(copy.records, self._retention(), time.time())
-        outcomes = _decide(batch, records)
-        records, value = _encode_bounded(records)
-        if len(value) > NEW_RECORDS_BELOW_BYTES and _refuse_new(batch, copy):
-            _end(batch, unresolved=False)
+            waiting = [pending for pending in self._pending if not pending.settled]
+        now = self._clock()
+        records = expire(copy.records, self._retention(), now)
+        sealed, readable = self._look_up(waiting, records, copy, now)
+        settle_unchanged(readable, records, sealed)
+        batch = [pending for pending in readable if pending.begin()]
+        done = self._write(batch, records, sealed, copy, now) if batch else True
+        return done and len(readable) == len(waiting)
+
+    def _look_up(
+        self,
+        waiting: list[PendingChange],
+        records: Mapping[str, Record],
+        copy: ShardCopy,
+        now: float,
+    ) -> tuple[dict[str, Record], list[PendingChange]]:
+        """Finds the sealed records of waiting changes.
+
+        Returns:
+            The records, and the changes but those that need an unreadable segment.
+        """
+        sealed: dict[str, Record] = {}
+        readable = []
+        for pending in waiting:
+            key = pending.key
+            try:
+                if key not in records and key not in sealed:
+                    found = self.reader.segments.find(copy.segments, key)
+                    kept = found and expire_record(found, self._retention(), now)
+                    sealed |= {key: kept} if kept else {}
+            except SegmentUnreadableError:
+                continue
+            readable.append(pending)
+        return sealed, readable
+
+    def _write(
+        self,
+        batch: list[PendingChange],
+        records: dict[str, Record],
+        sealed: Mapping[str, Record],
+        copy: ShardCopy,
+        now: float,
+    ) -> bool:
+        """Writes a batch; returns whether the store answered."""
+        outcomes = decide(batch, records, sealed)
+        segments = self._live_segments(copy, now)
+        records, segments, value = self._encode(records, segments, copy.version, now)
+        if len(value) > NEW_RECORDS_BELOW_BYTES and refuse_new(batch, copy):
+            end(batch, unresolved=False)
             return False
         written_at = time.monotonic()
         done = self._objects.put(self._key, value, if_version=copy.version)
         if not isinstance(done, Written):
             return self._not_written(batch, done)
-        self.reader.keep_newer(ShardCopy(records, done.version, written_at))
-        _settle(batch, outcomes)
-        self._delete_unused(copy.records, records)
+        written = ShardCopy(records, done.version, written_at, segments)
+        self.reader.keep_newer(written)
+        settle(batch, outcomes)
+        self._delete_unused(copy, written)
         return True
 
-    def _settle_unchanged(self, copy: ShardCopy) -> None:
-        """Settles what the stored shard decides alone, without any write."""
-        with self._cond:
-            waiting = [pending for pending in self._pending if not pending.settled]
-        for pending in waiting:
-            found = copy.records.get(pending.key)
-            decision = pending.change(found)
-            if decision.record == found and not decision.fence:
-                pending.settle(decision.outcome)
+    def _live_segments(self, copy: ShardCopy, now: float) -> tuple[OpenSegment, ...]:
+        named = [item.segment for item in copy.segments]
+        live = set(expire_segments(named, self._retention(), now))
+        return tuple(item for item in copy.segments if item.segment in live)
+
+    def _encode(
+        self,
+        records: dict[str, Record],
+        segments: tuple[OpenSegment, ...],
+        base_version: int,
+        now: float,
+    ) -> tuple[dict[str, Record], tuple[OpenSegment, ...], bytes]:
+        """Encodes a shard; seals old records, or drops answers, if it is too large."""
+        value = _encoded(records, segments)
+        if len(value) <= self._limits.above_bytes:
+            return records, segments, value
+        sealed = seal(
+            self.reader.segments,
+            records,
+            segments,
+            base_version=base_version,
+            retention=self._retention(),
+            now=now,
+            limits=self._limits,
+        )
+        if sealed is not None:
+            records, segments = sealed.records, sealed.segments
+            # Garbage unless this write takes effect.
+            self._discarded.append((base_version, sealed.written.segment))
+        return _encode_bounded(records, segments)
 
     def _not_written(
         self, batch: list[PendingChange], done: Conflict | Unavailable | Unknown
     ) -> bool:
-        _end(batch, unresolved=isinstance(done, Unknown))
+        end(batch, unresolved=isinstance(done, Unknown))
         # Only the stored shard tells who came first, perhaps an own write whose
         # answer was lost; the next try reads it and fences what is under way.
         return isinstance(done, Conflict)
 
-    def _delete_unused(
-        self, before: Mapping[str, Record], after: Mapping[str, Record]
-    ) -> None:
-        """Deletes objects apart that no record names any more."""
-        unused = _object_keys(before) - _object_keys(after)
-        for object_key in unused:
+    def _delete_unused(self, before: ShardCopy, after: ShardCopy) -> None:
+        """Deletes objects that the shard does not name any more."""
+        for object_key in _object_keys(before.records) - _object_keys(after.records):
             self._objects.delete(object_key)
+        for item in set(before.segments) - set(after.segments):
+            self.reader.segments.delete(item.segment)
 
+    def _delete_discarded(self, copy: ShardCopy) -> None:
+        """Deletes sealed segments whose naming write surely has no effect."""
+        named = {item.segment for item in copy.segments}
+        settled = [(v, s) for v, s in self._discarded if v < copy.version]
+        for base_version, segment in settled:
+            self._discarded.remove((base_version, segment))
+            if segment not in named:
+                self.reader.segments.delete(segment)
 
-def _decide(batch: list[PendingChange], records: dict[str, Record]) -> list[Outcome]:
-    """Applies changes to the records and returns their outcomes."""
-    outcomes = []
-    for pending in batch:
-        decision = pending.change(records.get(pending.key))
-        if decision.record is None:
-            records.pop(pending.key, None)
-        else:
-            records[pending.key] = decision.record
-        outcomes.append(decision.outcome)
-    return outcomes
 
+def _encoded(records: Mapping[str, Record], segments: tuple[OpenSegment, ...]) -> bytes:
+    named = tuple(item.segment for item in segments)
+    return encode_shard(StoredShard(records, named))
 
-def _encode_bounded(records: dict[str, Record]) -> tuple[dict[str, Record], bytes]:
+
+def _encode_bounded(
+    records: dict[str, Record], segments: tuple[OpenSegment, ...]
+) -> tuple[dict[str, Record], tuple[OpenSegment, ...], bytes]:
     """Encodes a shard, without its oldest answers if it is too large."""
-    value = encode_shard(records)
+    value = _encoded(records, segments)
     while len(value) > NEW_RECORDS_BELOW_BYTES:
         smaller = drop_answers(records)
         if smaller == records:
             break
-        records, value = smaller, encode_shard(smaller)
-    return records, value
-
-
-def _refuse_new(batch: list[PendingChange], copy: ShardCopy) -> bool:
-    """Refuses the changes that would file new records; returns whether any did."""
-    new = [pending for pending in batch if pending.key not in copy.records]
-    for pending in new:
-        pending.settle(NotStored("the claims are full"))
-    return bool(new)
-
-
-def _settle(batch: list[PendingChange], outcomes: list[Outcome]) -> None:
-    for pending, outcome in zip(batch, outcomes, strict=True):
-        pending.settle(outcome)
-
-
-def _end(batch: list[PendingChange], *, unresolved: bool) -> None:
-    for pending in batch:
-        pending.end(unresolved=unresolved)
+        records, value = smaller, _encoded(smaller, segments)
+    return records, segments, value
 
 
 def _object_keys(records: Mapping[str, Record]) -> set[str]:
