--- a/cornelpin/daemon/claim_peers.py
+++ b/cornelpin/daemon/claim_peers.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cornelpin.daemon.leases import EntryLeases
     from cornelpin.daemon.ledger import Ledger
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
@@ -31,10 +32,15 @@
     """Remembers the keys of this entry and asks the other entries for theirs."""
 
     def __init__(
-        self, process: Process, ledger: Ledger, peers: Callable[[], list[Peer]]
+        self,
+        process: Process,
+        ledger: Ledger,
+        leases: EntryLeases,
+        peers: Callable[[], list[Peer]],
     ) -> None:
         self._process = process
         self._ledger = ledger
+        self._leases = leases
         self._peers = peers
         self._lock = threading.Lock()
         self._owners: OrderedDict[str, set[str]] = OrderedDict()
@@ -92,11 +98,23 @@
         """
         if self.may_know(key, owner):
             return True
-        others = set(self._process.view.config.entries) - {self._process.settings.name}
+        others = self._others(key)
         replies = self._ask(key, owner, others)
         known = any(reply.known for reply in replies.values())
         return known or replies.keys() != others
 
+    def _others(self, key: str) -> set[str]:
+        """Returns the entries that may have run a key since its shard was read here.
+
+        One that has left the configuration gives no reply, but what it claimed before
+        the shard was read is known.
+        """
+        copy = self._ledger.copy_of(key)
+        read_at = copy.read_at if copy is not None else float("-inf")
+        configured = set(self._process.view.config.entries)
+        others = configured | self._leases.active_since(read_at)
+        return others - {self._process.settings.name}
+
     def _ask(self, key: str, owner: str, others: set[str]) -> dict[str, ClaimReply]:
         """Collects the replies of the other entries that answer in time."""
         ask_id = secrets.token_hex(ASK_ID_BYTES)
--- a/cornelpin/daemon/durable.py
+++ b/cornelpin/daemon/durable.py
@@ -11,6 +11,7 @@
 import attrs
 from loguru import logger
 
+from cornelpin.core.claim_shards import SHARDS, shard_key, shard_of
 from cornelpin.core.claims import (
     NOTHING,
     Change,
@@ -25,6 +26,7 @@
     dispatch,
     take_over,
 )
+from cornelpin.core.duties import holder
 from cornelpin.core.tickets import Request
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.blobs import Answer, StoredCall
@@ -72,7 +74,7 @@
         self._blobs = blobs
         self._leases = leases
         self._lock = threading.Lock()
-        self._owned: set[str] = set()
+        self._owned: dict[str, str] = {}
         self._executor = ThreadPoolExecutor(MAX_RUNNERS, thread_name_prefix="durable")
 
     def __len__(self) -> int:
@@ -89,7 +91,7 @@
         if packed is None:
             return NotStored("the request cannot be stored now")
         record = attrs.evolve(record, call=packed)
-        self._own(record.owner)
+        self._own(record.owner, record.key)
         outcome = self._ledger.apply(record.key, claim(record), timeout_s=timeout_s)
         if isinstance(outcome, Held):
             self._start(outcome.record)
@@ -117,10 +119,23 @@
 
     def scan(self) -> None:
         """Adopts unfinished requests that nobody works on."""
-        for record in self._ledger.unfinished(SCAN_AGE_S):
+        for record in self._ledger.unfinished(self._watched(), SCAN_AGE_S):
             if self._orphaned(record) and not self._process.leaving.is_set():
                 self._adopt(record)
 
+    def _watched(self) -> set[int]:
+        """Returns the shards to look at: this entry's share, and those of its own.
+
+        Another entry may cancel or adopt what this one runs. A shard is read once in
+        any case, so that the entry knows what was claimed before its start.
+        """
+        name = self._process.settings.name
+        live = self._leases.live()
+        share = {n for n in range(SHARDS) if holder(shard_key(n), live) == name}
+        with self._lock:
+            own = {shard_of(key) for key in self._owned.values()}
+        return share | own | self._ledger.unread()
+
     def _orphaned(self, record: Record) -> bool:
         if record.incarnation == self._process.incarnation:
             with self._lock:
@@ -135,7 +150,7 @@
             entry=self._process.settings.name,
             incarnation=self._process.incarnation,
         )
-        self._own(owner)
+        self._own(owner, seen.key)
         outcome = self._ledger.apply(seen.key, change)
         if not isinstance(outcome, Held):
             self._disown(owner)
@@ -147,13 +162,13 @@
 
     # Running
 
-    def _own(self, owner: str) -> None:
+    def _own(self, owner: str, key: str) -> None:
         with self._lock:
-            self._owned.add(owner)
+            self._owned[owner] = key
 
     def _disown(self, owner: str) -> None:
         with self._lock:
-            self._owned.discard(owner)
+            self._owned.pop(owner, None)
 
     def _start(self, record: Record) -> None:
         self._executor.submit(self._run, record)
--- a/cornelpin/daemon/leases.py
+++ b/cornelpin/daemon/leases.py
@@ -33,10 +33,12 @@
 
     def __init__(self, objects: ObjectStore, *, name: str, incarnation: str) -> None:
         self._objects = objects
+        self._name = name
         self._key = lease_key(name, incarnation)
         self._given_back = False
         self._lock = threading.Lock()
         self._seen: dict[str, _Seen] = {}
+        self._changed: dict[str, float] = {}
 
     def refresh(self) -> None:
         """Renews the own lease and looks at all others."""
@@ -65,6 +67,19 @@
             seen = self._seen.setdefault(key, _Seen(0, now))
             return now - seen.since > LEASE_S
 
+    def live(self) -> set[str]:
+        """Returns the names of the entries whose leases are not expired."""
+        now = time.monotonic()
+        with self._lock:
+            seen = [key for key, s in self._seen.items() if _live(s, now)]
+        return {self._name, *map(_entry_name, seen)}
+
+    def active_since(self, read_at: float) -> set[str]:
+        """Returns the entries that may have worked after a monotonic time."""
+        with self._lock:
+            changed = list(self._changed.items())
+        return {name for name, at in changed if at + LEASE_S >= read_at}
+
     def _observe(self, versions: dict[str, int]) -> None:
         now = time.monotonic()
         with self._lock:
@@ -73,6 +88,10 @@
                 known = self._seen.get(key)
                 if known is None or known.version != version:
                     self._seen[key] = _Seen(version, now)
+                    self._changed[_entry_name(key)] = now
+            self._changed = {
+                name: at for name, at in self._changed.items() if now - at < FORGET_S
+            }
             old = [k for k, s in self._seen.items() if now - s.since > FORGET_S]
         for key in old:
             self._forget(key, listed=key in versions)
@@ -85,6 +104,14 @@
             self._seen.pop(key, None)
 
 
+def _live(seen: _Seen, now: float) -> bool:
+    return seen.version > 0 and now - seen.since <= LEASE_S
+
+
+def _entry_name(key: str) -> str:
+    return key.removeprefix(LEASE_PREFIX).rpartition("/")[0]
+
+
 def lease_key(name: str, incarnation: str) -> str:
     """Returns the object key of an entry's lease."""
     return f"{LEASE_PREFIX}{name}/{incarnation}"
--- a/cornelpin/daemon/ledger.py
+++ b/cornelpin/daemon/ledger.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from cornelpin.core.claim_shards import SHARDS, Retention, expire_record, shard_of
@@ -91,9 +91,9 @@
         copy = self.copy_of(key)
         return copy.records.get(key) if copy is not None else None
 
-    def unfinished(self, max_age_s: float) -> list[Record]:
+    def unfinished(self, shards: Iterable[int], max_age_s: float) -> list[Record]:
         """Returns the durable records that are not final, as far as readable."""
-        copies = [shard.reader.read(max_age_s) for shard in self._shards]
+        copies = [self._shards[shard].reader.read(max_age_s) for shard in shards]
         return [
             record
             for copy in copies
@@ -102,6 +102,10 @@
             if record.durable and not record.state.final
         ]
 
+    def unread(self) -> set[int]:
+        """Returns the shards that have not been read since the start."""
+        return {n for n, shard in enumerate(self._shards) if shard.reader.copy is None}
+
     @property
     def readers(self) -> list[ShardReader]:
         """The readers of all shards, by number."""
--- a/cornelpin/daemon/records.py
+++ b/cornelpin/daemon/records.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING
 
 from cornelpin.core.claim_shards import Retention
+from cornelpin.core.duties import holder
 from cornelpin.daemon.blobs import Blobs
 from cornelpin.daemon.claim_peers import ClaimPeers
 from cornelpin.daemon.durable import DurableRequests
+from cornelpin.daemon.garbage import GarbageCollector
 from cornelpin.daemon.http.durable import DurableApi
 from cornelpin.daemon.http.keyed import ClaimedCalls
 from cornelpin.daemon.http.waiters import Waiters
@@ -26,6 +28,8 @@
     from cornelpin.platform.objects import ObjectStore
 
 SCAN_S = 2.0
+SWEEP_S = 120.0
+SWEEP_DUTY = "sweep"
 FLUSH_TIMEOUT_S = 5.0
 DRAIN_POLL_S = 0.05
 
@@ -45,12 +49,13 @@
         self._leases = EntryLeases(
             objects, name=process.settings.name, incarnation=process.incarnation
         )
+        self._garbage = GarbageCollector(objects, self._ledger.readers)
         blobs = Blobs(objects)
         self._waiters = Waiters()
         self._requests = DurableRequests(
             process, dispatcher, self._ledger, blobs, self._leases
         )
-        self.peers = ClaimPeers(process, self._ledger, peers)
+        self.peers = ClaimPeers(process, self._ledger, self._leases, peers)
         self.claimed = ClaimedCalls(
             process, self._ledger, blobs, self._leases, self._waiters, self.peers
         )
@@ -68,12 +73,19 @@
         self._ledger.start(sup)
         sup.start("leases", every(RENEW_S, self._leases.refresh))
         sup.start("adoption", self._adopt)
+        sup.start("tidying", every(SWEEP_S, self._tidy))
 
     def _adopt(self, stop: threading.Event) -> None:
         """Scans at once, so that a copy of every shard is there, then periodically."""
         self._requests.scan()
         every(SCAN_S, self._requests.scan)(stop)
 
+    def _tidy(self) -> None:
+        """Removes what has expired and what no record names, for all entries."""
+        if holder(SWEEP_DUTY, self._leases.live()) == self._process.settings.name:
+            self._garbage.sweep()
+            self._ledger.tidy()
+
     def wait_idle(self) -> None:
         """Hands durable requests over, and waits for callers and writes."""
         self._leases.give_back()
