Weigh the total goodput by the tiers' shed orders

The experiment gave shares by tier only, so a system that traded one tier for another could not be compared. Each cell now has a row weighted_total: the good share of all requests, each weighted by its tier's shed order, the deployment's own statement of what it would rather lose; to_bound and to_naive give its ratios.

--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -43,6 +43,7 @@
 from benchmarks.scenario_run import Run, Scenario
 from benchmarks.scenarios import load_scenario, run_steps
 from benchmarks.testbed import Testbed
+from benchmarks.weighted import TOTAL, set_ratios, total_row
 from benchmarks.workload import PlannedRequest, Shape, plan
 
 BUILD_FOLDER = Path(__file__).resolve().parent.parent / "build"
@@ -88,12 +89,16 @@
             )
             planned = plan(described, shape)
             bound = self._cell(described, load, "bound")
-            self.rows += bound_rows(bound, described, planned, self.bounds_s)
+            rows = bound_rows(bound, described, planned, self.bounds_s)
+            self.rows += [*rows, total_row(bound, described, rows)]
             cells = [self._cell(described, load, system) for system in SYSTEMS]
             # Side by side, so that both meet the same disturbances of the machine.
             with ThreadPoolExecutor(len(cells)) as pool:
                 measure = partial(self._measure, described, planned)
                 list(pool.map(measure, cells))
+            set_ratios(self.rows)
+            self.save()
+            _print_totals(self.rows, load)
 
     def save(self) -> None:
         """Writes the rows so far."""
@@ -119,6 +124,7 @@
                 faults.join()
         evidence = testbed.evidence()
         rows = measured_rows(cell, described, planned, evidence, self.bounds_s)
+        rows.append(total_row(cell, described, rows))
         good = [r for r in evidence.records if is_good(r, self.bounds_s)]
         with self._lock:
             self.rows += rows
@@ -181,6 +187,17 @@
     )
 
 
+def _print_totals(rows: Iterable[Row], load: float) -> None:
+    """Prints the weighted totals of a load beside the bound's and naive's."""
+    for row in rows:
+        if row.tier == TOTAL and row.load == load and row.system == "cornelpin":
+            print(
+                f"  weighted total: {row.good:.3f}, of the bound's "
+                f"{row.to_bound or 0:.3f}, of naive's {row.to_naive or 0:.3f}",
+                flush=True,
+            )
+
+
 def _failures(
     records: Iterable[SentRecord], bounds_s: Mapping[str, float]
 ) -> dict[str, int]:
--- a/benchmarks/experiment_rows.py
+++ b/benchmarks/experiment_rows.py
@@ -72,6 +72,9 @@
         crossed_or_cut: Answers that were wrong, or cut without notice.
         inversions: Requests shed while a lower shed order was served.
         lost_durable: Accepted durable requests that were never concluded.
+        seed: Seed of the workload.
+        to_bound: Of a total, its good share divided by the bound's.
+        to_naive: Of a total, its good share divided by naive's.
     """
 
     deployment: str
@@ -90,6 +93,8 @@
     inversions: int = 0
     lost_durable: int = 0
     seed: int = 0
+    to_bound: float | None = None
+    to_naive: float | None = None
 
 
 def is_good(record: SentRecord, bounds_s: Mapping[str, float]) -> bool:
--- a/cornelpin/tests/test_experiment.py
+++ b/cornelpin/tests/test_experiment.py
@@ -22,6 +22,7 @@
 from benchmarks.naive import BackendServerError, Call, RoundRobin
 from benchmarks.prefill import prefill_by_tier
 from benchmarks.records import Answer, Kind, RunEvent, SentRecord
+from benchmarks.weighted import set_ratios, total_row
 from benchmarks.workload import PlannedRequest, Shape, plan
 from cornelpin.tests.http_server import serve
 
@@ -191,3 +192,34 @@
         else:
             assert b"".join(pool.call(call).parts()) == b"answer"
     assert len(planned) - len(left) == tries
+
+
+@pytest.mark.parametrize(
+    ("good", "to_bound", "to_naive"),
+    [
+        ({"question": 1.0, "tag": 0.0}, 0.75, 1.5),
+        ({"question": 0.0, "tag": 1.0}, 0.25, 0.5),
+        ({"question": 1.0, "tag": 1.0}, 1.0, 2.0),
+    ],
+)
+def test_total_weighs_tiers_by_their_shed_orders(
+    good: dict[str, float], to_bound: float, to_naive: float
+) -> None:
+    described = DEPLOYMENTS["small"]()
+
+    def total(system: str, shares: Mapping[str, float]) -> Row:
+        cell = Cell("small", 1.0, "", system, 1)
+        rows = [
+            Row("small", 1.0, "", system, tier, 10, share)
+            for tier, share in shares.items()
+        ]
+        return total_row(cell, described, rows)
+
+    rows = [
+        total("bound", {"question": 1.0, "tag": 1.0}),
+        total("naive", {"question": 0.5, "tag": 0.5}),
+        total("cornelpin", good),
+    ]
+    set_ratios(rows)
+    assert rows[-1].to_bound == pytest.approx(to_bound)
+    assert rows[-1].to_naive == pytest.approx(to_naive)
