Let each side first ask for the requests that prefer it

Cause: a waiting request is reserved at three sides, at all of them when it is at risk. Each side asked for the oldest, so all asked for the same request and held a slot for it until the entry's answer; all but one in vain.

Change: a reservation tells the side's place in the entry's order of preference; each place counts as a quarter of a second less of waiting, at most three.

--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -23,6 +23,8 @@
 AT_RISK_MOST_S = 4.0
 DEFAULT_CAPACITY = 2000
 FLOOR_HOLD_S = 1.5
+RANK_DELAY_S = 0.25
+RANK_DELAYS_MOST = 3
 SHED_MARGIN_S = 0.75
 LOWEST_ORDER = -(2**31)
 
@@ -63,6 +65,7 @@
         placed: Monotonic time of placement in seconds.
         wait_s: Seconds the reservation may wait.
         fingerprint: Digest of the request's content.
+        rank: Place of this side in the entry's order of preference, from zero.
     """
 
     request_id: str
@@ -74,6 +77,16 @@
     placed: float
     wait_s: float
     fingerprint: str = ""
+    rank: int = 0
+
+    @property
+    def turn(self) -> float:
+        """Time that orders reservations of a workspace.
+
+        A request waits at several sides. Each puts those first that prefer it, or
+        all would ask for the same oldest request and hold slots for it in vain.
+        """
+        return self.placed + min(self.rank, RANK_DELAYS_MOST) * RANK_DELAY_S
 
     def at_risk(self, now: float) -> bool:
         """Whether little of the allowed waiting time is left."""
@@ -233,7 +246,7 @@
         policy = self.policy(res.tier)
         served = self._served.get(res.workspace, 0.0)
         fresh = not res.at_risk(self._clock())
-        return (fresh, policy.urgency, -policy.shed_order, served, res.placed)
+        return (fresh, policy.urgency, -policy.shed_order, served, res.turn)
 
     def _shed_key(self, res: Reservation) -> tuple:
         return (self.policy(res.tier).shed_order, -res.placed)
--- a/cornelpin/daemon/messages.py
+++ b/cornelpin/daemon/messages.py
@@ -120,6 +120,7 @@
         wait_s: Seconds this reservation may wait.
         fingerprint: Digest of the request's content.
         waited_s: Seconds that the request has waited already.
+        rank: Place of this side in the entry's order of preference, from zero.
     """
 
     request_id: str
@@ -131,6 +132,7 @@
     wait_s: float
     fingerprint: str
     waited_s: float = 0.0
+    rank: int = 0
 
 
 @message(11)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -64,13 +64,15 @@
             return
         wanted = len(usable) if self._at_risk() else RESERVATIONS
         wanted = 1 if alone else wanted
-        room = wanted - len(self._ticket.reserved())
+        held = len(self._ticket.reserved())
+        room = wanted - held
         free = [link for link in usable if link not in self._ticket.reserved()]
         if room <= 0 or not free:
             return
-        for link in self._preferences.order(self._req, free)[:room]:
+        chosen = self._preferences.order(self._req, free)[:room]
+        for rank, link in enumerate(chosen, start=held):
             if self._ticket.reserve(link):
-                link.send(self._reserve_message())
+                link.send(self._reserve_message(rank))
 
     def _at_risk(self) -> bool:
         """Whether the request asks every side, ahead of tiers that are shed first."""
@@ -101,7 +103,7 @@
             # this grant was visible.
             self._ticket.events.put((Lost(), link))
 
-    def _reserve_message(self) -> Reserve:
+    def _reserve_message(self, rank: int) -> Reserve:
         req = self._req
         return Reserve(
             request_id=req.request_id,
@@ -113,6 +115,7 @@
             wait_s=max(0.0, self.wait_until - time.monotonic()),
             waited_s=time.monotonic() - (self.wait_until - req.max_wait_s),
             fingerprint=req.fingerprint,
+            rank=rank,
         )
 
 
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -236,6 +236,7 @@
             placed=time.monotonic() - msg.waited_s,
             wait_s=msg.waited_s + msg.wait_s,
             fingerprint=msg.fingerprint,
+            rank=msg.rank,
         )
         shed = self._admission.reserve(res)
         leaving = self._process.leaving.is_set()
--- a/cornelpin/tests/test_reservations.py
+++ b/cornelpin/tests/test_reservations.py
@@ -26,7 +26,7 @@
         return self.now
 
 
-def reserve(queue, clock, *tiers, waited_s=0.0, workspace="w"):
+def reserve(queue, clock, *tiers, waited_s=0.0, workspace="w", rank=0):
     """Places reservations and returns what was shed, as tiers."""
     shed = []
     for tier in tiers:
@@ -40,6 +40,7 @@
                 cost=10,
                 placed=clock.now - waited_s,
                 wait_s=WAIT_S,
+                rank=rank,
             )
         )
     return [res.tier for res in shed]
@@ -121,6 +122,18 @@
     assert sum(res.workspace == "a" for res in taken) == 6
 
 
+@pytest.mark.parametrize(
+    ("younger_s", "ranks", "expected"),
+    [(0.1, (1, 0), 1), (0.1, (2, 1), 1), (0.1, (0, 0), 0), (1.0, (9, 0), 0)],
+)
+def test_sides_prefer_those_that_prefer_them(younger_s, ranks, expected):
+    queue, clock = new_queue()
+    for i, rank in enumerate(ranks):
+        reserve(queue, clock, "question", waited_s=2.0 - i * younger_s, rank=rank)
+    first = queue.take(lambda res: True, may_exceed=True)
+    assert first.rank == ranks[expected]
+
+
 def ticket(number, tier, body=b""):
     req = Request(
         request_id=str(number),
