Let urgency alone decide above the floor

Cause: a reservation at risk went before fresh ones of a more urgent tier. Tags are at risk after 1.4 s, so questions waited until they were at risk themselves, 3.5 s of their 5 s; any disturbance then made them late (time to the engine's start: median 2.7 s, 99 % 5.6 s).

Change: the order is urgency, shed order, share, age; being at risk only raises the floor.

--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -245,8 +245,7 @@
     def _order_key(self, res: Reservation) -> tuple:
         policy = self.policy(res.tier)
         served = self._served.get(res.workspace, 0.0)
-        fresh = not res.at_risk(self._clock())
-        return (fresh, policy.urgency, -policy.shed_order, served, res.turn)
+        return (policy.urgency, -policy.shed_order, served, res.turn)
 
     def _shed_key(self, res: Reservation) -> tuple:
         return (self.policy(res.tier).shed_order, -res.placed)
