Judge a version by the load of its server as well

A version that is slow only under load was missed in 1 of 160 streams: its sound runs in idle times have negative log likelihood ratios, which drew the sums of all tiers back to zero before the next busy time.

Tallies are now kept by tier and class of load, and there are sums for each class of load beside those for all runs and for each tier. The threshold counts all sums, so the rate of false alarms is as before.

--- a/cornelpin/core/judgement.py
+++ b/cornelpin/core/judgement.py
@@ -1,8 +1,10 @@
 """Sequential judgement of a new version against the old one on like work.
 
-Runs are tallied by tier. Failures and slowness each get cumulative sums of log
+Runs are tallied by tier and load. Failures and slowness each get cumulative sums of log
 likelihood ratios that restart at zero (Page's test), so that a fault that sets in
-late is seen as soon as one that was there at once. Each sum raises a false alarm at
+late is seen as soon as one that was there at once. There are sums for all runs, for
+each tier and for each load, so that sound runs of other tiers, or in idle times, do
+not make up for bad ones. Each sum raises a false alarm at
 most once in ``1 / ALPHA`` judged runs on average; a version is accepted once a
 fault of the tolerated size would have shown with probability ``1 - BETA``.
 """
@@ -21,14 +23,13 @@
 MIN_FAILURE_RATE = 0.01
 PRIOR_RUNS = 100
 SEVERE_RATES = (0.3, 0.6)
-ALL_TIERS = "*"
 HOLD_SHARE = 0.4
 MIN_TIMED_RUNS = 6
 
 
 @attrs.frozen
 class Tally:
-    """Cumulative counts of one source on one tier.
+    """Cumulative counts of one source on one tier at one load of its server.
 
     Attributes:
         tier: Name of the tier.
@@ -39,6 +40,7 @@
         timed: Runs of the new version whose speed was compared.
         slow: Sum of log likelihood ratios for a longer time per token.
         slow_first: The same for the time to the first part.
+        load_class: Class of the number of runs on the server.
     """
 
     tier: str
@@ -49,28 +51,71 @@
     timed: int = 0
     slow: float = 0.0
     slow_first: float = 0.0
+    load_class: int = 0
 
     def minus(self, other: Tally) -> Tally:
         """Returns the difference of two cumulative tallies."""
         values = {
             name: getattr(self, name) - getattr(other, name) for name in _COUNTERS
         }
-        return Tally(self.tier, **values)
+        return attrs.evolve(self, **values)
 
     def plus(self, other: Tally) -> Tally:
         """Returns the sum of two tallies."""
         values = {
             name: getattr(self, name) + getattr(other, name) for name in _COUNTERS
         }
-        return Tally(self.tier, **values)
+        return attrs.evolve(self, **values)
 
 
-_COUNTERS = tuple(f.name for f in attrs.fields(Tally) if f.name != "tier")
+_CELL = ("tier", "load_class")
+_COUNTERS = tuple(f.name for f in attrs.fields(Tally) if f.name not in _CELL)
+
+
+@attrs.frozen
+class Group:
+    """Runs that are judged together: all, those of one tier or at one load.
+
+    Attributes:
+        tier: Name of the tier, or an empty string for all.
+        load_class: Class of the number of runs on the server, None for all.
+    """
+
+    tier: str = ""
+    load_class: int | None = None
+
+    def __str__(self) -> str:
+        """Returns where a fault shows, to follow a description of it."""
+        if self.load_class is not None:
+            return f" at load class {self.load_class}"
+        return f" on tier {self.tier}" if self.tier else ""
+
+
+@attrs.frozen
+class _Source:
+    """What one cumulative tally counts."""
+
+    name: str
+    tier: str
+    load_class: int
+
+
+@attrs.frozen
+class _Latest:
+    """The latest tally of a source and the incarnation that sent it."""
+
+    incarnation: str
+    tally: Tally
 
 
 @attrs.define
 class _Sums:
-    """Restarting sums of one tier, by suspected fault."""
+    """Restarting sums of one group of runs, by suspected fault.
+
+    Attributes:
+        total: All counts of the group.
+        values: The sums.
+    """
 
     total: Tally
     values: dict[str, float] = attrs.field(factory=dict)
@@ -107,56 +152,59 @@
 
     def __init__(self, max_bad_share: float) -> None:
         self._rise = max(max_bad_share, MIN_FAILURE_RATE)
-        self._latest: dict[tuple[str, str], tuple[str, Tally]] = {}
-        self._sums: dict[str, _Sums] = {}
+        self._latest: dict[_Source, _Latest] = {}
+        self._sums: dict[Group, _Sums] = {}
         self._verdict = ""
 
     def take(self, source: str, incarnation: str, tallies: Iterable[Tally]) -> None:
         """Takes cumulative tallies; repeated and reordered ones do no harm."""
         for tally in tallies:
-            key = (source, tally.tier)
+            key = _Source(source, tally.tier, tally.load_class)
             known = self._latest.get(key)
-            if known is None or known[0] != incarnation:
-                before = Tally(tally.tier)
+            if known is None or known.incarnation != incarnation:
+                before = Tally(tally.tier, load_class=tally.load_class)
             else:
-                before = known[1]
+                before = known.tally
             if tally.new_runs + tally.old_runs < before.new_runs + before.old_runs:
                 continue
-            self._latest[key] = (incarnation, tally)
+            self._latest[key] = _Latest(incarnation, tally)
             change = tally.minus(before)
-            self._add(tally.tier, change)
-            self._add(ALL_TIERS, change)
+            self._add(Group(), change)
+            self._add(Group(tier=tally.tier), change)
+            self._add(Group(load_class=tally.load_class), change)
 
     def opinion(self) -> Opinion:
         """Returns the judgement on all evidence so far."""
         scores = [
-            (value, tier, fault)
-            for tier, sums in self._sums.items()
+            (value, group, fault)
+            for group, sums in self._sums.items()
             for fault, value in sums.values.items()
         ]
-        score, tier, fault = max(scores, default=(0.0, ALL_TIERS, ""))
+        score, group, fault = max(
+            scores, key=lambda scored: scored[0], default=(0.0, Group(), "")
+        )
         threshold = math.log(max(1, len(scores)) / ALPHA)
         if score >= threshold and not self._verdict:
-            self._verdict = self._describe(tier, fault)
-        total = self._total(ALL_TIERS)
+            self._verdict = self._describe(group, fault)
+        total = self._total(Group())
         return Opinion(
             bad=bool(self._verdict),
             accepted=self._accepted(total),
             suspicious=score >= HOLD_SHARE * threshold,
-            reason=self._verdict or (self._describe(tier, fault) if score else ""),
+            reason=self._verdict or (self._describe(group, fault) if score else ""),
             runs=total.new_runs,
         )
 
-    def _total(self, tier: str) -> Tally:
-        sums = self._sums.get(tier)
-        return sums.total if sums is not None else Tally(tier)
+    def _total(self, group: Group) -> Tally:
+        sums = self._sums.get(group)
+        return sums.total if sums is not None else Tally(group.tier)
 
     def _accepted(self, total: Tally) -> bool:
         needed = math.log(BETA) / math.log(1 - min(0.5, self._rise))
         return total.new_runs >= needed and total.timed >= MIN_TIMED_RUNS
 
-    def _add(self, tier: str, change: Tally) -> None:
-        sums = self._sums.setdefault(tier, _Sums(Tally(tier)))
+    def _add(self, group: Group, change: Tally) -> None:
+        sums = self._sums.setdefault(group, _Sums(Tally(group.tier)))
         sums.total = sums.total.plus(change)
         base = failure_rate(sums.total.old_runs, sums.total.old_failures)
         for rate in (base + self._rise, *SEVERE_RATES):
@@ -167,9 +215,9 @@
         sums.add("time per token", change.slow)
         sums.add("time to the first part", change.slow_first)
 
-    def _describe(self, tier: str, fault: str) -> str:
-        total = self._total(tier)
-        where = "" if tier == ALL_TIERS else f" on tier {tier}"
+    def _describe(self, group: Group, fault: str) -> str:
+        total = self._total(group)
+        where = str(group)
         if fault.startswith("failures"):
             return (
                 f"{total.new_failures} of {total.new_runs} runs failed{where}, "
--- a/cornelpin/core/observations.py
+++ b/cornelpin/core/observations.py
@@ -86,19 +86,19 @@
         self._lock = threading.Lock()
         self._old: collections.deque[Sample] = collections.deque(maxlen=MAX_SAMPLES)
         self._pending: list[Sample] = []
-        self._tallies: dict[str, Tally] = {}
+        self._tallies: dict[tuple[str, int], Tally] = {}
 
     def add_old(self, sample: Sample) -> None:
         """Takes a run of the old version."""
         with self._lock:
-            self._count(sample.tier, old_runs=1, old_failures=int(sample.failed))
+            self._count(sample, old_runs=1, old_failures=int(sample.failed))
             if not sample.failed:
                 self._old.append(sample)
 
     def add_new(self, sample: Sample) -> None:
         """Takes a run of the new version."""
         with self._lock:
-            self._count(sample.tier, new_runs=1, new_failures=int(sample.failed))
+            self._count(sample, new_runs=1, new_failures=int(sample.failed))
             if not sample.failed:
                 self._pending.append(sample)
 
@@ -112,7 +112,7 @@
             # judged together count as one.
             for sample, ratios in judged.items():
                 self._count(
-                    sample.tier,
+                    sample,
                     timed=int(sample.token_s > 0),
                     slow=ratios.token / len(judged),
                     slow_first=ratios.first / len(judged),
@@ -122,10 +122,12 @@
             ]
             return list(self._tallies.values())
 
-    def _count(self, tier: str, **changes: float) -> None:
-        before = self._tallies.get(tier, Tally(tier))
+    def _count(self, sample: Sample, **changes: float) -> None:
+        cell = (sample.tier, sample.load_class)
+        empty = Tally(sample.tier, load_class=sample.load_class)
+        before = self._tallies.get(cell, empty)
         changed = {name: getattr(before, name) + by for name, by in changes.items()}
-        self._tallies[tier] = attrs.evolve(before, **changed)
+        self._tallies[cell] = attrs.evolve(before, **changed)
 
     def _compare(self, sample: Sample) -> Ratios | None:
         """Compares a run with like ones before and after it; the milder one counts.
--- a/cornelpin/tests/test_judgement.py
+++ b/cornelpin/tests/test_judgement.py
@@ -20,3 +20,8 @@
 @pytest.mark.parametrize("kind", sorted(BAD))
 def test_bad_versions_are_always_taken_back(kind, seed):
     assert judge(stream(seed, BAD[kind])).taken_back
+
+
+@pytest.mark.parametrize("seed", [5, 26, 48, 56])
+def test_idle_times_do_not_hide_a_version_slow_under_load(seed):
+    assert judge(stream(seed, BAD["slow_under_load"])).taken_back
