Keep one sum for each suspected failure rate

The sum for the tolerated rise was named by its rate, which follows the old version's rate. When that changed, a new sum began and the earlier one stayed where it was for good: above 40 % of the threshold it held the move until it was late. The sums are now named by the fault.

test_old_failures_do_not_leave_a_suspicion_behind fails before the change.

--- a/cornelpin/core/judgement.py
+++ b/cornelpin/core/judgement.py
@@ -22,7 +22,9 @@
 # one failure.
 MIN_FAILURE_RATE = 0.01
 PRIOR_RUNS = 100
-SEVERE_RATES = (0.3, 0.6)
+# Names of the suspected faults, by which their sums are kept.
+TOLERATED = "failures above the tolerated rise"
+SEVERE_RATES = {"failures at 0.3": 0.3, "failures at 0.6": 0.6}
 HOLD_SHARE = 0.4
 MIN_TIMED_RUNS = 6
 
@@ -207,11 +209,12 @@
         sums = self._sums.setdefault(group, _Sums(Tally(group.tier)))
         sums.total = sums.total.plus(change)
         base = failure_rate(sums.total.old_runs, sums.total.old_failures)
-        for rate in (base + self._rise, *SEVERE_RATES):
+        rates = {TOLERATED: base + self._rise} | SEVERE_RATES
+        for fault, rate in rates.items():
             if rate <= base or rate >= 1:
                 continue
             ratio = failure_ratio(change.new_runs, change.new_failures, base, rate)
-            sums.add(f"failures at {rate:.2f}", ratio)
+            sums.add(fault, ratio)
         sums.add("time per token", change.slow)
         sums.add("time to the first part", change.slow_first)
 
--- a/cornelpin/tests/test_moves.py
+++ b/cornelpin/tests/test_moves.py
@@ -107,6 +107,18 @@
     assert judge.opinion().runs == 8
 
 
+def test_old_failures_do_not_leave_a_suspicion_behind():
+    judge = Judgement(0.1)
+    judge.take("side-f1", "a", [Tally("t", old_runs=100, new_runs=6, new_failures=3)])
+    assert judge.opinion().suspicious
+    judge.take(
+        "side-f1",
+        "a",
+        [Tally("t", old_runs=200, old_failures=10, new_runs=200, new_failures=3)],
+    )
+    assert not judge.opinion().suspicious
+
+
 @pytest.mark.parametrize(
     ("factor", "slow"), [(1.0, False), (1.15, False), (2.0, True), (4.0, True)]
 )
