Kill and pause the controller of a move at each of its calls

The controller is killed before or after the effect of each of the 99 first calls of the store (planned, loading, each stage, the switch, the unload), and its successor has to finish the move. It is also paused at each of them for longer than its lease, while the successor finishes the move or takes it back by an operator's patch; the resumed one has to change nothing of that. A good move makes 92 calls until it is done.

--- /dev/null
+++ b/cornelpin/tests/test_move_controller.py
@@ -0,0 +1,105 @@
+"""The controller of moves, killed or paused at each of its calls of the store."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+
+from cornelpin.core.configstore import ConfigStore
+from cornelpin.core.lease import TERM_S
+from cornelpin.core.move_state import MoveState
+from cornelpin.platform.memory_objects import MemoryObjectStore
+from cornelpin.tests.move_bed import MoveBed
+
+# A good move makes 92 calls with those of the test bed until it is done.
+CALLS = range(1, 100)
+STEPS_S = 40
+
+
+class Killed(BaseException):
+    """Ends a controller in the middle of a step."""
+
+
+class CountingStore(MemoryObjectStore):
+    """Does something at one of the calls that are made while it is armed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls_left = 0
+        self.after_effect = False
+        self.happen = lambda: None
+
+    def get(self, key, **options):
+        return self._call(lambda: MemoryObjectStore.get(self, key, **options))
+
+    def put(self, key, value, **options):
+        return self._call(lambda: MemoryObjectStore.put(self, key, value, **options))
+
+    def _call(self, perform):
+        self.calls_left -= 1
+        due = self.calls_left == 0
+        if due and not self.after_effect:
+            self.happen()
+        outcome = perform()
+        if due and self.after_effect:
+            self.happen()
+        return outcome
+
+
+@pytest.fixture
+def bed():
+    bed = MoveBed(CountingStore())
+    yield bed
+    bed.close()
+
+
+def version_of_route(bed: MoveBed) -> str | None:
+    return ConfigStore(bed.store).load().config.routes["r"].version
+
+
+def assert_done(bed: MoveBed) -> None:
+    assert bed.stored().records["m"].state is MoveState.DONE
+    assert version_of_route(bed) == "v2"
+    assert all(link.versions == {"v2"} for link in bed.links)
+
+
+@pytest.mark.parametrize("after_effect", [False, True])
+@pytest.mark.parametrize("call", CALLS)
+def test_successor_finishes_the_move_of_a_killed_controller(bed, call, after_effect):
+    def kill() -> None:
+        raise Killed
+
+    bed.store.happen, bed.store.after_effect = kill, after_effect
+    bed.store.calls_left = call
+    with contextlib.suppress(Killed):
+        bed.run(0, STEPS_S)
+    bed.store.calls_left = 0
+    bed.run(1, STEPS_S)
+    assert_done(bed)
+
+
+@pytest.mark.parametrize("operators_order", ["run", "take_back"])
+@pytest.mark.parametrize("call", CALLS)
+def test_paused_controller_changes_nothing_that_its_successor_decided(
+    bed, call, operators_order
+):
+    """The pause ends when the successor has ended the move one way or the other."""
+    ended = []
+
+    def pause() -> None:
+        bed.now += 2 * TERM_S
+        state = bed.stored().records.get("m")
+        if operators_order != "run" and (state is None or not state.state.final):
+            bed.patch({"moves": {"m": {"state": operators_order}}})
+        bed.run(1, STEPS_S)
+        ended.append(bed.stored().records["m"].state)
+
+    bed.store.happen = pause
+    bed.store.calls_left = call
+    bed.run(0, STEPS_S)
+    bed.run(1, STEPS_S)
+    state = bed.stored().records["m"].state
+    assert state.final
+    assert not ended or state is ended[0]
+    assert version_of_route(bed) == ("v2" if state is MoveState.DONE else "v1")
