Let a request wait first for the holders of its prefix

Cause: a request reserved at three sides and the first with a free slot asked, so a side that does not hold its prefix won as often as one that does; entries kept separate tables and widened to unlike servers. Change: for a quarter of its longest wait, at most 4 s, a request goes only to servers that hold its prefix, else to its first home, a rendezvous hash weighted by slots.

--- a/cornelpin/core/affinity.py
+++ b/cornelpin/core/affinity.py
@@ -9,19 +9,21 @@
 
 import collections
 import hashlib
+import math
 import threading
 from typing import TYPE_CHECKING
 
-from cornelpin.core.choice import weight
+from cornelpin.core.choice import WEIGHT_BYTES, weight
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Mapping, Sequence
 
 BLOCK_BYTES = 256
 MAX_BLOCKS = 32
 DIGEST_BYTES = 12
 MAX_DIGESTS = 20_000
 HOLDERS = 2
+WEIGHT_RANGE = 256**WEIGHT_BYTES
 
 
 def prefix_digests(workspace: str, text: bytes) -> tuple[str, ...]:
@@ -74,9 +76,20 @@
         return held
 
 
-def home(digests: Sequence[str], servers: Iterable[str]) -> str:
-    """Returns the server on which all entries agree for a prefix not seen yet."""
-    names = list(servers)
-    if not digests or not names:
-        return ""
-    return max(names, key=lambda name: weight(digests[0], name))
+def homes(digests: Sequence[str], capacities: Mapping[str, float]) -> list[str]:
+    """Returns the servers in the order in which all entries take to a new prefix.
+
+    Each server comes first for a share of the prefixes that follows its capacity.
+
+    Args:
+        digests: Chained digests of a prompt's leading blocks.
+        capacities: Relative capacity of each server.
+    """
+    if not digests:
+        return []
+
+    def score(server: str) -> float:
+        draw = (weight(digests[0], server) + 0.5) / WEIGHT_RANGE
+        return -capacities[server] / math.log(draw)
+
+    return sorted(capacities, key=score, reverse=True)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -7,6 +7,7 @@
 
 from cornelpin.core.reservations import risk_window_s
 from cornelpin.daemon.messages import Grant, Reserve
+from cornelpin.daemon.preferences import binding_s
 from cornelpin.daemon.ticket_table import Lost
 
 if TYPE_CHECKING:
@@ -45,7 +46,9 @@
         self._runs_alone = runs_alone
         self._preferences = preferences
         self.shed_by: set[Link] = set()
-        self.wait_until = time.monotonic() + ticket.req.max_wait_s
+        now = time.monotonic()
+        self._bound_until = now + binding_s(ticket.req.max_wait_s)
+        self.wait_until = now + ticket.req.max_wait_s
 
     def place(self, *, direct: bool = False) -> None:
         """Grants directly to an idle side or reserves at several."""
@@ -59,6 +62,8 @@
         version = self._ticket.version
         usable = [link for link in usable if not link.lacks_version(version)]
         alone = self._runs_alone(self._req)
+        if not alone:
+            usable = self._bound(usable)
         stored = self._req.keep
         if direct and not alone and not stored and self._grant_direct(usable):
             return
@@ -72,6 +77,12 @@
             if self._ticket.reserve(link):
                 link.send(self._reserve_message())
 
+    def _bound(self, usable: list[Link]) -> list[Link]:
+        """Returns the sides to wait for: at first those that hold the prefix."""
+        if time.monotonic() >= self._bound_until:
+            return usable
+        return self._preferences.holders(self._req, usable) or usable
+
     def _at_risk(self) -> bool:
         """Whether the request asks every side, ahead of tiers that are shed first."""
         left_s = self.wait_until - time.monotonic()
--- a/cornelpin/daemon/preferences.py
+++ b/cornelpin/daemon/preferences.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from cornelpin.core.affinity import PrefixTable, home
+from cornelpin.core.affinity import PrefixTable, homes
 from cornelpin.core.ranking import BYTES_PER_TOKEN, Standing, Work, rank
 
 if TYPE_CHECKING:
@@ -18,6 +18,17 @@
 # One request in this many goes to the link that was granted nothing for longest, so
 # that a server that was slow, or came back, is measured anew.
 EXPLORE_EVERY = 8
+# How long a request waits for the servers that hold its prefix: a share of its longest
+# wait, up to a limit.
+BINDING_SHARE = 0.25
+BINDING_LIMIT_S = 4.0
+# A server binds requests if it holds at least this share of the longest known prefix.
+HELD_SHARE = 0.5
+
+
+def binding_s(max_wait_s: float) -> float:
+    """Returns the seconds that a request waits for holders of its prefix only."""
+    return min(BINDING_SHARE * max_wait_s, BINDING_LIMIT_S)
 
 
 class Preferences:
@@ -39,11 +50,25 @@
             return min(links, key=lambda link: self._granted_at.get(link.name, 0.0))
         return self.order(req, links)[0]
 
+    def holders(self, req: Request, links: list[Link]) -> list[Link]:
+        """Returns the links whose servers should hold the prefix of a request.
+
+        For a prefix that this entry has not seen it is the one server on which all
+        entries agree; without a prefix there is none.
+        """
+        by_name = {link.name: link for link in links if link.answers}
+        known = self.prefixes.held_bytes(req.prefix)
+        held = {name: known[name] for name in known if name in by_name}
+        if not held:
+            return [by_name[name] for name in _homes(req, [*by_name.values()])[:1]]
+        enough = HELD_SHARE * max(held.values())
+        return [by_name[name] for name in held if held[name] >= enough]
+
     def order(self, req: Request, links: list[Link]) -> list[Link]:
         """Returns the links, the one estimated to answer first in front."""
         held = self.prefixes.held_bytes(req.prefix)
         if req.prefix and not held:
-            held = {home(req.prefix, [link.name for link in links]): req.prompt_bytes}
+            held = dict.fromkeys(_homes(req, links)[:1], req.prompt_bytes)
         prompt_tokens = req.prompt_bytes // BYTES_PER_TOKEN
         work = Work(req.prompt_bytes, max(1, req.cost - prompt_tokens))
         by_name = {link.name: link for link in links}
@@ -59,3 +84,12 @@
         return Standing(link.name, 0.0, float("inf"))
     busy = state.waiting + state.slots - state.free + link.direct
     return Standing(link.name, state.token_s, busy / max(1, state.slots))
+
+
+def _homes(req: Request, links: list[Link]) -> list[str]:
+    """Returns the names of the links in the order of a prefix not seen yet."""
+    return homes(req.prefix, {link.name: _capacity(link) for link in links})
+
+
+def _capacity(link: Link) -> float:
+    return link.state.slots if link.state is not None else 1
--- a/cornelpin/tests/test_ranking.py
+++ b/cornelpin/tests/test_ranking.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cornelpin.core.affinity import BLOCK_BYTES, PrefixTable, home, prefix_digests
+from cornelpin.core.affinity import BLOCK_BYTES, PrefixTable, homes, prefix_digests
 from cornelpin.core.ranking import Standing, Work, rank
 from cornelpin.daemon.links import Endpoint, Link
 from cornelpin.daemon.messages import Heartbeat
@@ -64,13 +64,48 @@
     assert table.held_bytes(("d49",)) and not table.held_bytes(("d0",))
 
 
-def test_entries_agree_on_the_home_of_a_prefix() -> None:
-    servers = [f"s{i}" for i in range(9)]
+def test_entries_agree_on_the_homes_of_a_prefix() -> None:
+    servers = {f"s{i}": 1.0 for i in range(9)}
     digests = prefix_digests("w", PROMPT)
-    homes = {home(digests, order) for order in (servers, servers[::-1])}
-    assert len(homes) == 1
-    fewer = [name for name in servers if name not in homes]
-    assert home(digests, fewer) != home(digests, servers)
+    order = homes(digests, servers)
+    assert homes(digests, dict(sorted(servers.items(), reverse=True))) == order
+    del servers[order[0]]
+    assert homes(digests, servers) == order[1:]
+
+
+def test_homes_follow_capacity() -> None:
+    servers = {"large": 3.0, "small": 1.0}
+    firsts = [homes((f"d{i}",), servers)[0] for i in range(400)]
+    assert 260 <= firsts.count("large") <= 340
+
+
+def _links(*names: str) -> list[Link]:
+    links = [Link(name, Endpoint("", "")) for name in names]
+    for link in links:
+        link.opened(types.SimpleNamespace(name="", incarnation="", pinged_at=None))
+        link.on_state(Heartbeat(1, False, 8, 8, 0, [], 0.01, 0.0))
+    return links
+
+
+def _request(prompt: bytes) -> types.SimpleNamespace:
+    prefix = prefix_digests("w", prompt)
+    return types.SimpleNamespace(prefix=prefix, prompt_bytes=len(prompt), cost=600)
+
+
+def test_requests_are_bound_to_the_holders_of_their_prefix() -> None:
+    links = _links("a", "b", "c")
+    request = _request(PROMPT + b"x" * BLOCK_BYTES)
+    preferences, other_entry = Preferences(), Preferences()
+    first = preferences.holders(request, links)
+    assert len(first) == 1
+    assert other_entry.holders(request, links[::-1]) == first
+    elsewhere = next(link for link in links if link not in first)
+    preferences.note(request, elsewhere)
+    similar = _request(PROMPT + b"y" * BLOCK_BYTES)
+    assert preferences.holders(similar, links) == [elsewhere]
+    elsewhere.lost()
+    assert elsewhere not in preferences.holders(similar, links)
+    assert not preferences.holders(_request(b"short"), links)
 
 
 def test_a_server_measured_slow_is_tried_again() -> None:
