Measure queue time, prefill, moves and control as metrics

Queue time, prefill and the state of moves come from entries, control bytes and processor time from every process. Bytes are counted by the class of the message, as a session carries both kinds. Processor time of a periodic task is read from its thread's clock while it runs, which a task that never returns needs; a thread takes itself off the list before it ends, since the clock of a thread that is gone must not be read.

Cost: time.thread_time() is called twice for each message received; its timeit figure on this machine is in the next line. 500000 loops, best of 5: 447 nsec per loop The cost on a loaded entry was not measured.

--- a/cornelpin/core/tickets.py
+++ b/cornelpin/core/tickets.py
@@ -91,6 +91,12 @@
         """Number of grants so far; it names the latest one."""
         return self._attempt
 
+    @property
+    def granted_at(self) -> float | None:
+        """Monotonic time in seconds of the grant in force, None without one."""
+        with self._lock:
+            return self._granted if self._holder is not None else None
+
     @property
     def granted_s(self) -> float:
         """Seconds since the latest grant."""
--- a/cornelpin/daemon/census.py
+++ b/cornelpin/daemon/census.py
@@ -180,7 +180,12 @@
         ask_id = secrets.token_hex(8)
         until = time.monotonic() + wait_s
         try:
-            peer = connect(address, self._process.identity, clock=self._process.clock)
+            peer = connect(
+                address,
+                self._process.identity,
+                clock=self._process.clock,
+                cost=self._process.control_cost,
+            )
         except (PeerClosed, ProtocolError) as exc:
             logger.debug("census: {}: {}", name, exc)
             return None
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -150,14 +150,17 @@
         )
         # Nothing can bring a configuration yet, whose links these would replace.
         self._neighbours.keep(seed_endpoints(settings))
-        sup.start("peer-listener", listener.run)
         self._records.start()
-        sup.start("config-watcher", self._watcher.run)
-        sup.start("readiness", every(readiness.TICK_S, self._readiness.tick))
-        sup.start("config-repair", every(REPAIR_S, self._spread.repair))
-        sup.start("host-watch", self._host_watch.run)
-        sup.start("pinger", every(TICK_S, self._pinger.tick))
-        sup.start("moves", self._moves.controller.run)
+        for name, child in {
+            "peer-listener": listener.run,
+            "config-watcher": self._watcher.run,
+            "readiness": every(readiness.TICK_S, self._readiness.tick),
+            "config-repair": every(REPAIR_S, self._spread.repair),
+            "host-watch": self._host_watch.run,
+            "pinger": every(TICK_S, self._pinger.tick),
+            "moves": self._moves.controller.run,
+        }.items():
+            sup.start(name, self.process.control_cost.counted(child))
         self._http.start()
 
     def _caller_api(self) -> CallerApi:
--- a/cornelpin/daemon/entry_moves.py
+++ b/cornelpin/daemon/entry_moves.py
@@ -4,7 +4,10 @@
 
 from typing import TYPE_CHECKING, Any
 
+from opentelemetry.metrics import Observation
+
 from cornelpin.core.judgement import tallies_of
+from cornelpin.core.move_state import MoveState
 from cornelpin.daemon.move_controller import MoveController
 from cornelpin.daemon.move_judges import MoveJudges
 from cornelpin.daemon.move_messages import MoveEvidence, VersionReply
@@ -47,6 +50,8 @@
         self.controller = MoveController(
             process, objects, self.view, self._judges, links_of=links_of, submit=submit
         )
+        process.meters.gauge("cornelpin_move_state", self._states)
+        process.meters.gauge("cornelpin_move_share", self._shares)
 
     def handle(self, peer: Peer, msg: Any, link: Link | None = None) -> bool:
         """Handles a message about moves; returns whether it was one."""
@@ -66,6 +71,23 @@
         moves = self._process.view.config.moves.values()
         return [self._row(move) for move in moves]
 
+    def _states(self) -> list[Observation]:
+        """Returns 1 for the state that each move is in and 0 for the others."""
+        return [
+            Observation(
+                int(row["state"] == state.value),
+                {"move": row["name"], "route": row["route"], "state": state.value},
+            )
+            for row in self.rows()
+            for state in MoveState
+        ]
+
+    def _shares(self) -> list[Observation]:
+        return [
+            Observation(row["share"], {"move": row["name"], "route": row["route"]})
+            for row in self.rows()
+        ]
+
     def _row(self, move: Move) -> dict[str, Any]:
         record = self.view.book.records.get(move.name)
         row = {
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -18,8 +18,8 @@
     Resume,
     Withdraw,
 )
-from cornelpin.daemon.metrics import RequestTimes
 from cornelpin.daemon.placement import NoServer, Placement
+from cornelpin.daemon.request_times import RequestTimes
 from cornelpin.daemon.ticket_table import DEFAULT_RETRY_AFTER_S, Evicted, Lost
 
 if TYPE_CHECKING:
@@ -53,7 +53,9 @@
         self._complete = False
         self._tries = 0
         self._check_at = time.monotonic() + POLL_S
-        self._times = RequestTimes(process.meters, self._req.tier)
+        held = dispatcher.preferences.prefixes.held_bytes(self._req.prefix)
+        held_bytes = max(held.values(), default=0)
+        self._times = RequestTimes(process.meters, self._req, held_bytes)
         self._placement = Placement(
             process,
             ticket,
@@ -124,7 +126,7 @@
         for link in ticket.take_reserved():
             link.send(Withdraw(request_id))
         self._dispatcher.tickets.remove(request_id)
-        self._times.close(complete=self._complete)
+        self._times.close(ticket, complete=self._complete)
 
     # Events
 
@@ -271,7 +273,7 @@
             raise self._failed("a part of the answer is missing")
         fresh = msg.parts[self._received - msg.offset :]
         self._received += len(fresh)
-        self._times.parts += len(fresh)
+        self._times.received(fresh)
         return fresh
 
     def _check_end(self, msg: End) -> None:
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -265,6 +265,7 @@
                     link.endpoint.address,
                     self._process.identity,
                     clock=self._process.clock,
+                    cost=self._process.control_cost,
                 )
             except (PeerClosed, ProtocolError) as exc:
                 logger.debug("link {}: {}", link.name, exc)
--- a/cornelpin/daemon/listener.py
+++ b/cornelpin/daemon/listener.py
@@ -57,7 +57,12 @@
 
     def _connection(self, sock: socket.socket) -> None:
         try:
-            peer = accept(sock, self._process.identity, clock=self._process.clock)
+            peer = accept(
+                sock,
+                self._process.identity,
+                clock=self._process.clock,
+                cost=self._process.control_cost,
+            )
             self._serve(peer)
         except ProtocolError as exc:
             self.rejected += 1
--- a/cornelpin/daemon/metrics.py
+++ b/cornelpin/daemon/metrics.py
@@ -20,6 +20,7 @@
     from opentelemetry.metrics import CallbackOptions
     from opentelemetry.sdk.metrics.export import MetricReader
 
+    from cornelpin.daemon.control_cost import ControlCost
     from cornelpin.daemon.settings import Settings
 
 PUSH_PERIOD_MS = 10_000
@@ -56,21 +57,41 @@
         self._duration = meter.create_histogram(
             "cornelpin_duration", unit="s", description="Acceptance to last part"
         )
+        self._queue = meter.create_histogram(
+            "cornelpin_queue", unit="s", description="Acceptance to grant or refusal"
+        )
+        self._prefill = meter.create_counter(
+            "cornelpin_prefill_tokens", unit="1", description="Prompt tokens computed"
+        )
+        self._wasted = meter.create_counter(
+            "cornelpin_wasted_prefill_tokens",
+            unit="1",
+            description="Prompt tokens computed in vain",
+        )
         meter.create_observable_counter(
             "cornelpin_process_cpu",
-            callbacks=[_observe(time.process_time)],
+            callbacks=[_observe(lambda: [Observation(time.process_time())])],
             unit="s",
             description="Processor time of this process",
         )
 
-    def gauge(self, name: str, unit: str, read: Callable[[], float]) -> None:
-        """Adds a gauge that is read when metrics are collected."""
-        self._meter.create_observable_gauge(name, callbacks=[_observe(read)], unit=unit)
+    def gauge(self, name: str, read: Callable[[], Iterable[Observation]]) -> None:
+        """Adds a gauge without a unit that is read when metrics are collected."""
+        self._meter.create_observable_gauge(name, callbacks=[_observe(read)])
 
-    def counter(self, name: str, unit: str, read: Callable[[], float]) -> None:
-        """Adds a counter that is read when metrics are collected."""
+    def control(self, cost: ControlCost) -> None:
+        """Adds the counters of what the process spends on control."""
         self._meter.create_observable_counter(
-            name, callbacks=[_observe(read)], unit=unit
+            "cornelpin_control",
+            callbacks=[_observe(lambda: _control_bytes(cost))],
+            unit="By",
+            description="Bytes of control messages on peer streams",
+        )
+        self._meter.create_observable_counter(
+            "cornelpin_control_cpu",
+            callbacks=[_observe(lambda: [Observation(cost.cpu_s)])],
+            unit="s",
+            description="Processor time of control tasks and control messages",
         )
 
     def finished(self, tier: str, outcome: str) -> None:
@@ -92,6 +113,15 @@
         if parts > 1:
             self._between.record((duration_s - wait_s) / (parts - 1), labels)
 
+    def queued(self, tier: str, queue_s: float) -> None:
+        """Records how long a request was in the queue."""
+        self._queue.record(queue_s, {"tier": tier})
+
+    def prefilled(self, tier: str, *, computed: int, wasted: int) -> None:
+        """Counts prompt tokens that a backend server computed, and the wasted ones."""
+        self._prefill.add(computed, {"tier": tier})
+        self._wasted.add(wasted, {"tier": tier})
+
     def exposition(self) -> tuple[str, bytes]:
         """Returns content type and text of all metrics in Prometheus form."""
         return CONTENT_TYPE_LATEST, generate_latest(REGISTRY)
@@ -101,38 +131,6 @@
         self._provider.shutdown()
 
 
-class RequestTimes:
-    """Times one request from its acceptance and reports it once."""
-
-    def __init__(self, meters: Meters, tier: str) -> None:
-        self._meters = meters
-        self._tier = tier
-        self._accepted = time.monotonic()
-        self._head: float | None = None
-        self._closed = False
-        self.parts = 0
-        self.outcome = "broken"
-
-    def head(self) -> None:
-        """Notes that the head of the answer has come."""
-        self._head = time.monotonic()
-
-    def close(self, *, complete: bool) -> None:
-        """Reports the outcome, and the times of a complete answer."""
-        if self._closed:
-            return
-        self._closed = True
-        self._meters.finished(self._tier, "answered" if complete else self.outcome)
-        if complete and self._head is not None:
-            now = time.monotonic()
-            self._meters.timed(
-                self._tier,
-                wait_s=self._head - self._accepted,
-                duration_s=now - self._accepted,
-                parts=self.parts,
-            )
-
-
 def _readers(settings: Settings) -> list[MetricReader]:
     readers: list[MetricReader] = [PrometheusMetricReader()]
     if settings.otlp_url is not None:
@@ -151,9 +149,16 @@
 
 
 def _observe(
-    read: Callable[[], float],
+    read: Callable[[], Iterable[Observation]],
 ) -> Callable[[CallbackOptions], Iterable[Observation]]:
     def callback(options: CallbackOptions) -> Iterable[Observation]:
-        return [Observation(read())]
+        return read()
 
     return callback
+
+
+def _control_bytes(cost: ControlCost) -> list[Observation]:
+    return [
+        Observation(cost.sent_bytes, {"direction": "sent"}),
+        Observation(cost.received_bytes, {"direction": "received"}),
+    ]
--- a/cornelpin/daemon/peer.py
+++ b/cornelpin/daemon/peer.py
@@ -16,6 +16,7 @@
 import attrs
 
 from cornelpin.daemon._codec import LENGTH_PREFIX
+from cornelpin.daemon.control_cost import ControlCost, is_control
 from cornelpin.daemon.messages import (
     MAX_FRAME_BYTES,
     PROTOCOL_VERSIONS,
@@ -70,9 +71,13 @@
     too slow to take them loses its session.
     """
 
-    def __init__(self, sock: socket.socket, *, clock: HybridClock) -> None:
+    def __init__(
+        self, sock: socket.socket, *, clock: HybridClock, cost: ControlCost
+    ) -> None:
         self._sock = sock
         self._clock = clock
+        self._cost = cost
+        self._handling_since: float | None = None
         self._buffer = bytearray()
         self._frames: queue.SimpleQueue[bytes | threading.Event | None] = (
             queue.SimpleQueue()
@@ -133,7 +138,10 @@
         if self._frames.qsize() > SEND_QUEUE_FRAMES:
             self.close()
             return
-        self._frames.put(encode(msg, stamp=self._clock.now()))
+        frame = encode(msg, stamp=self._clock.now())
+        if is_control(msg):
+            self._cost.sent(len(frame))
+        self._frames.put(frame)
 
     def receive(self) -> Any:
         """Returns the next message.
@@ -142,14 +150,26 @@
             PeerClosed: If the stream ended or was idle for too long.
             ProtocolError: If the frame is malformed.
         """
+        self._end_handling()
         size = LENGTH_PREFIX.unpack(self._read(LENGTH_PREFIX.size))[0]
         if size > MAX_FRAME_BYTES:
             raise ProtocolError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
-        msg, stamp = decode(self._read(size))
+        frame = self._read(size)
+        started = time.thread_time()
+        msg, stamp = decode(frame)
+        if is_control(msg):
+            self._cost.received(LENGTH_PREFIX.size + size)
+            self._handling_since = started
         self._clock.observe(stamp)
         self.heard_at = time.monotonic()
         return msg
 
+    def _end_handling(self) -> None:
+        """Counts the processor time since the last message, if it was control."""
+        if self._handling_since is not None:
+            self._cost.handled(time.thread_time() - self._handling_since)
+            self._handling_since = None
+
     def close(self) -> None:
         """Ends the session; safe to call from any thread, more than once."""
         if self._closed.is_set():
@@ -231,7 +251,9 @@
     return hmac.new(key, text.encode(), hashlib.sha256).digest()
 
 
-def connect(address: str, identity: Identity, *, clock: HybridClock) -> Peer:
+def connect(
+    address: str, identity: Identity, *, clock: HybridClock, cost: ControlCost
+) -> Peer:
     """Opens an authenticated session with the process at ``ip:port``.
 
     Raises:
@@ -246,10 +268,12 @@
             sock = identity.tls_client.wrap_socket(sock)
     except OSError as exc:
         raise PeerClosed(f"{address}: {exc}") from exc
-    return _opened(sock, identity, clock=clock, server=False)
+    return _opened(sock, identity, clock=clock, cost=cost, server=False)
 
 
-def accept(sock: socket.socket, identity: Identity, *, clock: HybridClock) -> Peer:
+def accept(
+    sock: socket.socket, identity: Identity, *, clock: HybridClock, cost: ControlCost
+) -> Peer:
     """Completes the handshake on an incoming connection.
 
     Raises:
@@ -264,13 +288,18 @@
         except OSError as exc:
             sock.close()
             raise PeerClosed(str(exc)) from exc
-    return _opened(sock, identity, clock=clock, server=True)
+    return _opened(sock, identity, clock=clock, cost=cost, server=True)
 
 
 def _opened(
-    sock: socket.socket, identity: Identity, *, clock: HybridClock, server: bool
+    sock: socket.socket,
+    identity: Identity,
+    *,
+    clock: HybridClock,
+    cost: ControlCost,
+    server: bool,
 ) -> Peer:
-    peer = Peer(sock, clock=clock)
+    peer = Peer(sock, clock=clock, cost=cost)
     try:
         peer.handshake(identity, server=server)
     except BaseException:
--- a/cornelpin/daemon/process.py
+++ b/cornelpin/daemon/process.py
@@ -8,6 +8,7 @@
 
 from cornelpin.core.clock import HybridClock
 from cornelpin.core.events import EventRing
+from cornelpin.daemon.control_cost import ControlCost
 from cornelpin.daemon.metrics import Meters
 from cornelpin.daemon.peer import Identity
 from cornelpin.daemon.supervisor import Supervisor
@@ -35,7 +36,9 @@
         self.leaving = threading.Event()
         self.stopping = threading.Event()
         self.incarnation = os.urandom(INCARNATION_BYTES).hex()
+        self.control_cost = ControlCost()
         self.meters = Meters(settings)
+        self.meters.control(self.control_cost)
         tls = settings.tls
         self.identity = Identity(
             name=settings.name,
--- a/cornelpin/daemon/records.py
+++ b/cornelpin/daemon/records.py
@@ -66,8 +66,9 @@
         """Starts the writers and the periodic duties."""
         sup = self._process.supervisor
         self._ledger.start(sup)
-        sup.start("leases", every(RENEW_S, self._leases.refresh))
-        sup.start("adoption", self._adopt)
+        counted = self._process.control_cost.counted
+        sup.start("leases", counted(every(RENEW_S, self._leases.refresh)))
+        sup.start("adoption", counted(self._adopt))
 
     def _adopt(self, stop: threading.Event) -> None:
         """Scans at once, so that a copy of every shard is there, then periodically."""
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -93,13 +93,16 @@
         listener = PeerListener(
             self._process, settings.address, settings.peer_port, self._serve
         )
-        sup.start("peer-listener", listener.run)
         sup.start("dispatch", self._dispatch_loop)
-        sup.start("config-repair", every(REPAIR_S, self.spread.repair))
-        sup.start("announcer", every(TICK_S, self._announcer.tick))
-        sup.start("sweep", every(SWEEP_S, self._sweep))
-        sup.start("versions", every(VERSIONS_S, self._poll_versions))
-        sup.start("move-evidence", every(REPORT_S, self._moves.report))
+        for name, child in {
+            "peer-listener": listener.run,
+            "config-repair": every(REPAIR_S, self.spread.repair),
+            "announcer": every(TICK_S, self._announcer.tick),
+            "sweep": every(SWEEP_S, self._sweep),
+            "versions": every(VERSIONS_S, self._poll_versions),
+            "move-evidence": every(REPORT_S, self._moves.report),
+        }.items():
+            sup.start(name, self._process.control_cost.counted(child))
         self._poll_versions()
 
     def leave(self) -> None:
--- /dev/null
+++ b/cornelpin/tests/test_metrics.py
@@ -0,0 +1,182 @@
+from __future__ import annotations
+
+import http.client
+import json
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from benchmarks.cluster_settings import workspace_token
+from benchmarks.deployments import DEPLOYMENTS
+from benchmarks.http_json import JsonClient
+from benchmarks.testbed import Testbed
+from benchmarks.waiting import wait_until
+from cornelpin.core.move_state import MoveState
+from cornelpin.daemon.control_cost import ControlCost, is_control
+from cornelpin.daemon.messages import Ask, Grant, Heartbeat
+from cornelpin.daemon.request_times import Prefill, answered_prefill
+
+SEED = 41
+TIMEOUT_S = 20
+ENTRY = "e1"
+SIDE = "side-f1"
+OK = 200
+
+
+@pytest.fixture(scope="module")
+def running() -> Iterator[Testbed]:
+    with Testbed(DEPLOYMENTS["small"](), seed=SEED) as testbed:
+        yield testbed
+    testbed.remove_folder()
+
+
+def scrape(running: Testbed, name: str, metric: str, **labels: str) -> list[float]:
+    """Returns the samples of a process that have the given labels."""
+    conn = http.client.HTTPConnection("127.0.0.1", running.ports[name], TIMEOUT_S)
+    conn.request("GET", "/metrics")
+    text = conn.getresponse().read().decode()
+    conn.close()
+    return [
+        sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+        if sample.name == metric and labels.items() <= sample.labels.items()
+    ]
+
+
+def value(running: Testbed, name: str, metric: str, **labels: str) -> float:
+    return sum(scrape(running, name, metric, **labels))
+
+
+def client(running: Testbed) -> JsonClient:
+    token = workspace_token(sorted(running.described.workspaces)[0])
+    return JsonClient("127.0.0.1", running.ports[ENTRY], token, TIMEOUT_S)
+
+
+def complete(running: Testbed, prompt: str) -> None:
+    body = {"model": "furnace", "prompt": prompt}
+    assert client(running).call("POST", "/v1/completions", body).status == OK
+
+
+def test_every_request_counts_in_the_queue_time_of_its_tier(running: Testbed) -> None:
+    metric = "cornelpin_queue_seconds_count"
+    before = value(running, ENTRY, metric, tier="question")
+    for index in range(3):
+        complete(running, f"queue {index} #out=2")
+    assert value(running, ENTRY, metric, tier="question") == before + 3
+
+
+def test_an_answered_prompt_counts_as_prefill_once(running: Testbed) -> None:
+    prompt = " ".join(f"word{index}" for index in range(200)) + " #out=2"
+    before = value(running, ENTRY, "cornelpin_prefill_tokens_total", tier="question")
+    wasted = value(
+        running, ENTRY, "cornelpin_wasted_prefill_tokens_total", tier="question"
+    )
+    complete(running, prompt)
+    computed = value(running, ENTRY, "cornelpin_prefill_tokens_total", tier="question")
+    assert computed - before >= 200
+    assert wasted == value(
+        running, ENTRY, "cornelpin_wasted_prefill_tokens_total", tier="question"
+    )
+
+
+def test_the_prefill_of_a_cancelled_run_is_wasted(running: Testbed) -> None:
+    metric = "cornelpin_wasted_prefill_tokens_total"
+    before = value(running, ENTRY, metric, tier="question")
+    body = {"model": "furnace", "prompt": "left " * 60 + "#out=3000", "stream": True}
+    conn = http.client.HTTPConnection("127.0.0.1", running.ports[ENTRY], TIMEOUT_S)
+    headers = {"Authorization": f"Bearer {client(running).token}"}
+    conn.request("POST", "/v1/completions", json.dumps(body), headers)
+    assert conn.getresponse().read(1)
+    conn.close()
+    wait_until(
+        lambda: value(running, ENTRY, metric, tier="question") >= before + 50,
+        TIMEOUT_S,
+        "the prompt counts as wasted",
+    )
+
+
+@pytest.mark.parametrize("name", [ENTRY, SIDE])
+def test_control_costs_grow_in_an_idle_process(running: Testbed, name: str) -> None:
+    series = [
+        ("cornelpin_control_bytes_total", {"direction": "sent"}),
+        ("cornelpin_control_bytes_total", {"direction": "received"}),
+        ("cornelpin_control_cpu_seconds_total", {}),
+    ]
+    before = [value(running, name, metric, **labels) for metric, labels in series]
+
+    def grown() -> bool:
+        now = [value(running, name, metric, **labels) for metric, labels in series]
+        return all(new > old for new, old in zip(now, before, strict=True))
+
+    wait_until(grown, TIMEOUT_S, "the counters of control grow")
+    control_s = value(running, name, "cornelpin_control_cpu_seconds_total")
+    assert control_s <= value(running, name, "cornelpin_process_cpu_seconds_total")
+
+
+def test_a_move_is_in_one_state_and_vanishes_with_it(running: Testbed) -> None:
+    move = {
+        "route": "furnace",
+        "from_version": "v1",
+        "to_version": "v2",
+        "state": "pause",
+        "finish_by": time.time() + 600,
+    }
+    running.patch({"moves": {"m": move}})
+
+    def states() -> list[float]:
+        return scrape(running, ENTRY, "cornelpin_move_state", move="m")
+
+    wait_until(lambda: bool(states()), TIMEOUT_S, "the move has a state")
+    assert sorted(states()) == [0] * (len(MoveState) - 1) + [1]
+    assert scrape(running, ENTRY, "cornelpin_move_share", move="m") == [0]
+    running.patch({"moves": {"m": None}})
+    wait_until(lambda: not states(), TIMEOUT_S, "the move has no state")
+
+
+USAGE = b'{"usage":{"prompt_tokens":100,"prompt_tokens_details":{"cached_tokens":%d}}}'
+PREFILLS = {
+    "nothing cached or held": (USAGE % 0, 0, Prefill(100, 0)),
+    "all that is held is cached": (USAGE % 50, 500, Prefill(50, 0)),
+    "held elsewhere": (USAGE % 10, 500, Prefill(90, 40)),
+    "more cached than known to be held": (USAGE % 80, 500, Prefill(20, 0)),
+    "no usage": (b'{"choices":[]}', 500, Prefill(0, 0)),
+    "not JSON": (b"x", 500, Prefill(0, 0)),
+    "malformed usage": (b'{"usage":[1]}', 500, Prefill(0, 0)),
+}
+
+
+@pytest.mark.parametrize("name", PREFILLS)
+def test_prefill_of_an_answer(name: str) -> None:
+    last_part, held_bytes, expected = PREFILLS[name]
+    assert answered_prefill(last_part, held_bytes, 1000) == expected
+
+
+def test_only_messages_of_no_single_request_are_control() -> None:
+    grant = Grant("r", True, "", "", "", "", 0, "", "", {}, b"", "", False)
+    assert not is_control(Ask("r"))
+    assert not is_control(grant)
+    assert is_control(Heartbeat(1, False, 1, 1, 0, [], 0.0))
+
+
+def test_processor_time_is_read_while_a_task_runs_and_kept_after() -> None:
+    cost = ControlCost()
+    busy, done = threading.Event(), threading.Event()
+
+    def child(stop: threading.Event) -> None:
+        until = time.thread_time() + 0.02
+        while time.thread_time() < until:
+            pass
+        busy.set()
+        done.wait(TIMEOUT_S)
+
+    thread = threading.Thread(target=cost.counted(child), args=(threading.Event(),))
+    thread.start()
+    assert busy.wait(TIMEOUT_S)
+    assert cost.cpu_s >= 0.02
+    done.set()
+    thread.join()
+    assert cost.cpu_s >= 0.02
