Hear of idle servers so that they can be explored

The trace shows both entries exploring f3 again and again and never f1: a server without work is pinged every 8 s only, one unheard of for 1.5 s is not known to be idle, and only idle ones were explored. Ruled out: a leaked slot or reservation at the side (its last runs ended, none was asked for), and the measured slowness itself, which the exploration was made for. Two neighbours of the fault: a state told to one entry was not followed by an announcement to the others when the load returned to what all had heard, and a refused direct grant left its entry with the state that had caused it. Change: an explored server is named until it was heard of and granted; it is pinged like one that carries work. A told state makes the announcer speak again; a refusal carries the state.

--- a/cornelpin/daemon/announcer.py
+++ b/cornelpin/daemon/announcer.py
@@ -45,6 +45,13 @@
         for peer in self._peers():
             peer.send(state)
 
+    def tell(self, state: Heartbeat, send: Callable[[Heartbeat], None]) -> None:
+        """Sends a state to one peer; all hear of the load again after it."""
+        with self._lock:
+            if _load_of(state) != self._sent:
+                self._sent = ()
+        send(state)
+
     def tick(self) -> None:
         """Announces the load if it has changed and the interval is over."""
         if self._clock() - self._sent_at < LOAD_INTERVAL_S:
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -40,6 +40,12 @@
         self._rates = RateLimiter()
         self._candidates: dict[str, tuple[tuple[int, int], list[Link]]] = {}
 
+    def watched_links(self) -> set[Link]:
+        """Returns the links whose silence is noticed soon: busy or to be explored."""
+        explored = self.preferences.explored
+        busy = self.tickets.links()
+        return busy if explored is None else busy | {explored}
+
     def on_message(self, link: Link, peer: Peer, msg: Any) -> bool:
         """Handles a side's message about a request.
 
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -95,7 +95,7 @@
             process,
             links=lambda: [*self._links.all(), *self._neighbours.all()],
             state=self._state,
-            busy=self._dispatcher.tickets.links,
+            busy=self._dispatcher.watched_links,
         )
         self._moves = EntryMoves(
             process,
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -81,7 +81,7 @@
         idle = [link for link in links if link.idle_slots > 0]
         if not idle:
             return False
-        link = self._preferences.prefer(self._req, idle)
+        link = self._preferences.prefer(self._req, idle, links)
         peer = link.peer
         if peer is None or not self._ticket.grant(link, peer.incarnation):
             return False
--- a/cornelpin/daemon/preferences.py
+++ b/cornelpin/daemon/preferences.py
@@ -27,17 +27,36 @@
         self.prefixes = PrefixTable()
         self._orders = itertools.count(1)
         self._granted_at: dict[str, float] = {}
+        self.explored: Link | None = None
 
     def note(self, req: Request, link: Link) -> None:
         """Notes that a request was granted to a link."""
         self.prefixes.note(req.prefix, link.name)
         self._granted_at[link.name] = time.monotonic()
 
-    def prefer(self, req: Request, links: list[Link]) -> Link:
-        """Returns the idle link to grant to; now and then one long unused."""
+    def prefer(self, req: Request, idle: list[Link], usable: list[Link]) -> Link:
+        """Returns the idle link to grant to; now and then one long unused.
+
+        A server without work is not heard of for a while, and one that is not heard
+        of is not known to be idle. It is named in ``explored`` until it was heard of
+        and granted a request.
+
+        Args:
+            req: The request.
+            idle: Links known to have a free slot.
+            usable: Links that the request may go to, the idle ones among them.
+        """
         if next(self._orders) % EXPLORE_EVERY == 0:
-            return min(links, key=lambda link: self._granted_at.get(link.name, 0.0))
-        return self.order(req, links)[0]
+            open_links = [link for link in usable if link in idle or not link.fresh]
+            self.explored = min(open_links, key=self._last_granted)
+        explored = self.explored
+        if explored is None or explored not in idle:
+            return self.order(req, idle)[0]
+        self.explored = None
+        return explored
+
+    def _last_granted(self, link: Link) -> float:
+        return self._granted_at.get(link.name, 0.0)
 
     def order(self, req: Request, links: list[Link]) -> list[Link]:
         """Returns the links, the one estimated to answer first in front."""
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -264,6 +264,8 @@
         self, peer: Peer, grant: Grant, reason: Reason, detail: str
     ) -> None:
         peer.send(NotRun(grant.request_id, reason.value, detail, grant.attempt))
+        # The entry knew a state in which the grant seemed possible.
+        self._announcer.tell(self._state(), peer.send)
 
     def _on_withdraw(self, peer: Peer, request_id: str) -> None:
         self._admission.withdraw(peer, request_id)
@@ -340,7 +342,7 @@
         if end.outcome == DONE:
             self._token_time.observe(run)
         if not len(self._admission):
-            run.tell(self._state())
+            self._announcer.tell(self._state(), run.tell)
 
     def _sweep(self) -> None:
         expired = self._admission.sweep()
--- a/cornelpin/tests/test_ranking.py
+++ b/cornelpin/tests/test_ranking.py
@@ -81,7 +81,21 @@
     request = types.SimpleNamespace(prefix=(), prompt_bytes=100, cost=50)
     chosen = []
     for _ in range(4 * EXPLORE_EVERY):
-        link = preferences.prefer(request, links)
+        link = preferences.prefer(request, links, links)
         preferences.note(request, link)
         chosen.append(link.name)
     assert chosen.count("slow") == 4
+
+
+def test_a_server_without_work_is_heard_of_and_tried_again() -> None:
+    preferences = Preferences()
+    busy, quiet = (Link(name, Endpoint("", "")) for name in ("busy", "quiet"))
+    for link in (busy, quiet):
+        link.on_state(Heartbeat(1, False, 8, 8, 0, [], 0.01, 0.0))
+    request = types.SimpleNamespace(prefix=(), prompt_bytes=100, cost=50)
+    for _ in range(EXPLORE_EVERY):
+        assert preferences.prefer(request, [busy], [busy, quiet]) is busy
+        preferences.note(request, busy)
+    assert preferences.explored is quiet
+    assert preferences.prefer(request, [busy, quiet], [busy, quiet]) is quiet
+    assert preferences.explored is None
