Refuse at once what can no longer be answered in time

Cause: a request waited until its deadline or its tier's longest wait, then ran into the deadline on the engine; its prefill was wasted and its caller learned late.

Change: the wait ends where the time left is less than the answer takes, as learned from whole answers of the route and tier (length, seconds a part) and bounded by the caller's limit; a wrong estimate takes at most a quarter of the time. The refusal is 429, "not run", with retry_after_s. Risk, floor and shedding count from this wait, so the order of shedding holds; the entry wakes at its end instead of at its poll.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -51,6 +51,7 @@
             _keep_version,
             lambda req: False,
             preferences,
+            60.0,
         )
         for i in range(DECISIONS)
     ]
--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -27,6 +27,9 @@
 RANK_DELAYS_MOST = 3
 SHED_MARGIN_S = 0.75
 LOWEST_ORDER = -(2**31)
+# Largest share of the time left that is kept for answering: an estimate that is too
+# long refuses a request no earlier than this.
+ANSWER_SHARE = 0.25
 
 
 def risk_window_s(wait_s: float) -> float:
@@ -34,6 +37,17 @@
     return min(AT_RISK_SHARE * wait_s, AT_RISK_MOST_S)
 
 
+def longest_wait_s(max_wait_s: float, left_s: float, answer_s: float) -> float:
+    """Returns how long a request may wait and still be answered in time.
+
+    Args:
+        max_wait_s: Longest wait of its tier in seconds.
+        left_s: Seconds to its deadline.
+        answer_s: Estimated seconds from its grant to the end of its answer.
+    """
+    return min(max_wait_s, left_s - min(answer_s, ANSWER_SHARE * left_s))
+
+
 @attrs.frozen
 class TierPolicy:
     """The part of a tier's configuration that orders reservations.
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING, Any
 
+from cornelpin.core.answer_times import AnswerTimes
 from cornelpin.core.config import Limits
 from cornelpin.core.limits import EntryShare, RateLimiter
+from cornelpin.core.reservations import longest_wait_s
 from cornelpin.core.tickets import Request, Ticket
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.exchange import QUARANTINE_DETAIL, Exchange
@@ -33,6 +35,7 @@
         self._process = process
         self.links = links
         self.preferences = Preferences()
+        self.answer_times = AnswerTimes()
         self.tickets = TicketTable(TicketLimits(limit), self._shed_orders)
         self.moves: MoveView | None = None
         self.suspects: Suspects | None = None
@@ -111,6 +114,13 @@
         self._process.ring.record("request.accepted", request=req.request_id)
         return Exchange(self._process, self, ticket)
 
+    def longest_wait_s(self, req: Request) -> float:
+        """Returns how long a request may wait and still be answered in time."""
+        if req.keep:
+            return req.max_wait_s
+        answer_s = self.answer_times.estimate_s(req.route, req.tier, req.cost)
+        return longest_wait_s(req.max_wait_s, req.left_s(), answer_s)
+
     def adopt(
         self,
         req: Request,
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -32,6 +32,7 @@
     from cornelpin.daemon.process import Process
 
 POLL_S = 0.25
+MIN_POLL_S = 0.01
 RESUME_TIMEOUT_S = 6.0
 SERVICE_TRIES = 3
 QUARANTINE_DETAIL = "this content crashed the backend servers that ran it"
@@ -63,6 +64,7 @@
             dispatcher.choose_version,
             dispatcher.runs_alone,
             dispatcher.preferences,
+            dispatcher.longest_wait_s(self._req),
         )
         self.caller_gone: Callable[[], bool] = lambda: False
         self.before_grant: Callable[[str, Ticket], bool] | None = None
@@ -137,7 +139,7 @@
             if time.monotonic() >= self._check_at:
                 self._check_time()
             try:
-                msg, link = self._ticket.events.get(timeout=POLL_S)
+                msg, link = self._ticket.events.get(timeout=self._poll_s())
             except queue.Empty:
                 pass
             else:
@@ -146,6 +148,15 @@
             if self._ticket.waiting:
                 self._place()
 
+    def _poll_s(self) -> float:
+        """Returns how long to wait for an event; not past the end of the wait."""
+        if not self._ticket.waiting:
+            return POLL_S
+        left_s = self._placement.wait_until - time.monotonic()
+        if left_s < POLL_S:
+            self._check_at = min(self._check_at, self._placement.wait_until)
+        return min(max(left_s, MIN_POLL_S), POLL_S)
+
     def _superseded(self, msg: Any, link: Any) -> bool:
         """Whether an event belongs to a grant that is no longer in force."""
         if not isinstance(msg, Head | Chunk | End):
@@ -162,7 +173,8 @@
         if self._req.left_s() <= 0:
             raise self._refusal(Reason.DEADLINE, "the deadline has passed")
         if self._ticket.waiting and time.monotonic() > self._placement.wait_until:
-            raise self._refusal(Reason.SHED, "no slot within the tier's longest wait")
+            detail = "no slot in time to be answered before the deadline"
+            raise self._refusal(Reason.SHED, detail)
 
     def _before_head(self, msg: Any, link: Any) -> None:
         match msg:
@@ -282,6 +294,12 @@
         if msg.count != self._received:
             raise self._failed("the answer is incomplete")
         self._complete = True
+        self._dispatcher.answer_times.observe(
+            self._req.route,
+            self._req.tier,
+            parts=self._received,
+            seconds=self._ticket.granted_s,
+        )
 
     def _place(self, *, direct: bool = False) -> None:
         try:
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -37,6 +37,7 @@
         choose_version: Callable[[Ticket, list[Link]], None],
         runs_alone: Callable[[Request], bool],
         preferences: Preferences,
+        wait_s: float,
     ) -> None:
         self._process = process
         self._ticket = ticket
@@ -46,9 +47,10 @@
         self._runs_alone = runs_alone
         self._preferences = preferences
         self.shed_by: set[Link] = set()
-        now = time.monotonic()
-        self._bound_until = now + binding_s(ticket.req.max_wait_s)
-        self.wait_until = now + ticket.req.max_wait_s
+        self._began = time.monotonic()
+        self._wait_s = wait_s
+        self._bound_until = self._began + binding_s(wait_s)
+        self.wait_until = self._began + wait_s
 
     def place(self, *, direct: bool = False) -> None:
         """Grants directly to an idle side or reserves at several."""
@@ -88,7 +90,7 @@
     def _at_risk(self) -> bool:
         """Whether the request asks every side, ahead of tiers that are shed first."""
         left_s = self.wait_until - time.monotonic()
-        return left_s < risk_window_s(self._req.max_wait_s)
+        return left_s < risk_window_s(self._wait_s)
 
     def _grant_direct(self, links: list[Link]) -> bool:
         idle = [link for link in links if link.idle_slots > 0]
@@ -124,7 +126,7 @@
             workspace=req.workspace,
             cost=req.cost,
             wait_s=max(0.0, self.wait_until - time.monotonic()),
-            waited_s=time.monotonic() - (self.wait_until - req.max_wait_s),
+            waited_s=time.monotonic() - self._began,
             fingerprint=req.fingerprint,
             rank=rank,
         )
