Charge a workspace for what other sides served

Cause: a reservation that another side got was refunded, so a workspace whose requests are mostly served elsewhere stayed the least served here. Its requests were asked for first and mostly in vain.

Change: a withdrawn reservation whose wait was not over charges its workspace, and a grant that did not follow is no longer refunded.

--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -193,12 +193,13 @@
         shed = self._shed_floor if now < self._shed_until else LOWEST_ORDER
         return max(shed, max(at_risk, default=LOWEST_ORDER))
 
-    def refund(self, res: Reservation) -> None:
-        """Takes back the charge for a reservation that was not granted."""
-        self._charge(res, -res.cost)
-
     def withdraw(self, request_id: str, *, owner: object) -> Reservation | None:
-        """Removes a reservation by request id if the owner placed it."""
+        """Removes a reservation by request id if the owner placed it.
+
+        One whose wait was not over got its slot elsewhere. Its workspace is charged
+        here too: a workspace that is served by other sides would else stay the least
+        served, and its requests would be asked for first, and in vain.
+        """
         res = self._waiting.get(request_id)
         if res is None or res.owner is not owner:
             return None
@@ -206,6 +207,7 @@
         if self._clock() - res.placed > res.wait_s - SHED_MARGIN_S:
             self._shed([res])
         else:
+            self._charge(res, res.cost)
             self._drain.count()
         return res
 
--- a/cornelpin/daemon/admission.py
+++ b/cornelpin/daemon/admission.py
@@ -162,9 +162,7 @@
     def gone(self, peer: Peer, request_id: str) -> None:
         """Gives back the slot of a request that its entry does not grant."""
         with self._cond:
-            res = self._take_asked(peer, request_id)
-            if res is not None:
-                self._queue.refund(res)
+            if self._take_asked(peer, request_id) is not None:
                 self._cond.notify_all()
 
     def start(self, peer: Peer, grant: Grant) -> Started | Refused | Duplicate:
--- a/cornelpin/tests/test_reservations.py
+++ b/cornelpin/tests/test_reservations.py
@@ -123,6 +123,16 @@
     assert sum(res.workspace == "a" for res in taken) == 6
 
 
+def test_workspace_served_by_other_sides_does_not_go_first():
+    queue, clock = new_queue()
+    reserve(queue, clock, *["question"] * 4, workspace="a")
+    reserve(queue, clock, *["question"] * 4, workspace="b")
+    elsewhere = queue.find(lambda res: res.workspace == "a")
+    queue.withdraw(elsewhere.request_id, owner="peer")
+    first = queue.take(lambda res: True, may_exceed=True)
+    assert first.workspace == "b"
+
+
 @pytest.mark.parametrize(
     ("younger_s", "ranks", "expected"),
     [(0.1, (1, 0), 1), (0.1, (2, 1), 1), (0.1, (0, 0), 0), (1.0, (9, 0), 0)],
