Let a side's place in the order count without a limit

Cause: a request at risk is reserved at all sides, and all places after the third counted alike, so all sides asked for the same one again.

--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -24,7 +24,6 @@
 DEFAULT_CAPACITY = 2000
 FLOOR_HOLD_S = 1.5
 RANK_DELAY_S = 0.25
-RANK_DELAYS_MOST = 3
 SHED_MARGIN_S = 0.75
 LOWEST_ORDER = -(2**31)
 # Largest share of the time left that is kept for answering: an estimate that is too
@@ -100,7 +99,7 @@
         A request waits at several sides. Each puts those first that prefer it, or
         all would ask for the same oldest request and hold slots for it in vain.
         """
-        return self.placed + min(self.rank, RANK_DELAYS_MOST) * RANK_DELAY_S
+        return self.placed + self.rank * RANK_DELAY_S
 
     def at_risk(self, now: float) -> bool:
         """Whether little of the allowed waiting time is left."""
--- a/cornelpin/tests/test_reservations.py
+++ b/cornelpin/tests/test_reservations.py
@@ -135,7 +135,13 @@
 
 @pytest.mark.parametrize(
     ("younger_s", "ranks", "expected"),
-    [(0.1, (1, 0), 1), (0.1, (2, 1), 1), (0.1, (0, 0), 0), (1.0, (9, 0), 0)],
+    [
+        (0.1, (1, 0), 1),
+        (0.1, (2, 1), 1),
+        (0.1, (0, 0), 0),
+        (1.0, (3, 0), 0),
+        (1.0, (9, 0), 1),
+    ],
 )
 def test_sides_prefer_those_that_prefer_them(younger_s, ranks, expected):
     queue, clock = new_queue()
