Retire links instead of closing them

Cause: an entry closed its link to a backend server at once when a patch removed the server, or when another subset fell to the entry; every answer on the link broke off with "may have run". A planned change must cut off nothing. Ruled out: the side, which went on serving, and resumption, which waits for a link that nothing reopens. Change: a link no longer wanted is retired. It gets no grant and no reservation, what waits there is handed back, it is pinged on and closed when no ticket uses it. Wanted again, the same link goes on. The side of a removed backend server counts itself as leaving. Scenario steps remove_server and return_server.

--- a/benchmarks/scenario_steps.py
+++ b/benchmarks/scenario_steps.py
@@ -96,6 +96,32 @@
     run.testbed.patch(dict(arguments["patch"]))
 
 
+@step("remove_server")
+def _remove_server(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Takes a model's backend server out of the configuration."""
+    _list_servers(run, {arguments["server"]: None}, without=arguments["server"])
+
+
+@step("return_server")
+def _return_server(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Puts a backend server back that was taken out."""
+    name = arguments["server"]
+    side = run.testbed.sides[name]
+    listed = {"host": side.host, "peer_port": side.peer_port}
+    _list_servers(run, {name: listed}, without="")
+
+
+def _list_servers(run: Run, changed: Mapping[str, Any], *, without: str) -> None:
+    described = run.testbed.described
+    names = [s for s in described.servers_of(Kind.MODEL) if s != without]
+    run.testbed.patch(
+        {
+            "backend_servers": dict(changed),
+            "routes": {described.model_route: {"backend_servers": names}},
+        }
+    )
+
+
 @step("move")
 def _move(run: Run, arguments: Mapping[str, Any]) -> None:
     """Submits a move of the model route."""
--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -70,9 +70,12 @@
             # Its own task stores the grant before it is sent.
             ticket.events.put((msg, link))
             return
-        if ticket is not None and ticket.waiting:
+        if ticket is None or link.retired:
+            peer.send(Gone(request_id))
+            return
+        if ticket.waiting:
             self.choose_version(ticket, [link])
-        if ticket is not None and ticket.grant(link, peer.incarnation):
+        if ticket.grant(link, peer.incarnation):
             self.preferences.note(ticket.req, link)
             self._process.ring.record(
                 "request.granted", request=request_id, detail=link.name
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -76,6 +76,7 @@
             on_open=self._on_open,
             on_message=self._on_message,
             on_lost=self._on_lost,
+            on_retired=self._on_retired,
         )
         self._neighbours = LinkTable(
             process,
@@ -93,7 +94,7 @@
         self._spread = ConfigSpread(process, self._peers, self._eager_peers)
         self._pinger = Pinger(
             process,
-            links=lambda: [*self._links.all(), *self._neighbours.all()],
+            links=lambda: [*self._links.kept(), *self._neighbours.kept()],
             state=self._state,
             busy=self._dispatcher.watched_links,
         )
@@ -158,6 +159,7 @@
             "config-repair": every(REPAIR_S, self._spread.repair),
             "host-watch": self._host_watch.run,
             "pinger": every(TICK_S, self._pinger.tick),
+            "retired-links": every(TICK_S, self._close_retired),
             "moves": self._moves.controller.run,
         }.items():
             sup.start(name, self.process.control_cost.counted(child))
@@ -199,10 +201,17 @@
     def _peers(self) -> list[Peer]:
         with self._lock:
             inbound = list(self._inbound)
-        links = [*self._links.all(), *self._neighbours.all()]
+        links = [*self._links.kept(), *self._neighbours.kept()]
         outbound = [link.peer for link in links]
         return [peer for peer in (*outbound, *inbound) if peer is not None]
 
+    def _on_retired(self, link: Link) -> None:
+        self._dispatcher.tickets.hand_back(link)
+
+    def _close_retired(self) -> None:
+        self._links.close_retired(self._dispatcher.tickets.links())
+        self._neighbours.close_retired(set())
+
     def _on_open(self, link: Link, peer: Peer) -> None:
         self._greet(peer)
         self._host_watch.greet(peer, link)
--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -207,7 +207,7 @@
         link.send(Gone(self._req.request_id))
 
     def _grant_stored(self, link: Link, peer: Peer) -> bool:
-        if not self._ticket.waiting or self.before_grant is None:
+        if not self._ticket.waiting or self.before_grant is None or link.retired:
             return False
         self._dispatcher.choose_version(self._ticket, [link])
         self._ticket.incarnation = peer.incarnation
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -24,6 +24,8 @@
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
 FRESH_S = 1.5
+# A grant decided before a link was retired is known to its ticket within this time.
+RETIRED_FOR_S = 2.0
 
 
 @attrs.frozen
@@ -102,6 +104,7 @@
         self.state: Heartbeat | None = None
         self.direct = 0
         self.shed_until = 0.0
+        self.retired = False
         self._peer: Peer | None = None
         self._opened = threading.Condition()
 
@@ -109,7 +112,7 @@
     def usable(self) -> bool:
         """Whether the side is connected and takes new work."""
         state = self.state
-        if self._peer is None or state is None:
+        if self._peer is None or state is None or self.retired:
             return False
         return state.number > 0 and not state.leaving
 
@@ -190,7 +193,19 @@
 
 
 class LinkTable:
-    """Keeps a link, with its own task, to each process that is wanted."""
+    """Keeps a link, with its own task, to each process that is wanted.
+
+    A link that is no longer wanted is retired: it gets nothing new and is closed once
+    it carries nothing, so that a change of the configuration cuts no answer off.
+
+    Args:
+        process: The process.
+        wanted: Gives the processes to be linked to, by name.
+        on_open: Called with a link and its new session.
+        on_message: Called with each message.
+        on_lost: Called when a session has ended.
+        on_retired: Called when a link is no longer wanted.
+    """
 
     def __init__(
         self,
@@ -200,22 +215,30 @@
         on_open: Callable[[Link, Peer], None],
         on_message: Callable[[Link, Peer, Any], None],
         on_lost: Callable[[Link], None],
+        on_retired: Callable[[Link], None] = lambda link: None,
     ) -> None:
         self._process = process
         self._wanted = wanted
         self._on_open = on_open
         self._on_message = on_message
         self._on_lost = on_lost
+        self._on_retired = on_retired
         self._lock = threading.Lock()
         self._links: dict[str, Link] = {}
-        self._stops: dict[str, threading.Event] = {}
+        self._stops: dict[Link, threading.Event] = {}
+        self._retired: dict[Link, float] = {}
         self.generation = 0
 
     def all(self) -> list[Link]:
-        """Returns all links."""
+        """Returns all wanted links."""
         with self._lock:
             return list(self._links.values())
 
+    def kept(self) -> list[Link]:
+        """Returns all links, also the retired ones."""
+        with self._lock:
+            return [*self._links.values(), *self._retired]
+
     def peer_of(self, name: str) -> Peer | None:
         """Returns the session of a link by its name, if it is open."""
         with self._lock:
@@ -235,26 +258,57 @@
         """Starts and stops links so that just the wanted ones are kept."""
         with self._lock:
             self.generation += 1
-            for name in list(self._links):
-                if wanted.get(name) != self._links[name].endpoint:
-                    self._drop(name)
+            unwanted = [
+                link
+                for name, link in self._links.items()
+                if wanted.get(name) != link.endpoint
+            ]
+            for link in unwanted:
+                self._retire(link)
             for name, endpoint in wanted.items():
-                if name not in self._links:
+                if name not in self._links and not self._restore(name, endpoint):
                     self._add(Link(name, endpoint))
+        for link in unwanted:
+            self._on_retired(link)
+
+    def close_retired(self, busy: set[Link]) -> None:
+        """Closes the retired links that carry nothing any more.
+
+        Args:
+            busy: The links that carry requests or reservations.
+        """
+        latest = time.monotonic() - RETIRED_FOR_S
+        with self._lock:
+            since = self._retired.items()
+            done = [link for link, at in since if at < latest and link not in busy]
+            for link in done:
+                del self._retired[link]
+                self._stops.pop(link).set()
+                link.close()
 
     def _add(self, link: Link) -> None:
         def child(stop: threading.Event) -> None:
             self._keep_open(link, stop)
 
         self._links[link.name] = link
-        self._stops[link.name] = self._process.supervisor.start(
+        self._stops[link] = self._process.supervisor.start(
             f"link-{link.name}", child, interrupt=link.close
         )
 
-    def _drop(self, name: str) -> None:
-        link = self._links.pop(name)
-        self._stops.pop(name).set()
-        link.close()
+    def _restore(self, name: str, endpoint: Endpoint) -> bool:
+        """Takes a retired link back; a second one would end its session."""
+        for link in self._retired:
+            if (link.name, link.endpoint) == (name, endpoint):
+                del self._retired[link]
+                link.retired = False
+                self._links[name] = link
+                return True
+        return False
+
+    def _retire(self, link: Link) -> None:
+        del self._links[link.name]
+        link.retired = True
+        self._retired[link] = time.monotonic()
 
     def _keep_open(self, link: Link, stop: threading.Event) -> None:
         """Connects, serves the session, and connects again, until stopped."""
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -143,7 +143,7 @@
         }
         shares = {name: cfg.share for name, cfg in config.workspaces.items()}
         self._admission.set_policies(tiers, shares)
-        if self._process.host_leaving(config):
+        if self._process.host_leaving(config) or self._is_removed(config):
             self.leave()
         elif not self._process.stopping.is_set():
             self._come_back()
@@ -152,6 +152,10 @@
             self._process.current.set()
             self._announcer.now()
 
+    def _is_removed(self, config: Config) -> bool:
+        """Whether the backend server is not, or no longer, in the configuration."""
+        return self._server not in config.backend_servers
+
     def _on_host_notice(self, msg: HostNotice) -> None:
         """Follows what the host list says of this host, the newest reading first."""
         if msg.stamp <= self._listed_at:
--- a/cornelpin/daemon/ticket_table.py
+++ b/cornelpin/daemon/ticket_table.py
@@ -10,6 +10,7 @@
 
 from cornelpin.core.limits import over_limit
 from cornelpin.core.verdict import Reason, Refusal
+from cornelpin.daemon.messages import NotRun, Withdraw
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -133,6 +134,17 @@
         found.update(ticket.holder for ticket in tickets if ticket.holder is not None)
         return found
 
+    def hand_back(self, link: Link) -> None:
+        """Tells the tickets that wait at a link that it takes them no more."""
+        with self._lock:
+            tickets = list(self._tickets.values())
+        for ticket in tickets:
+            if link in ticket.reserved():
+                request_id = ticket.req.request_id
+                link.send(Withdraw(request_id))
+                given_back = NotRun(request_id, Reason.LEAVING.value, "")
+                ticket.events.put((given_back, link))
+
     def tell_lost(self, link: Link) -> None:
         """Tells the tickets that use a link that its session has ended."""
         with self._lock:
