Find the stage of a move anew when its stages are patched

The record holds the index of its stage. The stage is now found by the share, which stays as it is until the next larger stage; a quota is begun anew when the share differs, too.

--- a/cornelpin/core/move_plan.py
+++ b/cornelpin/core/move_plan.py
@@ -59,6 +59,7 @@
     """Returns the record after one step; equal to the old one if nothing changes."""
     if record.state.final:
         return record
+    record = _anchored(record, move)
     reason = _reason_to_take_back(move, facts)
     if reason:
         return attrs.evolve(
@@ -82,6 +83,17 @@
     return last and not stopped and _passed(record, move, facts)
 
 
+def _anchored(record: MoveRecord, move: Move) -> MoveRecord:
+    """Finds the stage anew by its share after an operator has changed the stages."""
+    stages = move.stages
+    if record.stage < 0 and record.share == 0:
+        return record
+    if 0 <= record.stage < len(stages) and stages[record.stage] == record.share:
+        return record
+    passed = [i for i, share in enumerate(stages) if share <= record.share]
+    return attrs.evolve(record, stage=max(passed, default=-1))
+
+
 def _done(move: Move) -> str:
     return f"all stages passed; the route serves {move.to_version}"
 
@@ -95,14 +107,15 @@
 
 
 def _advance(record: MoveRecord, move: Move, facts: Facts) -> MoveRecord:
-    going = MoveState.RUNNING if record.stage >= 0 else MoveState.LOADING
+    begun = record.share > 0
+    going = MoveState.RUNNING if begun else MoveState.LOADING
     if facts.left_s <= 0:
         return attrs.evolve(record, state=MoveState.LATE, reason=_late(record, facts))
     record = attrs.evolve(record, state=going, reason="")
     last = record.stage == len(move.stages) - 1
     if last or not _loaded(record, move, facts):
         return record
-    if record.stage >= 0 and not _passed(record, move, facts):
+    if begun and not _passed(record, move, facts):
         return record
     return attrs.evolve(
         record,
--- a/cornelpin/daemon/move_view.py
+++ b/cornelpin/daemon/move_view.py
@@ -123,8 +123,9 @@
         with self._lock:
             key = (record.attempt, record.stage)
             quota = self._quotas.get(route)
-            if quota is None or quota.stage != key:
-                quota = Quota(key, min(record.share, MAX_JUDGED_SHARE))
+            share = min(record.share, MAX_JUDGED_SHARE)
+            if quota is None or (quota.stage, quota.share) != (key, share):
+                quota = Quota(key, share)
                 self._quotas[route] = quota
             chosen = quota.take(_in_share(record, request_id))
         return record.to_version if chosen else record.from_version
--- a/cornelpin/tests/test_move_controller.py
+++ b/cornelpin/tests/test_move_controller.py
@@ -64,6 +64,21 @@
     assert all(link.versions == {"v2"} for link in bed.links)
 
 
+@pytest.mark.parametrize("begun_s", range(1, 9))
+@pytest.mark.parametrize(
+    "stages", [[1], [0.5, 1], [0.05, 1], [0.2, 0.8, 1], [0.1, 0.2, 0.3, 0.5, 1]]
+)
+def test_stages_may_be_patched_while_the_move_runs(bed, stages, begun_s):
+    bed.run(0, begun_s)
+    bed.patch({"moves": {"m": {"stages": stages}}})
+    shares = []
+    for _ in range(STEPS_S):
+        bed.run(0, 1)
+        shares.append(bed.stored().records["m"].share)
+    assert shares == sorted(shares)
+    assert_done(bed)
+
+
 @pytest.mark.parametrize("after_effect", [False, True])
 @pytest.mark.parametrize("call", CALLS)
 def test_successor_finishes_the_move_of_a_killed_controller(bed, call, after_effect):
