Let a version that can't be loaded hold up its own move only

A version that can't be loaded was tried first again and again, and another move on the same servers stayed in loading until it was late: both orders of test_two_moves_on_shared_servers fail before the change. Only a refusal with Retry-After, as that of the weight store, holds back all loads now.

The reason of the failure was dropped; a move in loading or late states it.

--- a/cornelpin/core/move_plan.py
+++ b/cornelpin/core/move_plan.py
@@ -32,6 +32,7 @@
         stage_age_s: Time since this controller saw the current stage begin.
         left_s: Time left until the move has to be finished.
         switched: Whether the route's version is the new one.
+        load_failure: Why a server does not load the new version, or an empty string.
     """
 
     brake: str
@@ -41,6 +42,7 @@
     stage_age_s: float
     left_s: float
     switched: bool = False
+    load_failure: str = ""
 
 
 def servers_wanted(servers: int, share: float) -> int:
@@ -113,8 +115,10 @@
         return attrs.evolve(record, state=MoveState.LATE, reason=_late(record, facts))
     record = attrs.evolve(record, state=going, reason="")
     last = record.stage == len(move.stages) - 1
-    if last or not _loaded(record, move, facts):
+    if last:
         return record
+    if not _loaded(record, move, facts):
+        return attrs.evolve(record, reason=facts.load_failure)
     if begun and not _passed(record, move, facts):
         return record
     return attrs.evolve(
@@ -126,8 +130,9 @@
 
 
 def _late(record: MoveRecord, facts: Facts) -> str:
-    if record.stage < 0:
-        return f"the version is loaded on {facts.loaded} of {facts.servers} servers"
+    if record.share == 0:
+        loaded = f"the version is loaded on {facts.loaded} of {facts.servers} servers"
+        return f"{loaded}; {facts.load_failure}" if facts.load_failure else loaded
     if facts.opinion.suspicious:
         return f"held at {record.share:.0%}: {facts.opinion.reason}"
     return f"reached {record.share:.0%} with {facts.opinion.runs} runs judged"
--- a/cornelpin/daemon/move_controller.py
+++ b/cornelpin/daemon/move_controller.py
@@ -173,6 +173,9 @@
             stage_age_s=self._age_s(record),
             left_s=move.finish_by - time.time(),
             switched=route.version == move.to_version,
+            load_failure=self.loader.failure(
+                move.to_version, {link.name for link in links}
+            ),
         )
 
     def _usable(self, route: str, config: Config) -> list[Link]:
--- a/cornelpin/daemon/move_loader.py
+++ b/cornelpin/daemon/move_loader.py
@@ -9,12 +9,16 @@
 import attrs
 
 from cornelpin.daemon.move_messages import VersionOrder, VersionReply
+from cornelpin.daemon.move_orders import DONE, FAILED, LIMITED
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from cornelpin.daemon.links import Link
 
 LOAD = "load"
 MAX_LOADS_AT_ONCE = 2
+MAX_DETAIL_CHARS = 200
 ORDER_TIMEOUT_S = 120.0
 
 
@@ -34,6 +38,7 @@
         self._lock = threading.Lock()
         self._under_way: dict[_Key, float] = {}
         self._not_before: dict[_Key, float] = {}
+        self._failures: dict[_Key, str] = {}
         self._loads_not_before = 0.0
 
     def order(self, link: Link, op: str, version: str, fence: int) -> bool:
@@ -58,10 +63,24 @@
         with self._lock:
             self._under_way.pop(key, None)
             self._not_before[key] = until
-            if msg.op == LOAD and msg.outcome == "failed":
+            if msg.outcome == FAILED:
+                self._failures[key] = msg.detail[:MAX_DETAIL_CHARS]
+            elif msg.outcome == DONE:
+                self._failures.pop(key, None)
+            elif msg.op == LOAD and msg.outcome == LIMITED:
                 # The weight store serves all servers, so all loads wait.
                 self._loads_not_before = max(self._loads_not_before, until)
 
+    def failure(self, version: str, servers: Collection[str]) -> str:
+        """Returns why a version can't be loaded on one of the servers, or ""."""
+        with self._lock:
+            failed = [
+                f"loading on {key.server} failed: {detail}"
+                for key, detail in self._failures.items()
+                if (key.op, key.version) == (LOAD, version) and key.server in servers
+            ]
+        return min(failed, default="")
+
     def on_lost(self, link: Link) -> None:
         """Forgets the orders under way at a lost side."""
         with self._lock:
--- a/cornelpin/daemon/move_messages.py
+++ b/cornelpin/daemon/move_messages.py
@@ -75,7 +75,7 @@
     Attributes:
         op: ``load`` or ``unload``.
         version: Version of the backend server.
-        outcome: ``done``, ``busy``, ``failed`` or ``old_fence``.
+        outcome: ``done``, ``busy``, ``limited``, ``failed`` or ``old_fence``.
         retry_after_s: Seconds to wait before the next try.
         detail: What went wrong, for operators.
     """
--- a/cornelpin/daemon/move_orders.py
+++ b/cornelpin/daemon/move_orders.py
@@ -20,6 +20,7 @@
 UNLOAD = "unload"
 DONE = "done"
 BUSY = "busy"
+LIMITED = "limited"
 FAILED = "failed"
 OLD_FENCE = "old_fence"
 BUSY_RETRY_S = 1.0
@@ -91,8 +92,9 @@
         if result.done:
             self._on_done()
             return _reply(order, DONE, 0.0, "")
-        retry_after_s = result.retry_after_s or FAILED_RETRY_S
-        return _reply(order, FAILED, retry_after_s, result.detail)
+        if result.retry_after_s > 0:
+            return _reply(order, LIMITED, result.retry_after_s, result.detail)
+        return _reply(order, FAILED, FAILED_RETRY_S, result.detail)
 
 
 def _reply(
--- a/cornelpin/tests/move_bed.py
+++ b/cornelpin/tests/move_bed.py
@@ -13,7 +13,7 @@
 from cornelpin.core.move_store import STATE_KEY
 from cornelpin.daemon import move_controller, move_loader
 from cornelpin.daemon.move_controller import MoveController
-from cornelpin.daemon.move_messages import VersionReply
+from cornelpin.daemon.move_messages import VersionOrder, VersionReply
 from cornelpin.daemon.move_view import MoveView
 from cornelpin.platform.memory_objects import MemoryObjectStore
 from cornelpin.platform.objects import Found
@@ -49,6 +49,7 @@
         self.versions = {"v1"}
         self.fence = 0
         self.replies: list[VersionReply] = []
+        self.sent: list[VersionOrder] = []
         # Replies to loads by version, for versions that can't be loaded.
         self.refusals: dict[str, VersionReply] = {}
 
@@ -59,6 +60,7 @@
         return version not in self.versions
 
     def send(self, order) -> bool:
+        self.sent.append(order)
         if order.op == "load" and order.version in self.refusals:
             self.replies.append(self.refusals[order.version])
             return True
--- a/cornelpin/tests/test_move_controller.py
+++ b/cornelpin/tests/test_move_controller.py
@@ -9,8 +9,9 @@
 from cornelpin.core.configstore import ConfigStore
 from cornelpin.core.lease import TERM_S
 from cornelpin.core.move_state import MoveState
+from cornelpin.daemon.move_messages import VersionReply
 from cornelpin.platform.memory_objects import MemoryObjectStore
-from cornelpin.tests.move_bed import MoveBed
+from cornelpin.tests.move_bed import DOCUMENT, MoveBed
 
 # A good move makes 92 calls with those of the test bed until it is done.
 CALLS = range(1, 100)
@@ -64,6 +65,54 @@
     assert all(link.versions == {"v2"} for link in bed.links)
 
 
+@pytest.mark.parametrize("failing_first", [True, False])
+def test_two_moves_on_shared_servers(failing_first):
+    """A version that can't be loaded neither holds up nor undoes another move."""
+    order = ("broken", "sound") if failing_first else ("sound", "broken")
+    ends = {"broken": ("r", "v3"), "sound": ("s", "v2")}
+    base = {"from_version": "v1", "stages": [0.5, 1], "stage_s": 1, "finish_by": 60}
+    moves = {
+        name: base | {"route": ends[name][0], "to_version": ends[name][1]}
+        for name in order
+    }
+    route = DOCUMENT["routes"]["r"]
+    bed = MoveBed(CountingStore(), moves=moves, routes={"s": route})
+    refusal = VersionReply("load", "v3", "failed", 2.0, "no such weights")
+    for link in bed.links:
+        link.refusals["v3"] = refusal
+    try:
+        bed.run(0, STEPS_S)
+        records = bed.stored().records
+        assert records["sound"].state is MoveState.DONE
+        assert records["broken"].state is MoveState.LOADING
+        assert "no such weights" in records["broken"].reason
+        bed.run(0, STEPS_S)
+        broken = bed.stored().records["broken"]
+        assert broken.state is MoveState.LATE
+        assert "no such weights" in broken.reason
+        assert all(link.versions == {"v1", "v2"} for link in bed.links)
+    finally:
+        bed.close()
+
+
+def test_rate_limit_of_the_weight_store_holds_back_all_loads(bed):
+    retry_after_s = 6
+    bed.patch({"moves": {"m": {"stages": [1]}}})
+    bed.links[0].refusals["v2"] = VersionReply(
+        "load", "v2", "limited", retry_after_s, ""
+    )
+    while not bed.links[0].sent:
+        bed.run(0, 1)
+    bed.run(0, 1)
+    bed.links[0].refusals.clear()
+    sent = [list(link.sent) for link in bed.links]
+    assert not sent[2]
+    bed.run(0, retry_after_s - 1)
+    assert [link.sent for link in bed.links] == sent
+    bed.run(0, STEPS_S)
+    assert_done(bed)
+
+
 @pytest.mark.parametrize("begun_s", range(1, 9))
 @pytest.mark.parametrize(
     "stages", [[1], [0.5, 1], [0.05, 1], [0.2, 0.8, 1], [0.1, 0.2, 0.3, 0.5, 1]]
