Let no stale or malformed reading move a route

A state lower than the spread one is now taken for stale, and the state is written once more, conditionally, before a route is switched. The property test did not find this as its store answers no stale reads.

A malformed reading ended the controller's task, to be restarted by its supervisor; it is now read again.

--- a/cornelpin/core/move_store.py
+++ b/cornelpin/core/move_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from loguru import logger
+
 from cornelpin.core.move_state import MoveBook
 from cornelpin.platform.objects import Found, Missing, ObjectStore, Written
 
@@ -26,15 +28,21 @@
         """Drops what is known, so that the next step reads the store again."""
         self._version = None
 
-    def load(self) -> bool:
-        """Reads the state; returns whether it is known now."""
+    def load(self, spread: MoveBook) -> bool:
+        """Reads the state; returns whether it is known now.
+
+        Args:
+            spread: The highest state that has been spread. What the store answers is
+                stale if it is lower; if the object is gone, this state replaces it.
+        """
+        self.forget()
         found = self._objects.get(STATE_KEY)
-        if isinstance(found, Found):
-            self.book, self._version = MoveBook.decode(found.value), found.version
-        elif isinstance(found, Missing):
-            self.book, self._version = MoveBook(), 0
-        else:
-            self._version = None
+        if isinstance(found, Missing):
+            self.book, self._version = spread, 0
+        elif isinstance(found, Found):
+            book = _decoded(found.value)
+            if book is not None and book.number >= spread.number:
+                self.book, self._version = book, found.version
         return self.known
 
     def replace(self, book: MoveBook) -> bool:
@@ -51,3 +59,12 @@
             return False
         self.book, self._version = book, outcome.version
         return True
+
+
+def _decoded(value: bytes) -> MoveBook | None:
+    """Reads a stored state; a malformed one counts as a failed read."""
+    try:
+        return MoveBook.decode(value)
+    except ValueError as exc:
+        logger.warning("the state of the moves can't be read: {}", exc)
+        return None
--- a/cornelpin/daemon/move_controller.py
+++ b/cornelpin/daemon/move_controller.py
@@ -29,7 +29,7 @@
 from cornelpin.daemon.move_loader import VersionLoader
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from cornelpin.core.config import Config, Move
     from cornelpin.core.configstore import Submission
@@ -106,7 +106,7 @@
         if not held:
             self._store.forget()
             return
-        if not self._store.known and not self._store.load():
+        if not self._store.known and not self._store.load(self._view.book):
             return
         self._view.publish(self._store.book)
         config = self._process.view.config
@@ -114,6 +114,8 @@
             name: self._next(move, config) for name, move in config.moves.items()
         }
         self._write(records)
+        if not self._store.known:
+            return
         self._load_routes(config)
         for record in self._store.book.records.values():
             self._order(record, config)
@@ -144,7 +146,8 @@
         if record.state is MoveState.TAKEN_BACK and facts.switched:
             self._patch_route(record.route, move.from_version)
         if ready_to_switch(record, move, facts):
-            self._patch_route(record.route, move.to_version)
+            if self._confirm():
+                self._patch_route(record.route, move.to_version)
             return record
         changed = next_record(record, move, facts)
         if changed.state is MoveState.TAKEN_BACK and facts.switched:
@@ -187,9 +190,21 @@
         book = self._store.book
         if records == dict(book.records) and book.fence == self._lease.fence:
             return
-        changed = MoveBook(book.number + 1, self._lease.fence, records)
-        if self._lease.held and self._store.replace(changed):
-            self._view.publish(changed)
+        self._replace(records)
+
+    def _confirm(self) -> bool:
+        """Writes the state again, which fails if the one last read was stale."""
+        return self._replace(self._store.book.records)
+
+    def _replace(self, records: Mapping[str, MoveRecord]) -> bool:
+        number = self._store.book.number + 1
+        changed = MoveBook(number, self._lease.fence, records)
+        if not self._lease.held or not self._store.known:
+            return False
+        if not self._store.replace(changed):
+            return False
+        self._view.publish(changed)
+        return True
 
     def _patch_route(self, route: str, version: str) -> None:
         """Changes the version of a route; a stale base is tried again later."""
--- a/cornelpin/tests/test_move_controller.py
+++ b/cornelpin/tests/test_move_controller.py
@@ -8,14 +8,18 @@
 
 from cornelpin.core.configstore import ConfigStore
 from cornelpin.core.lease import TERM_S
-from cornelpin.core.move_state import MoveState
-from cornelpin.daemon.move_messages import VersionReply
+from cornelpin.core.move_state import MoveRecord, MoveState
+from cornelpin.core.move_store import STATE_KEY
+from cornelpin.daemon.move_messages import MoveNews, VersionReply
 from cornelpin.platform.memory_objects import MemoryObjectStore
+from cornelpin.platform.objects import Found
 from cornelpin.tests.move_bed import DOCUMENT, MoveBed
 
 # A good move makes 92 calls with those of the test bed until it is done.
 CALLS = range(1, 100)
 STEPS_S = 40
+LAST_STAGE = 2
+NO_RECORD = MoveRecord("m", "r", "v1", "v2", "")
 
 
 class Killed(BaseException):
@@ -30,8 +34,12 @@
         self.calls_left = 0
         self.after_effect = False
         self.happen = lambda: None
+        # What the next reads answer instead of the object, by key.
+        self.answers: dict[str, list[Found]] = {}
 
     def get(self, key, **options):
+        if self.answers.get(key):
+            return self.answers[key].pop()
         return self._call(lambda: MemoryObjectStore.get(self, key, **options))
 
     def put(self, key, value, **options):
@@ -113,6 +121,57 @@
     assert_done(bed)
 
 
+@pytest.mark.parametrize("has_heard", [True, False])
+def test_stale_state_does_not_switch_a_route_that_was_taken_back(bed, has_heard):
+    while bed.stored().records.get("m", NO_RECORD).stage < LAST_STAGE:
+        bed.run(0, 1)
+    stale = bed.store.get(STATE_KEY)
+    bed.patch({"moves": {"m": {"state": "take_back"}}})
+    bed.run(0, 2)
+    taken_back = bed.stored()
+    assert taken_back.records["m"].state is MoveState.TAKEN_BACK
+    bed.patch({"moves": {"m": {"state": "run"}}})
+    bed.processes[1] = bed.new_controller(1)
+    if has_heard:
+        news = MoveNews(taken_back.number, taken_back.encode())
+        bed.processes[1]._view.handle(news)
+    bed.store.answers[STATE_KEY] = [stale] * STEPS_S
+    for _ in range(STEPS_S):
+        bed.run(1, 1)
+        assert version_of_route(bed) == "v1"
+    assert bed.stored().records["m"].state is MoveState.TAKEN_BACK
+
+
+@pytest.mark.parametrize("answers", [1, 5])
+@pytest.mark.parametrize(
+    "value", [b"", b"{", b"[]", b'{"number":9,"fence":9,"moves":[{}]}']
+)
+@pytest.mark.parametrize("begun_s", range(8))
+def test_poisoned_reading_delays_a_move_only(bed, begun_s, value, answers):
+    bed.run(0, begun_s)
+    bed.processes[1] = bed.new_controller(1)
+    bed.store.answers[STATE_KEY] = [Found(value, 1)] * answers
+    bed.run(1, STEPS_S)
+    assert not bed.store.answers[STATE_KEY]
+    assert_done(bed)
+
+
+@pytest.mark.parametrize("begun_s", range(1, 8))
+def test_lost_state_is_written_anew_from_the_spread_one(bed, begun_s):
+    bed.run(0, begun_s)
+    bed.processes[1] = bed.new_controller(1)
+    bed.processes[1]._view.publish(bed.stored())
+    before = bed.stored()
+    del bed.store._objects[STATE_KEY]
+    while not bed.stored().records:
+        bed.run(1, 1)
+    assert bed.stored().number > before.number
+    assert bed.stored().records["m"].attempt == before.records["m"].attempt
+    bed.run(1, STEPS_S)
+    assert bed.processes[1]._view.book == bed.stored()
+    assert_done(bed)
+
+
 @pytest.mark.parametrize("begun_s", range(1, 9))
 @pytest.mark.parametrize(
     "stages", [[1], [0.5, 1], [0.05, 1], [0.2, 0.8, 1], [0.1, 0.2, 0.3, 0.5, 1]]
