Keep the stand-in engine's due times from adding up while it is idle

Ruled out: queues (median wait 0.03 s), entries, send delay (0.01 s at most).

Change: while idle the next step is due one step from now.

--- a/cornelpin/tests/test_standins_engine.py
+++ b/cornelpin/tests/test_standins_engine.py
@@ -16,6 +16,7 @@
     wait_until,
 )
 from standins.answers import answer_length, expected_tokens, prompt_text
+from standins.engine.batch import next_due_s
 from standins.engine.cache import PrefixCache, prompt_blocks
 from standins.engine.faults import parse_faults
 
@@ -294,3 +295,18 @@
     kinds = {event["kind"] for event in cache.events(after=0, lag_s=0)}
     assert kinds == {"stored", "evicted"}
     assert cache.events(after=0, lag_s=60) == []
+
+
+@pytest.mark.parametrize(
+    ("due_s", "now_s", "idle", "expected_s"),
+    [
+        (10.0, 10.01, False, 10.08),
+        (10.0, 11.0, False, 11.0),
+        (13.0, 10.0, True, 10.08),
+        (10.0, 12.0, True, 12.08),
+    ],
+)
+def test_steps_keep_their_pace_and_idle_time_does_not_add_up(
+    due_s: float, now_s: float, idle: bool, expected_s: float
+) -> None:
+    assert next_due_s(due_s, 0.08, now_s, idle=idle) == pytest.approx(expected_s)
--- a/standins/engine/batch.py
+++ b/standins/engine/batch.py
@@ -189,8 +189,9 @@
                 continue
             growth = 1 + BATCH_SLOWDOWN_PER_REQUEST * max(0, batch - 1)
             step_s = self._limits.step_s * growth * self.faults.slow
-            # Due times keep the pace exact; a late loop doesn't catch up.
-            next_step_s = max(next_step_s + step_s, time.monotonic())
+            next_step_s = next_due_s(
+                next_step_s, step_s, time.monotonic(), idle=batch == 0
+            )
             with self._changed:
                 self._step(time.monotonic())
                 idle = not self._running
@@ -271,6 +272,21 @@
         )
 
 
+def next_due_s(due_s: float, step_s: float, now_s: float, *, idle: bool) -> float:
+    """Returns when the step after this one is due.
+
+    Due times keep the pace exact; a late loop doesn't catch up. An idle one looks for
+    work more often than it steps, so its due times must not add up.
+
+    Args:
+        due_s: When this step was due.
+        step_s: Time of a step.
+        now_s: The time now.
+        idle: Whether nothing ran before this step.
+    """
+    return now_s + step_s if idle else max(due_s + step_s, now_s)
+
+
 def new_run(
     request_id: str, version: str, prompt: str, length: int, natural: int, is_chat: bool
 ) -> Run:
