Say no wrong state of a move at an entry that has just started

An entry that had not yet heard the state from a peer called every move planned, also one that was done. It now reads the state once from the store, and says unknown when the store does not answer either. Two of the three cases of test_entry_that_has_heard_nothing_says_no_wrong_state fail before the change.

--- a/cornelpin/daemon/entry_moves.py
+++ b/cornelpin/daemon/entry_moves.py
@@ -8,6 +8,7 @@
 
 from cornelpin.core.judgement import tallies_of
 from cornelpin.core.move_state import MoveState
+from cornelpin.core.move_store import MoveStore
 from cornelpin.daemon.move_controller import MoveController
 from cornelpin.daemon.move_judges import MoveJudges
 from cornelpin.daemon.move_messages import MoveEvidence, VersionReply
@@ -23,6 +24,8 @@
     from cornelpin.daemon.process import Process
     from cornelpin.platform.objects import ObjectStore
 
+UNKNOWN_REASON = "this entry has not heard of the state, and the store does not answer"
+
 
 class EntryMoves:
     """Follows the moves, judges them and takes part in controlling them.
@@ -45,6 +48,7 @@
         submit: Callable[..., Submission],
     ) -> None:
         self._process = process
+        self._objects = objects
         self.view = MoveView(process, peers)
         self._judges = MoveJudges(process, self.view)
         self.controller = MoveController(
@@ -68,8 +72,15 @@
 
     def rows(self) -> list[dict[str, Any]]:
         """Returns the moves of the configuration and their state."""
+        return self._rows(known=self._knows_state())
+
+    def _rows(self, known: bool) -> list[dict[str, Any]]:
         moves = self._process.view.config.moves.values()
-        return [self._row(move) for move in moves]
+        return [self._row(move, known) for move in moves]
+
+    def _rows_as_heard(self) -> list[dict[str, Any]]:
+        """Returns the rows for metrics; none before the state has been heard."""
+        return self._rows(known=True) if self.view.book.number else []
 
     def _states(self) -> list[Observation]:
         """Returns 1 for the state that each move is in and 0 for the others."""
@@ -78,17 +89,27 @@
                 int(row["state"] == state.value),
                 {"move": row["name"], "route": row["route"], "state": state.value},
             )
-            for row in self.rows()
+            for row in self._rows_as_heard()
             for state in MoveState
         ]
 
     def _shares(self) -> list[Observation]:
         return [
             Observation(row["share"], {"move": row["name"], "route": row["route"]})
-            for row in self.rows()
+            for row in self._rows_as_heard()
         ]
 
-    def _row(self, move: Move) -> dict[str, Any]:
+    def _knows_state(self) -> bool:
+        """Whether the state is known here; an entry that has not heard it reads it."""
+        if self.view.book.number or not self._process.view.config.moves:
+            return True
+        store = MoveStore(self._objects)
+        if not store.load(self.view.book):
+            return False
+        self.view.publish(store.book)
+        return True
+
+    def _row(self, move: Move, known: bool) -> dict[str, Any]:
         record = self.view.book.records.get(move.name)
         row = {
             "name": move.name,
@@ -96,9 +117,9 @@
             "from": move.from_version,
             "to": move.to_version,
             "finish_by": move.finish_by,
-            "state": "planned",
+            "state": "planned" if known else "unknown",
             "share": 0.0,
-            "reason": "",
+            "reason": "" if known else UNKNOWN_REASON,
             "runs_judged": 0,
             "evidence": "",
         }
--- a/cornelpin/tests/test_moves.py
+++ b/cornelpin/tests/test_moves.py
@@ -11,8 +11,11 @@
 from cornelpin.core.judgement import Judgement, Opinion, Tally
 from cornelpin.core.move_plan import Facts, next_record, ready_to_switch
 from cornelpin.core.move_state import MoveBook, MoveRecord, MoveState
+from cornelpin.core.move_store import STATE_KEY
 from cornelpin.core.observations import Comparison, Sample
+from cornelpin.daemon.entry_moves import EntryMoves
 from cornelpin.daemon.move_view import MoveView, Quota
+from cornelpin.platform.memory_objects import MemoryObjectStore
 
 MOVE = Move(
     name="m",
@@ -160,3 +163,31 @@
     assert view.choose("furnace", "request") == "v1"
     assert view.valid_version("furnace", "v2") == "v1"
     assert view.refused("furnace", "v2")
+
+
+@pytest.mark.parametrize(
+    ("book", "outage", "state"),
+    [
+        (MoveBook(), False, "planned"),
+        (MoveBook(4, 1, {"m": LAST}), False, "running"),
+        (MoveBook(4, 1, {"m": LAST}), True, "unknown"),
+    ],
+)
+def test_entry_that_has_heard_nothing_says_no_wrong_state(book, outage, state):
+    objects = MemoryObjectStore()
+    if book.number:
+        objects.put(STATE_KEY, book.encode(), if_version=0)
+    objects.outage = outage
+    view = SimpleNamespace(config=SimpleNamespace(moves={"m": MOVE}))
+    settings = SimpleNamespace(name="e1")
+    process = SimpleNamespace(
+        view=view,
+        ring=mock.Mock(),
+        meters=mock.Mock(),
+        settings=settings,
+        incarnation="a",
+    )
+    moves = EntryMoves(
+        process, objects, list, links_of=lambda names: [], submit=mock.Mock()
+    )
+    assert moves.rows()[0]["state"] == state
