--- a/benchmarks/scenario_measures.py
+++ b/benchmarks/scenario_measures.py
@@ -108,6 +108,24 @@
     return float(_move_row(run, arguments).get("state") == arguments["state"])
 
 
+@measure("move_views")
+def _move_views(run: Run, arguments: Mapping[str, Any]) -> float:
+    """Counts the different states of a move that the running entries tell."""
+    told = set()
+    for entry in run.testbed.entries:
+        if run.testbed.processes[entry.name].running:
+            rows = run.testbed.client(entry.name).call("GET", "/admin/v1/moves").body
+            row = next(row for row in rows if row["name"] == arguments["move"])
+            told.add((row["state"], row["share"], row["reason"]))
+    return len(told)
+
+
+@measure("move_reason_has")
+def _move_reason_has(run: Run, arguments: Mapping[str, Any]) -> float:
+    """Tells whether the reason of a move has a text, as 1 or 0."""
+    return float(arguments["text"] in _move_row(run, arguments).get("reason", ""))
+
+
 @measure("config_number")
 def _config_number(run: Run, arguments: Mapping[str, Any]) -> float:
     return run.testbed.config_number()
--- a/benchmarks/scenario_steps.py
+++ b/benchmarks/scenario_steps.py
@@ -98,9 +98,9 @@
 
 @step("move")
 def _move(run: Run, arguments: Mapping[str, Any]) -> None:
-    """Submits a move of the model route."""
+    """Submits a move, of the model route unless another one is named."""
     move = {
-        "route": run.testbed.described.model_route,
+        "route": arguments.get("route", run.testbed.described.model_route),
         "from_version": arguments["from"],
         "to_version": arguments["to"],
         "finish_by": time.time() + arguments["within_s"],
@@ -111,6 +111,13 @@
     run.testbed.patch({"moves": {arguments["name"]: move}})
 
 
+@step("give_time")
+def _give_time(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Sets the time by which a move has to be finished, from now."""
+    finish_by = time.time() + arguments["within_s"]
+    run.testbed.patch({"moves": {arguments["name"]: {"finish_by": finish_by}}})
+
+
 @step("race")
 def _race(run: Run, arguments: Mapping[str, Any]) -> None:
     """Submits patches on one number at once; just one of them may be accepted."""
@@ -143,6 +150,17 @@
     run.testbed.set_host_state(arguments["host"], arguments["state"])
 
 
+@step("add_route")
+def _add_route(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Adds a route over the servers of the model route, for all workspaces."""
+    described = run.testbed.described
+    document = run.testbed.ask_entries("GET", "/admin/v1/config").body["document"]
+    route = document["routes"][described.model_route]
+    routes = [*document["routes"], arguments["name"]]
+    workspaces = {name: {"routes": routes} for name in described.workspaces}
+    run.testbed.patch({"routes": {arguments["name"]: route}, "workspaces": workspaces})
+
+
 # Load
 
 
@@ -180,6 +198,8 @@
     planned = plan(run.testbed.described, shape)
     if len(planned) > MAX_SENT_REQUESTS:
         raise ScenarioError(f"{len(planned)} requests, at most {MAX_SENT_REQUESTS}")
+    if "route" in arguments:
+        planned = [_on_route(request, arguments["route"]) for request in planned]
     marker = arguments.get("marker", "")
     return [_marked(request, marker) for request in planned] if marker else planned
 
@@ -189,6 +209,10 @@
     return attrs.evolve(request, text=f"{request.text} {marker}")
 
 
+def _on_route(request: PlannedRequest, route: str) -> PlannedRequest:
+    return attrs.evolve(request, tier=attrs.evolve(request.tier, route=route))
+
+
 def _launch(
     run: Run, name: str, planned: list[PlannedRequest], entries: tuple[str, ...]
 ) -> None:
--- a/benchmarks/standin_bed.py
+++ b/benchmarks/standin_bed.py
@@ -17,6 +17,8 @@
 HOST_LIST = "hosts"
 WEIGHTS = "weights"
 HOST_OPTIONS = {"lag-s": 2.0}
+# A second model route, which a scenario may add over the same engines.
+OTHER_ROUTE = "other"
 WEIGHT_OPTIONS = {"loads-per-s": 2.0}
 OK = 200
 
@@ -64,6 +66,7 @@
         options = {
             "name": engine.name,
             "model": self.described.model_route,
+            "other-models": OTHER_ROUTE,
             "versions": ",".join(self.versions),
             "step-ms": engine.step_ms,
             "max-batch": engine.max_batch,
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -21,6 +21,7 @@
     parser = argument_parser("A stand-in of a model engine.")
     parser.add_argument("--name", default="f1")
     parser.add_argument("--model", default="furnace")
+    parser.add_argument("--other-models", default="", help="further names, by commas")
     parser.add_argument("--versions", default="v1", help="separated by commas")
     parser.add_argument("--step-ms", type=float, default=20.0)
     parser.add_argument("--max-batch", type=int, default=8)
@@ -55,7 +56,11 @@
         batch=batch,
         cache=cache,
         versions=Versions(
-            arguments.model, versions, cost, bool(arguments.checks_fence)
+            arguments.model,
+            versions,
+            cost,
+            bool(arguments.checks_fence),
+            frozenset(arguments.other_models.split(",")) - {""},
         ),
         load=LaggedLoad(batch.load, arguments.load_lag_s, lambda: batch.faults.hang),
         log=log,
--- a/standins/engine/versions.py
+++ b/standins/engine/versions.py
@@ -35,9 +35,15 @@
     """The loaded versions, the first of which is the default, and the fence."""
 
     def __init__(
-        self, model: str, loaded: list[str], cost: LoadCost, checks_fence: bool
+        self,
+        model: str,
+        loaded: list[str],
+        cost: LoadCost,
+        checks_fence: bool,
+        other_models: frozenset[str] = frozenset(),
     ) -> None:
         self._model = model
+        self._models = other_models | {model}
         self._cost = cost
         self._checks_fence = checks_fence
         self._lock = threading.Lock()
@@ -50,7 +56,7 @@
         """Returns the version that ``model`` or ``model@version`` names."""
         model, _, version = model_name.partition("@")
         with self._lock:
-            if model != self._model or not self._loaded:
+            if model not in self._models or not self._loaded:
                 return None
             if not version:
                 return self._loaded[0]
