--- a/benchmarks/process_usage.py
+++ b/benchmarks/process_usage.py
@@ -45,6 +45,18 @@
     return {name: _usage(pid, traffic.get(pid, [])) for name, pid in pids.items()}
 
 
+def usage_rates(before: Usage, after: Usage, seconds: float) -> Usage:
+    """Returns the usage in a second; memory, streams and threads are those after."""
+    return Usage(
+        cpu_s=(after.cpu_s - before.cpu_s) / seconds,
+        memory_mb=after.memory_mb,
+        sent_bytes=round((after.sent_bytes - before.sent_bytes) / seconds),
+        received_bytes=round((after.received_bytes - before.received_bytes) / seconds),
+        streams=after.streams,
+        threads=after.threads,
+    )
+
+
 def _usage(pid: int, streams: list[dict[str, int]]) -> Usage:
     status = Path(f"/proc/{pid}/status").read_text()
     header = SEGMENT_HEADER_BYTES
