Split the callers' interface by acceptance, dispatch and response

Acceptance (workspace, route, tier, size, timeout) is in acceptance.py, responses from an exchange are in exchange_responses.py, and callers.py keeps what joins them. The list of a workspace's routes and the joining of body parts stood twice and now stand once; BYTES_PER_TOKEN is taken from core/ranking.py.

One difference: tier and wait are read from the configuration that the route was found in, no longer from whatever is in force a moment later, which could have lacked the tier.

--- /dev/null
+++ b/cornelpin/daemon/http/acceptance.py
@@ -0,0 +1,198 @@
+"""Acceptance of a caller's request: who calls, which route and tier, what it costs."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import time
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from cornelpin.core.affinity import prefix_digests
+from cornelpin.core.ranking import BYTES_PER_TOKEN
+from cornelpin.core.tickets import Request
+from cornelpin.core.verdict import Reason, Refusal
+
+if TYPE_CHECKING:
+    from cornelpin.core.config import Config, Route, Workspace
+    from cornelpin.daemon.http.wsgi import HttpRequest
+
+DEFAULT_OUTPUT_TOKENS = 64
+MAX_TIMEOUT_S = 86_400
+PRIVATE_HEADERS = frozenset(
+    {"Authorization", "Host", "Connection", "Transfer-Encoding", "Expect"}
+)
+
+
+@attrs.frozen
+class Accepted:
+    """A request's caller and route, both found in the configuration.
+
+    Attributes:
+        config: The configuration that they were found in.
+        workspace_name: Name of the caller's workspace.
+        workspace: The workspace.
+        route_name: Name of the route.
+        route: The route.
+    """
+
+    config: Config
+    workspace_name: str
+    workspace: Workspace
+    route_name: str
+    route: Route
+
+    def request(
+        self,
+        http: HttpRequest,
+        request_id: str,
+        *,
+        path: str,
+        cost: int,
+        prompt: bytes = b"",
+    ) -> Request:
+        """Returns the request to dispatch.
+
+        Args:
+            http: The caller's request.
+            request_id: Id given to it.
+            path: Path and query at the backend server.
+            cost: Estimated work in tokens.
+            prompt: Text whose prefix an engine may have cached.
+
+        Raises:
+            Refusal: If its size, tier or timeout is not allowed.
+        """
+        route = self.route
+        if len(http.body) > route.max_body_bytes:
+            raise Refusal(
+                Reason.TOO_LARGE,
+                detail=f"the body has {len(http.body)} bytes; "
+                f"at most {route.max_body_bytes} are allowed",
+            )
+        tier = self._tier(http)
+        timeout_s = _timeout_s(http, route.timeout_s)
+        return Request(
+            request_id=request_id,
+            workspace=self.workspace_name,
+            route=self.route_name,
+            tier=tier,
+            kind=route.kind,
+            method=http.method,
+            path=path,
+            headers=_passed_headers(http),
+            body=http.body,
+            cost=cost,
+            deadline=time.monotonic() + timeout_s,
+            max_wait_s=min(timeout_s, self.config.tiers[tier].max_wait_s),
+            idempotent=route.kind == "service" and route.idempotent,
+            fingerprint=_fingerprint(self.workspace_name, http),
+            prefix=prefix_digests(self.workspace_name, prompt),
+            prompt_bytes=len(prompt),
+            keep=self.config.tiers[tier].durable,
+        )
+
+    def _tier(self, http: HttpRequest) -> str:
+        allowed = {*self.workspace.tiers, self.route.tier}
+        tier = http.header("X-Cornelpin-Tier") or self.route.tier
+        if tier not in self.config.tiers or tier not in allowed:
+            valid = ", ".join(sorted(allowed))
+            raise Refusal(
+                Reason.FORBIDDEN,
+                detail=f"tier {tier!r} is not for this workspace; valid: {valid}",
+            )
+        return tier
+
+
+def find_workspace(http: HttpRequest, config: Config) -> tuple[str, Workspace]:
+    """Returns the workspace that the caller's token names, with its name.
+
+    Raises:
+        Refusal: If there is none.
+    """
+    if config.number == 0:
+        raise Refusal(Reason.NOT_READY, detail="no configuration is in force yet")
+    found = config.workspace_by_token(http.bearer())
+    if found is None:
+        raise Refusal(Reason.UNAUTHORIZED, detail="the bearer token names no workspace")
+    return found.name, found
+
+
+def accept(
+    config: Config, caller: tuple[str, Workspace], route_name: str, *, kind: str
+) -> Accepted:
+    """Returns the caller with the route that it named.
+
+    Raises:
+        Refusal: If the workspace has no such route of the kind.
+    """
+    name, workspace = caller
+    route = config.routes.get(route_name)
+    if route is None or route.kind != kind or route_name not in workspace.routes:
+        valid = ", ".join(sorted(routes_of(config, workspace, kind)))
+        raise Refusal(
+            Reason.NO_ROUTE,
+            detail=f"no {kind} route {route_name!r} for this workspace; valid: {valid}",
+        )
+    return Accepted(config, name, workspace, route_name, route)
+
+
+def routes_of(config: Config, workspace: Workspace, kind: str) -> list[str]:
+    """Returns the names of a workspace's routes of one kind."""
+    return [
+        name
+        for name in workspace.routes
+        if name in config.routes and config.routes[name].kind == kind
+    ]
+
+
+def _passed_headers(http: HttpRequest) -> dict[str, str]:
+    return {
+        name: value
+        for name, value in http.headers().items()
+        if name not in PRIVATE_HEADERS and not name.startswith("X-Cornelpin-")
+    }
+
+
+def _timeout_s(http: HttpRequest, default_s: float) -> float:
+    text = http.header("X-Cornelpin-Timeout-S")
+    if not text:
+        return default_s
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = 0.0
+    if not 0 < timeout_s <= MAX_TIMEOUT_S:
+        raise Refusal(
+            Reason.BAD_REQUEST,
+            detail=f"X-Cornelpin-Timeout-S is {text!r}; "
+            "valid: seconds above 0 and up to 86400",
+        )
+    return timeout_s
+
+
+def model_cost(document: dict[str, Any], body_bytes: int) -> int:
+    """Estimates the work of a completion in tokens."""
+    limit = document.get("max_completion_tokens", document.get("max_tokens"))
+    if limit is not None and (type(limit) is not int or limit < 1):
+        raise Refusal(
+            Reason.BAD_REQUEST,
+            detail=f"max_tokens is {json.dumps(limit)}; valid: an integer of 1 or more",
+        )
+    return body_bytes // BYTES_PER_TOKEN + (limit or DEFAULT_OUTPUT_TOKENS)
+
+
+def prompt_of(document: dict[str, Any]) -> bytes:
+    """Returns the text whose prefix an engine may have cached."""
+    prompt = document.get("prompt", document.get("messages"))
+    text = prompt if isinstance(prompt, str) else json.dumps(prompt)
+    return text.encode("utf-8", "surrogatepass")
+
+
+def _fingerprint(workspace: str, http: HttpRequest) -> str:
+    digest = hashlib.sha256()
+    for part in (workspace.encode(), http.path.encode(), http.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()[:32]
--- /dev/null
+++ b/cornelpin/daemon/http/exchange_responses.py
@@ -0,0 +1,101 @@
+"""Responses to callers, made from the answer that an exchange receives."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cornelpin.core.verdict import Reason, Refusal, Verdict
+from cornelpin.daemon.http.answers import join_events, stream_events
+from cornelpin.daemon.http.wsgi import JSON_TYPE, HttpResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from cornelpin.daemon.dispatch import Exchange
+    from cornelpin.daemon.messages import Head
+
+OK = 200
+SERVER_ERROR = 500
+
+
+def service_response(exchange: Exchange, request_id: str) -> HttpResponse:
+    """Returns the answer of a plain service unchanged."""
+    try:
+        head = exchange.head()
+        body = _body(exchange)
+    finally:
+        exchange.close()
+    return _response(head.status, head.headers, body, request_id)
+
+
+def whole_response(exchange: Exchange, request_id: str) -> HttpResponse:
+    """Returns the answer of a model engine as one document."""
+    try:
+        head = exchange.head()
+        if head.status != OK:
+            return _engine_refusal(head, exchange, request_id)
+        body = join_events(exchange.parts())
+    finally:
+        exchange.close()
+    return _response(OK, {"Content-Type": JSON_TYPE}, body, request_id)
+
+
+def streamed_response(exchange: Exchange, request_id: str) -> HttpResponse:
+    """Returns the answer of a model engine as a stream of events."""
+    try:
+        head = exchange.head()
+        if head.status != OK:
+            return _engine_refusal(head, exchange, request_id)
+    except BaseException:
+        exchange.close()
+        raise
+    headers = {
+        "Content-Type": "text/event-stream",
+        "Cache-Control": "no-store",
+        **_answered(request_id),
+    }
+    return HttpResponse(OK, headers, _StreamedChunks(exchange))
+
+
+class _StreamedChunks:
+    """Iterates over a streamed answer; waitress calls ``close`` in any case."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+        self._chunks = stream_events(exchange.parts())
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._chunks
+
+    def close(self) -> None:
+        self._exchange.close()
+
+
+def _engine_refusal(head: Head, exchange: Exchange, request_id: str) -> HttpResponse:
+    """Passes the engine's own refusal on; its failures become problems."""
+    try:
+        body = _body(exchange)
+    finally:
+        exchange.close()
+    if head.status >= SERVER_ERROR:
+        raise Refusal(
+            Reason.BACKEND_FAILED,
+            Verdict.MAY_HAVE_RUN,
+            f"the engine answered {head.status}",
+        )
+    return _response(head.status, head.headers, body, request_id)
+
+
+def _body(exchange: Exchange) -> bytes:
+    return b"".join(part for batch in exchange.parts() for part in batch)
+
+
+def _response(
+    status: int, headers: Mapping[str, str], body: bytes, request_id: str
+) -> HttpResponse:
+    headers = {**headers, **_answered(request_id), "Content-Length": str(len(body))}
+    return HttpResponse(status, headers, [body])
+
+
+def _answered(request_id: str) -> dict[str, str]:
+    return {"X-Request-Id": request_id, "X-Cornelpin-May-Have-Run": "true"}
