--- /dev/null
+++ b/properties/dispatch_fakes.py
@@ -0,0 +1,102 @@
+"""One entry's sessions and the backend servers' sides, driven by hand.
+
+The side's own message handling runs here unchanged; streams and the backend servers
+are replaced.
+"""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+import types
+from unittest import mock
+
+from cornelpin.core.clock import HybridClock
+from cornelpin.core.events import EventRing
+from cornelpin.daemon.admission import Admission
+from cornelpin.daemon.links import Endpoint, Link
+from cornelpin.daemon.runner import Runner
+from cornelpin.daemon.runs import RunTable
+from cornelpin.daemon.side import Side
+
+SERVERS = ("s1", "s2")
+
+
+class FakePeer:
+    """One end of a session; what it sends waits for a rule to deliver it."""
+
+    def __init__(self, name, incarnation):
+        self.name = name
+        self.incarnation = incarnation
+        self.closed = False
+        self.pinged_at = None
+        self.outbox = collections.deque()
+
+    @property
+    def heard_at(self):
+        return time.monotonic()
+
+    def send(self, msg):
+        if not self.closed:
+            self.outbox.append(msg)
+
+    def close(self):
+        self.closed = True
+
+
+def fake_process(name, incarnation):
+    route = types.SimpleNamespace(backend_servers=SERVERS)
+    view = types.SimpleNamespace(number=1, head=None, on_change=lambda listener: None)
+    view.config = types.SimpleNamespace(
+        number=1, routes={"route": route}, tiers={}, workspaces={}, hosts={}
+    )
+    backend = types.SimpleNamespace(name=name, kind="service", url="", slots=1)
+    process = mock.MagicMock(view=view, incarnation=incarnation)
+    process.settings = types.SimpleNamespace(backend=backend, name=name, host=name)
+    process.ring = EventRing(HybridClock(), process=name, host=name)
+    process.leaving = threading.Event()
+    process.stopping = threading.Event()
+    process.host_leaving.return_value = False
+    return process
+
+
+class HeldRunner(Runner):
+    """Keeps started runs for the rules instead of running them in threads."""
+
+    def __init__(self, world):
+        super().__init__(None, world.ring, slots=1, on_end=lambda run, end: None)
+        self.runs = RunTable(past_limit=1)
+        self.held = []
+
+    def start(self, run, release):
+        self.held.append((run, release, False))
+
+    def resume(self, run, offset, release):
+        self.held.append((run, release, True))
+
+
+class World:
+    """One backend server with its current side process."""
+
+    def __init__(self, name):
+        self.name = name
+        self.ring = EventRing(HybridClock(), process=name, host=name)
+        self.progress = {}
+        self.lives = 0
+        self.link = Link(name, Endpoint("", ""))
+        self.entry_end = None
+        self.pairs = []
+        self.start_side()
+
+    def start_side(self):
+        self.lives += 1
+        self.side = Side(fake_process(self.name, f"{self.name}-{self.lives}"))
+        self.side._runner = HeldRunner(self)
+        self.side._runs = self.side._runner.runs
+        self.side._admission = Admission(1, self.side._runs, self.side._suspects)
+        self.side._runner.before_end = lambda run, end: None
+
+    @property
+    def held(self):
+        return self.side._runner.held
--- /dev/null
+++ b/properties/dispatch_steps.py
@@ -0,0 +1,276 @@
+"""Steps and faults of requests between one entry and two sides."""
+
+from __future__ import annotations
+
+import collections
+import random
+import types
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from cornelpin.backends import CANCELLED, DONE, FAILED, NOT_RUN, RunEnd
+from cornelpin.core.tickets import Request
+from cornelpin.core.verdict import Refusal, Verdict
+from cornelpin.daemon.admission import ASK_TIMEOUT_S
+from cornelpin.daemon.dispatch import Dispatcher
+from cornelpin.daemon.messages import Ask, Head, Heartbeat
+from cornelpin.daemon.runs import RETAIN_S
+from cornelpin.daemon.ticket_table import Lost
+from properties.dispatch_fakes import SERVERS, FakePeer, World, fake_process
+
+PLACES = 4
+ANSWER = [b"a", b"b", b"c"]
+LONG_S = 1000.0
+PUMP_STEPS = 300
+FAULT_SHARE = 0.1
+
+
+class DispatchSteps(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.worlds = {name: World(name) for name in SERVERS}
+        self.started = collections.Counter()
+        self.verdicts = {}
+        self.received = collections.defaultdict(list)
+        process = fake_process("entry", "entry-1")
+        links = types.SimpleNamespace(
+            generation=1, of_servers=lambda names: [self.worlds[n].link for n in names]
+        )
+        self.dispatcher = Dispatcher(process, links, limit=PLACES)
+        self.exchanges = {}
+        self.heads = set()
+        for world in self.worlds.values():
+            self._open(world)
+            self.deliver_to_entry(world.name, 1)
+
+    def _open(self, world):
+        entry_end = FakePeer(world.name, world.side._process.incarnation)
+        side_end = FakePeer("entry", "entry-1")
+        world.pairs = [pair for pair in world.pairs if pair[2] is world.side]
+        world.pairs.append((entry_end, side_end, world.side))
+        world.entry_end = entry_end
+        world.link.opened(entry_end)
+        world.side._open(side_end)
+
+    def _guard(self, request_id, action):
+        """Runs a step of an exchange and notes its refusal."""
+        try:
+            return action()
+        except Refusal as exc:
+            self.verdicts[request_id] = exc.verdict
+            self.exchanges.pop(request_id).close()
+            return None
+
+    @rule(seed=st.integers(0, 2**16), steps=st.sampled_from((5, 50, PUMP_STEPS)))
+    def pump(self, seed, steps):
+        """Carries work on by many small steps, so that faults meet it anywhere."""
+        rng = random.Random(seed)
+        for _ in range(steps):
+            self._small_step(rng)
+
+    def _small_step(self, rng):
+        name, place = rng.choice(SERVERS), rng.randrange(PLACES)
+        count = rng.randint(1, 5)
+        actions = (
+            lambda: self.accept(),
+            lambda: self.poll(place),
+            lambda: self.step_exchange(place, count),
+            lambda: self.deliver_to_side(name, count, rng.random() < 0.5),
+            lambda: self.deliver_to_entry(name, count),
+            lambda: self.entry_reconnects(name),
+            lambda: self.ask(name),
+            lambda: self.backend_starts(name, rng.random() < 0.2),
+            lambda: self.backend_answers(name),
+        )
+        faults = (
+            lambda: self.entry_loses_session(name),
+            lambda: self.side_notices_loss(name),
+            lambda: self.ask_times_out(name),
+            lambda: self.answers_expire(name),
+            lambda: self.heartbeat(name),
+            lambda: self.side_restarts(name),
+            lambda: self.deadline_passes(place),
+        )
+        rng.choice(faults if rng.random() < FAULT_SHARE else actions)()
+
+    # The entry
+
+    def _request_id(self, place):
+        """Returns the request at a place among those that go on."""
+        return sorted(self.exchanges)[place] if place < len(self.exchanges) else ""
+
+    def accept(self):
+        if len(self.exchanges) == PLACES:
+            return
+        request_id = f"r{len(self.exchanges) + len(self.verdicts):05}"
+        req = Request(
+            request_id=request_id,
+            workspace="w",
+            route="route",
+            tier="t",
+            kind="model",
+            method="POST",
+            path="/",
+            headers={},
+            body=b"",
+            cost=1,
+            deadline=float("inf"),
+            max_wait_s=LONG_S,
+        )
+        exchange = self.dispatcher.open(req)
+        self.exchanges[request_id] = exchange
+        self._guard(request_id, lambda: exchange._place(direct=True))
+
+    def step_exchange(self, place, count):
+        request_id = self._request_id(place)
+        for _ in range(count):
+            exchange = self.exchanges.get(request_id)
+            if exchange is not None and not exchange._ticket.events.empty():
+                self._step(request_id, exchange)
+
+    def _step(self, request_id, exchange):
+        msg, link = exchange._ticket.events.get_nowait()
+        if isinstance(msg, Lost) and exchange._ticket.holder is link and not link.peer:
+            exchange._ticket.events.put((msg, link))
+            return
+        if exchange._superseded(msg, link):
+            return
+        if request_id in self.heads:
+            parts = self._guard(request_id, lambda: exchange._on_part(msg, link))
+            self.received[request_id] += parts or []
+            if exchange._complete:
+                self.verdicts[request_id] = Verdict.RAN
+                self.exchanges.pop(request_id).close()
+        elif isinstance(msg, Head):
+            exchange._head_taken = True
+            self.heads.add(request_id)
+        else:
+            self._guard(request_id, lambda: exchange._before_head(msg, link))
+
+    def poll(self, place):
+        request_id = self._request_id(place)
+        exchange = self.exchanges.get(request_id)
+        if exchange is not None and exchange._ticket.waiting:
+            self._guard(request_id, exchange._place)
+
+    @rule(place=st.integers(0, PLACES - 1))
+    def deadline_passes(self, place):
+        request_id = self._request_id(place)
+        exchange = self.exchanges.get(request_id)
+        if exchange is not None:
+            object.__setattr__(exchange._req, "deadline", 0.0)
+            self._guard(request_id, exchange._check_time)
+
+    # Streams
+
+    def deliver_to_side(self, name, count, old):
+        pairs = [pair for pair in self.worlds[name].pairs if pair[0].outbox]
+        if not pairs:
+            return
+        entry_end, side_end, side = pairs[0 if old else -1]
+        for _ in range(min(count, len(entry_end.outbox))):
+            side._handle(side_end, entry_end.outbox.popleft())
+
+    def deliver_to_entry(self, name, count):
+        world = self.worlds[name]
+        entry_end, side_end, _ = world.pairs[-1] if world.pairs else (None, None, None)
+        if entry_end is None or entry_end.closed:
+            return
+        for _ in range(min(count, len(side_end.outbox))):
+            msg = side_end.outbox.popleft()
+            if isinstance(msg, Heartbeat):
+                world.link.on_state(msg)
+            self.dispatcher.on_message(world.link, entry_end, msg)
+
+    @rule(name=st.sampled_from(SERVERS))
+    def entry_loses_session(self, name):
+        world = self.worlds[name]
+        if world.link.peer is not None:
+            world.link.peer.close()
+            world.link.lost()
+            self.dispatcher.tickets.tell_lost(world.link)
+
+    def entry_reconnects(self, name):
+        world = self.worlds[name]
+        if world.link.peer is None:
+            self._open(world)
+
+    @rule(name=st.sampled_from(SERVERS))
+    def side_notices_loss(self, name):
+        closed = [pair for pair in self.worlds[name].pairs if pair[0].closed]
+        if closed:
+            pair = closed[0]
+            pair[2]._close(pair[1])
+            self.worlds[name].pairs.remove(pair)
+
+    # The side and its backend server
+
+    def ask(self, name):
+        side = self.worlds[name].side
+        res = side._admission.next_asked(0.0)
+        if res is not None:
+            res.owner.send(Ask(res.request_id))
+
+    @rule(name=st.sampled_from(SERVERS))
+    def heartbeat(self, name):
+        self.worlds[name].side._announcer.now()
+
+    @rule(name=st.sampled_from(SERVERS))
+    def ask_times_out(self, name):
+        side = self.worlds[name].side
+        for asked in side._admission._asked.values():
+            asked.since -= 2 * ASK_TIMEOUT_S
+        side._sweep()
+
+    @rule(name=st.sampled_from(SERVERS))
+    def answers_expire(self, name):
+        side = self.worlds[name].side
+        for run in side._runs._runs.values():
+            if run.ended is not None:
+                run.ended -= 2 * RETAIN_S
+        side._sweep()
+
+    @rule(name=st.sampled_from(SERVERS))
+    def side_restarts(self, name):
+        world = self.worlds[name]
+        self.entry_loses_session(name)
+        world.pairs = []
+        world.start_side()
+
+    def backend_starts(self, name, refused):
+        world = self.worlds[name]
+        for run, release, resumed in world.held:
+            if run.request_id in world.progress or resumed:
+                continue
+            if refused:
+                self._finish(world, (run, release, resumed), RunEnd(NOT_RUN))
+            else:
+                self.started[run.request_id] += 1
+                world.progress[run.request_id] = 0
+                run.head(200, {})
+            return
+
+    def backend_answers(self, name):
+        world = self.worlds[name]
+        for item in world.held:
+            run = item[0]
+            sent = run._base + len(run._parts)
+            known = world.progress.get(run.request_id)
+            if run.cancel.cancelled:
+                self._finish(world, item, RunEnd(CANCELLED))
+            elif known is None and item[2]:
+                self._finish(world, item, RunEnd(FAILED))
+            elif known is None:
+                continue
+            elif sent < len(ANSWER):
+                world.progress[run.request_id] = max(known, sent + 1)
+                run.parts([ANSWER[sent]])
+            else:
+                self._finish(world, item, RunEnd(DONE))
+            return
+
+    def _finish(self, world, item, end):
+        world.held.remove(item)
+        item[1]()
+        world.side._runner._finish(item[0], end)
