Let the dispatch machine repeat "not run" after a new grant

Not caught before: Ticket.take_back without its check of the attempt, so that a stale "not run" of an earlier attempt takes a request back that was granted anew. A side says "not run" twice for one grant only if the entry asked twice for the rest, which it does when the session is lost twice before the exchange looks. The machine rarely did that, and its sides remembered one ended run, so that they soon could not say "not run" to such a question at all.

Sessions flap now before any exchange looks, a rule loses a grant in such flaps and grants the request again, and one of the two sides remembers all its runs.

--- a/properties/dispatch_fakes.py
+++ b/properties/dispatch_fakes.py
@@ -20,7 +20,10 @@
 from cornelpin.daemon.runs import RunTable
 from cornelpin.daemon.side import Side
 
-SERVERS = ("s1", "s2")
+# How many ended runs each side remembers; a side that remembers few cannot say for
+# long that it never started a run.
+PAST_RUNS = {"s1": 1, "s2": 1000}
+SERVERS = tuple(PAST_RUNS)
 
 
 class FakePeer:
@@ -66,7 +69,7 @@
 
     def __init__(self, world):
         super().__init__(None, world.ring, slots=1, on_end=lambda run, end: None)
-        self.runs = RunTable(past_limit=1)
+        self.runs = RunTable(past_limit=PAST_RUNS[world.name])
         self.held = []
 
     def start(self, run, release):
--- a/properties/dispatch_steps.py
+++ b/properties/dispatch_steps.py
@@ -69,6 +69,35 @@
         for _ in range(steps):
             self._small_step(rng)
 
+    @rule(name=st.sampled_from(SERVERS), started=st.booleans())
+    def grant_lost_in_flaps(self, name, started):
+        """A grant is lost with its session, and so is the next session.
+
+        For each loss the entry asks for the rest of the answer, and each time the
+        side says "not run". The second time comes when the side may have been
+        granted the request again.
+        """
+        self.accept()
+        self.session_flaps(name, 2)
+        self._step_all(2)
+        self._exchange_messages(name)
+        self._step_all(1)
+        self._exchange_messages(name)
+        self.ask(name)
+        self._exchange_messages(name)
+        if started:
+            self.backend_starts(name, False)
+        self._step_all(1)
+
+    def _exchange_messages(self, name):
+        self.deliver_to_side(name, PUMP_STEPS, False)
+        self.deliver_to_entry(name, PUMP_STEPS)
+        self.deliver_to_side(name, PUMP_STEPS, False)
+
+    def _step_all(self, count):
+        for place in range(PLACES):
+            self.step_exchange(place, count)
+
     def _small_step(self, rng):
         name, place = rng.choice(SERVERS), rng.randrange(PLACES)
         count = rng.randint(1, 5)
@@ -86,6 +115,7 @@
         faults = (
             lambda: self.entry_loses_session(name),
             lambda: self.side_notices_loss(name),
+            lambda: self.session_flaps(name, 2),
             lambda: self.ask_times_out(name),
             lambda: self.answers_expire(name),
             lambda: self.heartbeat(name),
@@ -191,6 +221,13 @@
             world.link.lost()
             self.dispatcher.tickets.tell_lost(world.link)
 
+    @rule(name=st.sampled_from(SERVERS), times=st.integers(2, 3))
+    def session_flaps(self, name, times):
+        """The session is lost and opened again before any exchange looks."""
+        for _ in range(times):
+            self.entry_loses_session(name)
+            self.entry_reconnects(name)
+
     def entry_reconnects(self, name):
         world = self.worlds[name]
         if world.link.peer is None:
