--- a/cornelpin/core/reservations.py
+++ b/cornelpin/core/reservations.py
@@ -23,8 +23,12 @@
 AT_RISK_MOST_S = 4.0
 DEFAULT_CAPACITY = 2000
 FLOOR_HOLD_S = 1.5
+RANK_DELAY_S = 0.25
 SHED_MARGIN_S = 0.75
 LOWEST_ORDER = -(2**31)
+# Largest share of the time left that is kept for answering: an estimate that is too
+# long refuses a request no earlier than this.
+ANSWER_SHARE = 0.25
 
 
 def risk_window_s(wait_s: float) -> float:
@@ -32,6 +36,17 @@
     return min(AT_RISK_SHARE * wait_s, AT_RISK_MOST_S)
 
 
+def longest_wait_s(max_wait_s: float, left_s: float, answer_s: float) -> float:
+    """Returns how long a request may wait and still be answered in time.
+
+    Args:
+        max_wait_s: Longest wait of its tier in seconds.
+        left_s: Seconds to its deadline.
+        answer_s: Estimated seconds from its grant to the end of its answer.
+    """
+    return min(max_wait_s, left_s - min(answer_s, ANSWER_SHARE * left_s))
+
+
 @attrs.frozen
 class TierPolicy:
     """The part of a tier's configuration that orders reservations.
@@ -63,6 +78,7 @@
         placed: Monotonic time of placement in seconds.
         wait_s: Seconds the reservation may wait.
         fingerprint: Digest of the request's content.
+        rank: Place of this side in the entry's order of preference, from zero.
     """
 
     request_id: str
@@ -74,6 +90,16 @@
     placed: float
     wait_s: float
     fingerprint: str = ""
+    rank: int = 0
+
+    @property
+    def turn(self) -> float:
+        """Time that orders reservations of a workspace.
+
+        A request waits at several sides. Each puts those first that prefer it, or
+        all would ask for the same oldest request and hold slots for it in vain.
+        """
+        return self.placed + self.rank * RANK_DELAY_S
 
     def at_risk(self, now: float) -> bool:
         """Whether little of the allowed waiting time is left."""
@@ -166,12 +192,13 @@
         shed = self._shed_floor if now < self._shed_until else LOWEST_ORDER
         return max(shed, max(at_risk, default=LOWEST_ORDER))
 
-    def refund(self, res: Reservation) -> None:
-        """Takes back the charge for a reservation that was not granted."""
-        self._charge(res, -res.cost)
-
     def withdraw(self, request_id: str, *, owner: object) -> Reservation | None:
-        """Removes a reservation by request id if the owner placed it."""
+        """Removes a reservation by request id if the owner placed it.
+
+        One whose wait was not over got its slot elsewhere. Its workspace is charged
+        here too: a workspace that is served by other sides would else stay the least
+        served, and its requests would be asked for first, and in vain.
+        """
         res = self._waiting.get(request_id)
         if res is None or res.owner is not owner:
             return None
@@ -179,6 +206,7 @@
         if self._clock() - res.placed > res.wait_s - SHED_MARGIN_S:
             self._shed([res])
         else:
+            self._charge(res, res.cost)
             self._drain.count()
         return res
 
@@ -232,8 +260,7 @@
     def _order_key(self, res: Reservation) -> tuple:
         policy = self.policy(res.tier)
         served = self._served.get(res.workspace, 0.0)
-        fresh = not res.at_risk(self._clock())
-        return (fresh, policy.urgency, -policy.shed_order, served, res.placed)
+        return (policy.urgency, -policy.shed_order, served, res.turn)
 
     def _shed_key(self, res: Reservation) -> tuple:
         return (self.policy(res.tier).shed_order, -res.placed)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -7,6 +7,7 @@
 
 from cornelpin.core.reservations import risk_window_s
 from cornelpin.daemon.messages import Grant, Reserve
+from cornelpin.daemon.preferences import binding_s
 from cornelpin.daemon.ticket_table import Lost
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         choose_version: Callable[[Ticket, list[Link]], None],
         runs_alone: Callable[[Request], bool],
         preferences: Preferences,
+        wait_s: float,
     ) -> None:
         self._process = process
         self._ticket = ticket
@@ -45,7 +47,10 @@
         self._runs_alone = runs_alone
         self._preferences = preferences
         self.shed_by: set[Link] = set()
-        self.wait_until = time.monotonic() + ticket.req.max_wait_s
+        self._began = time.monotonic()
+        self._wait_s = wait_s
+        self._bound_until = self._began + binding_s(wait_s)
+        self.wait_until = self._began + wait_s
 
     def place(self, *, direct: bool = False) -> None:
         """Grants directly to an idle side or reserves at several."""
@@ -59,23 +64,33 @@
         version = self._ticket.version
         usable = [link for link in usable if not link.lacks_version(version)]
         alone = self._runs_alone(self._req)
+        if not alone:
+            usable = self._bound(usable)
         stored = self._req.keep
         if direct and not alone and not stored and self._grant_direct(usable):
             return
         wanted = len(usable) if self._at_risk() else RESERVATIONS
         wanted = 1 if alone else wanted
-        room = wanted - len(self._ticket.reserved())
+        held = len(self._ticket.reserved())
+        room = wanted - held
         free = [link for link in usable if link not in self._ticket.reserved()]
         if room <= 0 or not free:
             return
-        for link in self._preferences.order(self._req, free)[:room]:
+        chosen = self._preferences.order(self._req, free)[:room]
+        for rank, link in enumerate(chosen, start=held):
             if self._ticket.reserve(link):
-                link.send(self._reserve_message())
+                link.send(self._reserve_message(rank))
+
+    def _bound(self, usable: list[Link]) -> list[Link]:
+        """Returns the sides to wait for: at first those that hold the prefix."""
+        if time.monotonic() >= self._bound_until:
+            return usable
+        return self._preferences.holders(self._req, usable) or usable
 
     def _at_risk(self) -> bool:
         """Whether the request asks every side, ahead of tiers that are shed first."""
         left_s = self.wait_until - time.monotonic()
-        return left_s < risk_window_s(self._req.max_wait_s)
+        return left_s < risk_window_s(self._wait_s)
 
     def _grant_direct(self, links: list[Link]) -> bool:
         idle = [link for link in links if link.idle_slots > 0]
@@ -101,7 +116,7 @@
             # this grant was visible.
             self._ticket.events.put((Lost(), link))
 
-    def _reserve_message(self) -> Reserve:
+    def _reserve_message(self, rank: int) -> Reserve:
         req = self._req
         return Reserve(
             request_id=req.request_id,
@@ -111,8 +126,9 @@
             workspace=req.workspace,
             cost=req.cost,
             wait_s=max(0.0, self.wait_until - time.monotonic()),
-            waited_s=time.monotonic() - (self.wait_until - req.max_wait_s),
+            waited_s=time.monotonic() - self._began,
             fingerprint=req.fingerprint,
+            rank=rank,
         )
 
 
