Compare judged moves with fixed steps without judgement

On the same streams, four seeds of each kind: a good version gets as many runs as without judgement, a bad one is taken back with fewer.

--- a/cornelpin/tests/test_judgement.py
+++ b/cornelpin/tests/test_judgement.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import pytest
 
-from benchmarks.judgement import BAD, Fault, judge, judge_naively, stream
+from benchmarks.judgement import BAD, Event, Fault, judge, judge_naively, stream
 
 GOOD_SEEDS = range(1000, 1024)
 
@@ -30,3 +32,19 @@
 @pytest.mark.parametrize("seed", [5, 26, 48, 56])
 def test_idle_times_do_not_hide_a_version_slow_under_load(seed):
     assert judge(stream(seed, BAD["slow_under_load"])).taken_back
+
+
+def runs_without_judgement(events: Iterator[Event]) -> int:
+    """Returns the runs that the new version gets in a move by fixed steps."""
+    return sum(event.is_new for event in events)
+
+
+@pytest.mark.parametrize("seed", range(3000, 3004))
+@pytest.mark.parametrize("kind", ["good", *sorted(BAD)])
+def test_against_a_move_by_fixed_steps_without_judgement(kind, seed):
+    """A good version gets what it gets there, a bad one less."""
+    fault = BAD.get(kind, Fault())
+    judged = judge(stream(seed, fault))
+    naive = runs_without_judgement(stream(seed, fault))
+    assert judged.taken_back is (kind != "good")
+    assert judged.runs < naive if judged.taken_back else judged.runs <= naive
