Cut the network between hosts in scenarios

Cause: kills, pauses and store outages had scenarios, cuts had none, though a cut, also in one direction, is the failure that no process sees at once. Weighed: dropping frames inside the daemon (a fault in the code under test), firewall rules (need rights), a relay between the hosts. Chosen: a stand-in of the network with one relay for each process; hosts get loopback addresses of their own, and outgoing peer streams now come from the address of their process, by which the relay knows the direction.

--- a/benchmarks/cluster_settings.py
+++ b/benchmarks/cluster_settings.py
@@ -18,12 +18,23 @@
 
 @frozen
 class Placement:
-    """Ports that the testbed gave to one cornelpin process."""
+    """Address and ports that the testbed gave to one cornelpin process.
+
+    Attributes:
+        name: Name of the process.
+        host: Name of its host.
+        peer_port: Port at which it listens for peers.
+        http_port: Port at which it listens for HTTP.
+        address: Address of its host.
+        known_port: Port at which its peers reach it.
+    """
 
     name: str
     host: str
     peer_port: int
     http_port: int
+    address: str
+    known_port: int
 
 
 @frozen
@@ -48,7 +59,6 @@
     placement: Placement,
     role: str,
     described: Deployment,
-    address: str,
     platform: PlatformUrls,
     seeds: list[str],
 ) -> dict[str, Any]:
@@ -58,7 +68,7 @@
         "name": placement.name,
         "host": placement.host,
         "data_centre": described.hosts[placement.host],
-        "address": address,
+        "address": placement.address,
         "peer_port": placement.peer_port,
         "http_port": placement.http_port,
         "shared_key": SHARED_KEY,
@@ -73,29 +83,29 @@
 
 def configuration(
     described: Deployment,
-    address: str,
     entries: list[Placement],
     sides: dict[str, Placement],
 ) -> dict[str, Any]:
     """Returns the first configuration document of a deployment."""
+    addresses = {p.host: p.address for p in (*entries, *sides.values())}
     return {
         "tiers": {tier.name: as_tier_document(tier) for tier in described.tiers},
         "workspaces": _workspaces(described),
         "routes": _routes(described),
         "backend_servers": {
-            name: {"host": side.host, "peer_port": side.peer_port}
+            name: {"host": side.host, "peer_port": side.known_port}
             for name, side in sides.items()
         },
         "entries": {
             entry.name: {
                 "host": entry.host,
-                "peer_port": entry.peer_port,
+                "peer_port": entry.known_port,
                 "http_port": entry.http_port,
             }
             for entry in entries
         },
         "hosts": {
-            name: {"address": address, "data_centre": centre, "leaving": False}
+            name: {"address": addresses[name], "data_centre": centre, "leaving": False}
             for name, centre in described.hosts.items()
         },
         "moves": {},
--- a/benchmarks/process_group.py
+++ b/benchmarks/process_group.py
@@ -31,6 +31,7 @@
         versions: Versions that the engines hold at their start.
         processes: All processes by name, in order of their first start.
         ports: HTTP port by process name.
+        addresses: Address by process name, of those not at ``LOOPBACK``.
         allocator: Source of free ports.
     """
 
@@ -40,6 +41,7 @@
     versions: tuple[str, ...] = (FIRST_VERSION,)
     processes: dict[str, ManagedProcess] = field(factory=dict)
     ports: dict[str, int] = field(factory=dict)
+    addresses: dict[str, str] = field(factory=dict)
     allocator: PortAllocator = field(factory=PortAllocator)
 
     def close(self) -> None:
@@ -76,4 +78,4 @@
 
     def client(self, name: str, token: str = OPERATOR_TOKEN) -> JsonClient:
         """Returns a JSON client of a process."""
-        return JsonClient(LOOPBACK, self.ports[name], token)
+        return JsonClient(self.addresses.get(name, LOOPBACK), self.ports[name], token)
--- a/benchmarks/scenario_measures.py
+++ b/benchmarks/scenario_measures.py
@@ -113,6 +113,13 @@
     return run.testbed.config_number()
 
 
+@measure("events")
+def _events(run: Run, arguments: Mapping[str, Any]) -> float:
+    """Counts the events of a kind on the time line."""
+    events = run.testbed.timeline()
+    return sum(event["kind"] == arguments["kind"] for event in events)
+
+
 @measure("ended_processes")
 def _ended_processes(run: Run, arguments: Mapping[str, Any]) -> float:
     """Counts the processes that do not run."""
--- a/benchmarks/scenario_steps.py
+++ b/benchmarks/scenario_steps.py
@@ -107,7 +107,7 @@
     """Puts a backend server back that was taken out."""
     name = arguments["server"]
     side = run.testbed.sides[name]
-    listed = {"host": side.host, "peer_port": side.peer_port}
+    listed = {"host": side.host, "peer_port": side.known_port}
     _list_servers(run, {name: listed}, without="")
 
 
@@ -169,6 +169,18 @@
     run.testbed.set_host_state(arguments["host"], arguments["state"])
 
 
+@step("cut")
+def _cut(run: Run, arguments: Mapping[str, Any]) -> None:
+    """Cuts hosts or data centres off from others; replaces an earlier cut."""
+    one_way = arguments.get("one_way", False)
+    run.testbed.cut(arguments["from"], arguments["to"], one_way=one_way)
+
+
+@step("heal")
+def _heal(run: Run, arguments: Mapping[str, Any]) -> None:
+    run.testbed.heal()
+
+
 # Load
 
 
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -57,7 +57,8 @@
         ScenarioError: A step failed; the message holds the merged time line.
     """
     described = DEPLOYMENTS[scenario.deployment]()
-    with Testbed(described, seed=scenario.seed) as testbed:
+    networked = any(step.name == "cut" for step in scenario.steps)
+    with Testbed(described, seed=scenario.seed, networked=networked) as testbed:
         run = Run(scenario, testbed)
         run_steps(run)
         violations = testbed.violations()
--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from collections.abc import Callable
 from types import TracebackType
@@ -29,6 +30,9 @@
 from benchmarks.waiting import wait_until
 
 CONFIG_TIMEOUT_S = 20.0
+# Any address of this block is a loopback address.
+NETWORK = "127.0.1"
+NETWORK_STANDIN = "network"
 
 
 @define
@@ -42,11 +46,14 @@
         entries: Ports of the entries.
         sides: Ports of the sides by the name of their backend server.
         records: What the senders of this testbed saw.
+        networked: Whether a stand-in of the network joins the hosts, which then have
+            addresses of their own.
     """
 
     entries: list[Placement] = field(factory=list)
     sides: dict[str, Placement] = field(factory=dict)
     records: list[SentRecord] = field(factory=list)
+    networked: bool = False
 
     __test__ = False
 
@@ -74,12 +81,14 @@
     def start_system(self) -> None:
         """Starts entries and sides and waits until the configuration is in force."""
         self._place()
+        if self.networked:
+            self._add_network()
         for entry in self.entries:
             self._add_daemon(entry, "entry", {})
         for name, side in self.sides.items():
             self._add_daemon(side, "side", {"backend": self._backend(name)})
         wait_until(self._answers_status, CONFIG_TIMEOUT_S, "entries answer status")
-        document = configuration(self.described, LOOPBACK, self.entries, self.sides)
+        document = configuration(self.described, self.entries, self.sides)
         self.patch(document)
         wait_until(self._all_ready, CONFIG_TIMEOUT_S, "all entries are ready")
 
@@ -96,18 +105,75 @@
 
     def _placement(self, name: str, host: str) -> Placement:
         allocate = self.allocator.allocate
-        placement = Placement(name, host, allocate(), allocate())
+        peer_port = allocate()
+        placement = Placement(
+            name=name,
+            host=host,
+            peer_port=peer_port,
+            http_port=allocate(),
+            address=self._address_of(host),
+            known_port=allocate() if self.networked else peer_port,
+        )
         self.ports[name] = placement.http_port
+        self.addresses[name] = placement.address
         return placement
 
+    def _address_of(self, host: str) -> str:
+        if not self.networked:
+            return LOOPBACK
+        return f"{NETWORK}.{1 + list(self.described.hosts).index(host)}"
+
+    def _add_network(self) -> None:
+        relays = [
+            {"address": p.address, "port": p.known_port, "target_port": p.peer_port}
+            for p in self._placements()
+        ]
+        arguments = ["--relays", json.dumps(relays)]
+        self._add_standin(NETWORK_STANDIN, "standins.network", arguments)
+        self.processes[NETWORK_STANDIN].wait_ready()
+
+    def cut(
+        self, sources: list[str], destinations: list[str], *, one_way: bool
+    ) -> None:
+        """Cuts the hosts of some data centres or hosts off from others.
+
+        Args:
+            sources: Names of hosts or data centres.
+            destinations: Names of hosts or data centres.
+            one_way: Whether the answers still arrive.
+        """
+        pairs = itertools.product(self._hosts(sources), self._hosts(destinations))
+        cuts = [
+            {"source": source, "destination": destination}
+            for pair in pairs
+            for source, destination in ([pair] if one_way else [pair, pair[::-1]])
+        ]
+        self._put_cuts(cuts)
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self._put_cuts([])
+
+    def _put_cuts(self, cuts: list[dict[str, str]]) -> None:
+        reply = self.client(NETWORK_STANDIN).call("PUT", "/cuts", {"cuts": cuts})
+        if reply.status != OK:
+            raise TestbedError(f"cuts: {reply.status} {reply.body}")
+
+    def _hosts(self, names: list[str]) -> list[str]:
+        """Returns the addresses of hosts and of the hosts of data centres."""
+        placed = self.described.hosts.items()
+        unknown = set(names).difference(*placed)
+        if unknown:
+            raise TestbedError(f"no host or data centre {sorted(unknown)}")
+        found = [host for host, centre in placed if {host, centre} & set(names)]
+        return [self._address_of(host) for host in found]
+
     def _add_daemon(
         self, placement: Placement, role: str, extra: dict[str, Any]
     ) -> None:
-        seeds = [f"{LOOPBACK}:{entry.peer_port}" for entry in self.entries]
+        seeds = [f"{entry.address}:{entry.known_port}" for entry in self.entries]
         platform = PlatformUrls(self._url(OBJECTS), self._url(HOST_LIST))
-        settings = process_settings(
-            placement, role, self.described, LOOPBACK, platform, seeds
-        )
+        settings = process_settings(placement, role, self.described, platform, seeds)
         if role == "entry":
             settings["bootstrap_operator_sha256"] = sha256_hex(OPERATOR_TOKEN)
         path = self.folder / f"{placement.name}.json"
@@ -216,7 +282,7 @@
     def targets(self, names: tuple[str, ...] = ()) -> list[Target]:
         """Returns the named entries, or all, as targets of a sender."""
         chosen = names or self.described.entries
-        return [Target(name, LOOPBACK, self.ports[name]) for name in chosen]
+        return [Target(name, self.addresses[name], self.ports[name]) for name in chosen]
 
     def sender(self, names: tuple[str, ...] = ()) -> Sender:
         """Returns a sender whose records count in the checks."""
--- a/cornelpin/daemon/peer.py
+++ b/cornelpin/daemon/peer.py
@@ -51,6 +51,7 @@
         role: ``entry`` or ``side``.
         incarnation: Random id of this run of the process.
         key: Shared key.
+        address: Address that outgoing streams come from, empty for any.
         tls_client: TLS context for outgoing streams, if any.
         tls_server: TLS context for incoming streams, if any.
     """
@@ -59,6 +60,7 @@
     role: str
     incarnation: str
     key: bytes
+    address: str = ""
     tls_client: ssl.SSLContext | None = None
     tls_server: ssl.SSLContext | None = None
 
@@ -262,7 +264,11 @@
     """
     ip, _, port = address.rpartition(":")
     try:
-        sock = socket.create_connection((ip, int(port)), HANDSHAKE_TIMEOUT_S)
+        sock = socket.create_connection(
+            (ip, int(port)),
+            HANDSHAKE_TIMEOUT_S,
+            source_address=(identity.address, 0) if identity.address else None,
+        )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if identity.tls_client is not None:
             sock = identity.tls_client.wrap_socket(sock)
--- a/cornelpin/daemon/process.py
+++ b/cornelpin/daemon/process.py
@@ -45,6 +45,7 @@
             role=settings.role,
             incarnation=self.incarnation,
             key=(settings.shared_key or "").encode(),
+            address=settings.address,
             tls_client=client_context(tls) if tls is not None else None,
             tls_server=server_context(tls) if tls is not None else None,
         )
