Let entries agree on the next copy of a prefix

Cause: once a request had waited for the holders of its prefix it was reserved at the servers estimated fastest, which differ by entry, so each entry made copies of its own. Change: in the second quarter of its longest wait a request may also go to one more server, the next one of the prefix's rendezvous order. The bench of decisions places requests with prefixes, too.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -10,6 +10,7 @@
 import types
 from typing import Any
 
+from cornelpin.core.affinity import prefix_digests
 from cornelpin.core.choice import subset
 from cornelpin.core.tickets import Request, Ticket
 from cornelpin.daemon.links import Endpoint, Link
@@ -20,6 +21,8 @@
 FLEETS = (10, 100, 1_000, 5_000)
 DATA_CENTRES = 3
 DECISIONS = 2_000
+PREFIXES = 40
+PROMPT_REPEATS = 120
 US_PER_S = 1_000_000
 MS_PER_S = 1_000
 BUSY = Heartbeat(1, False, 8, 0, 3, [], 0.02)
@@ -36,17 +39,24 @@
 
 
 def _peer(name: str) -> Any:
-    return types.SimpleNamespace(name=name, incarnation="1", send=lambda msg: None)
+    return types.SimpleNamespace(
+        name=name, incarnation="1", pinged_at=None, send=lambda msg: None
+    )
+
 
+def placement_us(fleet: int, prefixes: int = 0) -> float:
+    """Returns the mean time of one placement in microseconds.
 
-def placement_us(fleet: int) -> float:
-    """Returns the mean time of one placement in microseconds."""
+    Args:
+        fleet: Number of sides.
+        prefixes: Number of prefixes that the prompts share; 0 for no prompt.
+    """
     links = links_of(fleet)
     preferences = Preferences()
     placements = [
         Placement(
             _process(),
-            Ticket(_request(i)),
+            Ticket(_request(i, prefixes)),
             lambda route: links,
             _keep_version,
             lambda req: False,
@@ -77,7 +87,9 @@
     """Leaves the version of a request as it is."""
 
 
-def _request(number: int) -> Request:
+def _request(number: int, prefixes: int) -> Request:
+    shared = f"prefix {number % prefixes} " if prefixes else ""
+    prompt = (shared * PROMPT_REPEATS).encode()
     return Request(
         request_id=f"r{number}",
         workspace="w",
@@ -91,16 +103,22 @@
         cost=1,
         deadline=time.monotonic() + 60.0,
         max_wait_s=60.0,
+        prefix=prefix_digests("w", prompt),
+        prompt_bytes=len(prompt),
     )
 
 
 def main() -> None:
     """Prints one row for each fleet."""
-    print(f"{'sides':>6}{'links':>7}{'placement us':>14}{'subset ms':>11}")
+    print(
+        f"{'sides':>6}{'links':>7}{'placement us':>14}{'with prefix us':>16}"
+        f"{'subset ms':>11}"
+    )
     for fleet in FLEETS:
         print(
             f"{fleet:>6}{len(links_of(fleet)):>7}"
-            f"{placement_us(fleet):>14.1f}{subset_ms(fleet):>11.2f}"
+            f"{placement_us(fleet):>14.1f}"
+            f"{placement_us(fleet, PREFIXES):>16.1f}{subset_ms(fleet):>11.2f}"
         )
 
 
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -7,7 +7,7 @@
 
 from cornelpin.core.reservations import risk_window_s
 from cornelpin.daemon.messages import Grant, Reserve
-from cornelpin.daemon.preferences import binding_s
+from cornelpin.daemon.preferences import BINDING_STEPS, binding_s
 from cornelpin.daemon.ticket_table import Lost
 
 if TYPE_CHECKING:
@@ -20,6 +20,7 @@
     from cornelpin.daemon.process import Process
 
 RESERVATIONS = 3
+MIN_BINDING_S = 0.001
 
 
 class NoServer(Exception):
@@ -46,9 +47,7 @@
         self._runs_alone = runs_alone
         self._preferences = preferences
         self.shed_by: set[Link] = set()
-        now = time.monotonic()
-        self._bound_until = now + binding_s(ticket.req.max_wait_s)
-        self.wait_until = now + ticket.req.max_wait_s
+        self.wait_until = time.monotonic() + ticket.req.max_wait_s
 
     def place(self, *, direct: bool = False) -> None:
         """Grants directly to an idle side or reserves at several."""
@@ -81,9 +80,12 @@
 
     def _bound(self, usable: list[Link]) -> list[Link]:
         """Returns the sides to wait for: at first those that hold the prefix."""
-        if time.monotonic() >= self._bound_until:
+        max_wait_s = self._req.max_wait_s
+        waited_s = time.monotonic() - (self.wait_until - max_wait_s)
+        step = int(waited_s / max(binding_s(max_wait_s), MIN_BINDING_S))
+        if step >= BINDING_STEPS:
             return usable
-        return self._preferences.holders(self._req, usable) or usable
+        return self._preferences.holders(self._req, usable, more=step) or usable
 
     def _at_risk(self) -> bool:
         """Whether the request asks every side, ahead of tiers that are shed first."""
--- a/cornelpin/daemon/preferences.py
+++ b/cornelpin/daemon/preferences.py
@@ -18,10 +18,11 @@
 # One request in this many goes to the link that was granted nothing for longest, so
 # that a server that was slow, or came back, is measured anew.
 EXPLORE_EVERY = 8
-# How long a request waits for the servers that hold its prefix: a share of its longest
-# wait, up to a limit.
+# How long a request waits for the servers that hold its prefix, and as long again for
+# one server more: a share of its longest wait, up to a limit.
 BINDING_SHARE = 0.25
 BINDING_LIMIT_S = 4.0
+BINDING_STEPS = 2
 # A server binds requests if it holds at least this share of the longest known prefix.
 HELD_SHARE = 0.5
 
@@ -69,19 +70,30 @@
     def _last_granted(self, link: Link) -> float:
         return self._granted_at.get(link.name, 0.0)
 
-    def holders(self, req: Request, links: list[Link]) -> list[Link]:
+    def holders(self, req: Request, links: list[Link], *, more: int = 0) -> list[Link]:
         """Returns the links whose servers should hold the prefix of a request.
 
         For a prefix that this entry has not seen it is the one server on which all
         entries agree; without a prefix there is none.
+
+        Args:
+            req: The request.
+            links: Links to choose from.
+            more: Number of servers that may get a new copy of the prefix; entries
+                agree on these, too.
         """
+        if not req.prefix:
+            return []
         by_name = {link.name: link for link in links if link.answers}
         known = self.prefixes.held_bytes(req.prefix)
         held = {name: known[name] for name in known if name in by_name}
-        if not held:
-            return [by_name[name] for name in _homes(req, [*by_name.values()])[:1]]
-        enough = HELD_SHARE * max(held.values())
-        return [by_name[name] for name in held if held[name] >= enough]
+        enough = HELD_SHARE * max(held.values(), default=0)
+        names = [name for name in held if held[name] >= enough]
+        more += not names
+        if more:
+            homes_left = [n for n in _homes(req, links) if n in by_name]
+            names += [n for n in homes_left if n not in names][:more]
+        return [by_name[name] for name in names]
 
     def order(self, req: Request, links: list[Link]) -> list[Link]:
         """Returns the links, the one estimated to answer first in front."""
--- a/cornelpin/tests/test_ranking.py
+++ b/cornelpin/tests/test_ranking.py
@@ -108,6 +108,19 @@
     assert not preferences.holders(_request(b"short"), links)
 
 
+def test_entries_agree_on_the_next_copy_of_a_prefix() -> None:
+    links = _links("a", "b", "c", "d")
+    request = _request(PROMPT)
+    preferences, other_entry = Preferences(), Preferences()
+    two = preferences.holders(request, links, more=1)
+    assert other_entry.holders(request, links[::-1], more=1) == two
+    assert len(two) == 2
+    preferences.note(request, two[0])
+    preferences.note(request, two[1])
+    assert set(preferences.holders(request, links)) == set(two)
+    assert len(preferences.holders(request, links, more=1)) == 3
+
+
 def test_a_server_measured_slow_is_tried_again() -> None:
     preferences = Preferences()
     links = [Link(name, Endpoint("", "")) for name in ("fast", "slow")]
