Compute the wasted prefill of the full-knowledge bound

Cause: the bound's rows gave 0 without having computed it. Change: each shared prefix is kept at one engine as far as its output tokens fit there during the workload, the largest placed first; a further engine that must take a part computes it once more. A small addition to bound_rows beside benchmarks/experiment_rows.py's other rows.

--- a/benchmarks/experiment_rows.py
+++ b/benchmarks/experiment_rows.py
@@ -11,7 +11,8 @@
 from benchmarks.checker import Evidence, Violation, is_shed, run_checks
 from benchmarks.deployment import Deployment
 from benchmarks.prefill import Prefill, prefill_by_tier
-from benchmarks.records import Answer, SentRecord
+from benchmarks.prefill_bound import prefill_bound
+from benchmarks.records import Answer, Kind, SentRecord
 from benchmarks.workload import PlannedRequest
 
 # An answer counts as good within this time from its intended send time.
@@ -178,6 +179,7 @@
     good = good_calls(described, planned, bounds_s)
     offered = Counter(request.tier.name for request in planned)
     met = Counter(r.tier.name for r in planned if r.call_id in good)
+    wasted = prefill_bound(described, planned).wasted_share
     return [
         Row(
             deployment=cell.deployment,
@@ -188,6 +190,7 @@
             offered=offered[tier.name],
             good=share(met[tier.name], offered[tier.name]),
             shed=share(offered[tier.name] - met[tier.name], offered[tier.name]),
+            wasted_prefill=wasted if tier.kind is Kind.MODEL else 0.0,
             seed=cell.seed,
         )
         for tier in described.tiers
--- a/cornelpin/tests/test_experiment.py
+++ b/cornelpin/tests/test_experiment.py
@@ -21,6 +21,7 @@
 )
 from benchmarks.naive import BackendServerError, Call, RoundRobin
 from benchmarks.prefill import prefill_by_tier
+from benchmarks.prefill_bound import prefill_bound
 from benchmarks.records import Answer, Kind, RunEvent, SentRecord
 from benchmarks.weighted import set_ratios, total_row
 from benchmarks.workload import PlannedRequest, Shape, plan
@@ -115,6 +116,35 @@
     assert (found.computed, found.wasted) == (computed, wasted)
 
 
+def request_after(at_s: float, prefix: str, tokens: int) -> PlannedRequest:
+    name = f"{prefix}-{at_s}"
+    return attrs.evolve(request(name, at_s, tokens), text=f"{prefix} {PREFIX} {name}")
+
+
+# Requests by arrival time, prefix and output tokens; copies in the bound. In 10 s the
+# engines of the small deployment decode 6,600, 3,300 and 900 tokens, rounded down.
+BOUND_PREFILL_TABLE: dict[str, tuple[list[tuple[float, str, int]], int]] = {
+    "no shared prefix": ([(0, "a", 10), (10, "b", 10)], 0),
+    "fits at one engine": ([(0, "a", 10), (10, "a", 10)], 0),
+    "two prefixes at two engines": (
+        [(0, "a", 2000), (1, "a", 2000), (2, "b", 2000), (10, "b", 1000)],
+        0,
+    ),
+    "needs a second engine": ([(0, "a", 6000), (10, "a", 3000)], 1),
+    "needs all engines": ([(0, "a", 6000), (10, "a", 6000)], 2),
+}
+
+
+@pytest.mark.parametrize("name", BOUND_PREFILL_TABLE)
+def test_prefill_with_full_knowledge(name: str) -> None:
+    arrivals, copies = BOUND_PREFILL_TABLE[name]
+    planned = [request_after(*arrival) for arrival in arrivals]
+    found = prefill_bound(SMALL, planned)
+    prefixes = len({prefix for _, prefix, _ in arrivals})
+    own = 66 * len(planned) - 64 * (len(planned) - prefixes)
+    assert (found.computed, found.wasted) == (own + 64 * copies, 64 * copies)
+
+
 def sent(planned: PlannedRequest, **changes: Any) -> SentRecord:
     values: dict[str, Any] = {
         "call_id": planned.call_id,
