--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -61,6 +61,7 @@
             _keep_version,
             lambda req: False,
             preferences,
+            60.0,
         )
         for i in range(DECISIONS)
     ]
