Let a testbed without placements send to the loopback address

Cause: a sender's targets took the address of an entry that the test had not placed; test_two_loads_of_one_name_are_refused failed in the landing. Change: the loopback address is the default, as for the clients. Result: the test passes.

--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -282,7 +282,11 @@
     def targets(self, names: tuple[str, ...] = ()) -> list[Target]:
         """Returns the named entries, or all, as targets of a sender."""
         chosen = names or self.described.entries
-        return [Target(name, self.addresses[name], self.ports[name]) for name in chosen]
+        addresses = self.addresses
+        return [
+            Target(name, addresses.get(name, LOOPBACK), self.ports[name])
+            for name in chosen
+        ]
 
     def sender(self, names: tuple[str, ...] = ()) -> Sender:
         """Returns a sender whose records count in the checks."""
