--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -7,7 +7,7 @@
 
 from cornelpin.core.reservations import risk_window_s
 from cornelpin.daemon.messages import Grant, Reserve
-from cornelpin.daemon.preferences import binding_s
+from cornelpin.daemon.preferences import BINDING_STEPS, binding_s
 from cornelpin.daemon.ticket_table import Lost
 
 if TYPE_CHECKING:
@@ -20,6 +20,7 @@
     from cornelpin.daemon.process import Process
 
 RESERVATIONS = 3
+MIN_BINDING_S = 0.001
 
 
 class NoServer(Exception):
@@ -49,7 +50,6 @@
         self.shed_by: set[Link] = set()
         self._began = time.monotonic()
         self._wait_s = wait_s
-        self._bound_until = self._began + binding_s(wait_s)
         self.wait_until = self._began + wait_s
 
     def place(self, *, direct: bool = False) -> None:
@@ -83,9 +83,11 @@
 
     def _bound(self, usable: list[Link]) -> list[Link]:
         """Returns the sides to wait for: at first those that hold the prefix."""
-        if time.monotonic() >= self._bound_until:
+        waited_s = time.monotonic() - self._began
+        step = int(waited_s / max(binding_s(self._wait_s), MIN_BINDING_S))
+        if step >= BINDING_STEPS:
             return usable
-        return self._preferences.holders(self._req, usable) or usable
+        return self._preferences.holders(self._req, usable, more=step) or usable
 
     def _at_risk(self) -> bool:
         """Whether the request asks every side, ahead of tiers that are shed first."""
