--- a/cornelpin/core/observations.py
+++ b/cornelpin/core/observations.py
@@ -25,6 +25,10 @@
 MIN_DEVIATION = 0.3
 MAX_DEVIATION = 1.0
 MAX_SCORE = 4.0
+# Share of the runs that are slowed when a fault shows on one kind of work only.
+SOME_SHARE = 0.2
+# Bounds the weight of a single run, as a few sound ones are slow by chance.
+MAX_SOME_RATIO = 3.0
 MAD_TO_DEVIATION = 1.4826
 # Variance of a median of n values, in units of their variance over n.
 MEDIAN_VARIANCE = math.pi / 2
@@ -86,19 +90,19 @@
         self._lock = threading.Lock()
         self._old: collections.deque[Sample] = collections.deque(maxlen=MAX_SAMPLES)
         self._pending: list[Sample] = []
-        self._tallies: dict[str, Tally] = {}
+        self._tallies: dict[tuple[str, int], Tally] = {}
 
     def add_old(self, sample: Sample) -> None:
         """Takes a run of the old version."""
         with self._lock:
-            self._count(sample.tier, old_runs=1, old_failures=int(sample.failed))
+            self._count(sample, old_runs=1, old_failures=int(sample.failed))
             if not sample.failed:
                 self._old.append(sample)
 
     def add_new(self, sample: Sample) -> None:
         """Takes a run of the new version."""
         with self._lock:
-            self._count(sample.tier, new_runs=1, new_failures=int(sample.failed))
+            self._count(sample, new_runs=1, new_failures=int(sample.failed))
             if not sample.failed:
                 self._pending.append(sample)
 
@@ -112,20 +116,24 @@
             # judged together count as one.
             for sample, ratios in judged.items():
                 self._count(
-                    sample.tier,
+                    sample,
                     timed=int(sample.token_s > 0),
                     slow=ratios.token / len(judged),
                     slow_first=ratios.first / len(judged),
+                    slow_some=_of_some(ratios.token) / len(judged),
+                    slow_first_some=_of_some(ratios.first) / len(judged),
                 )
             self._pending = [
                 s for s in self._pending if s not in judged and now - s.at < EXPIRE_S
             ]
             return list(self._tallies.values())
 
-    def _count(self, tier: str, **changes: float) -> None:
-        before = self._tallies.get(tier, Tally(tier))
+    def _count(self, sample: Sample, **changes: float) -> None:
+        cell = (sample.tier, sample.load_class)
+        empty = Tally(sample.tier, load_class=sample.load_class)
+        before = self._tallies.get(cell, empty)
         changed = {name: getattr(before, name) + by for name, by in changes.items()}
-        self._tallies[tier] = attrs.evolve(before, **changed)
+        self._tallies[cell] = attrs.evolve(before, **changed)
 
     def _compare(self, sample: Sample) -> Ratios | None:
         """Compares a run with like ones before and after it; the milder one counts.
@@ -163,6 +171,12 @@
     return Ratios(min(one.token, other.token), min(one.first, other.first))
 
 
+def _of_some(ratio: float) -> float:
+    """Returns the log likelihood ratio if only some of the runs are slowed."""
+    mixed = math.log(1 - SOME_SHARE + SOME_SHARE * math.exp(ratio))
+    return min(MAX_SOME_RATIO, mixed)
+
+
 def _ratio(value: float, baseline: list[float], floor_s: float) -> float:
     """Returns the log likelihood ratio of a slowed run against a like one."""
     logs = [math.log(other + floor_s) for other in baseline if other > 0]
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -76,6 +76,7 @@
             on_open=self._on_open,
             on_message=self._on_message,
             on_lost=self._on_lost,
+            on_retired=self._on_retired,
         )
         self._neighbours = LinkTable(
             process,
@@ -93,9 +94,9 @@
         self._spread = ConfigSpread(process, self._peers, self._eager_peers)
         self._pinger = Pinger(
             process,
-            links=lambda: [*self._links.all(), *self._neighbours.all()],
+            links=lambda: [*self._links.kept(), *self._neighbours.kept()],
             state=self._state,
-            busy=self._dispatcher.tickets.links,
+            busy=self._dispatcher.watched_links,
         )
         self._moves = EntryMoves(
             process,
@@ -150,14 +151,18 @@
         )
         # Nothing can bring a configuration yet, whose links these would replace.
         self._neighbours.keep(seed_endpoints(settings))
-        sup.start("peer-listener", listener.run)
         self._records.start()
-        sup.start("config-watcher", self._watcher.run)
-        sup.start("readiness", every(readiness.TICK_S, self._readiness.tick))
-        sup.start("config-repair", every(REPAIR_S, self._spread.repair))
-        sup.start("host-watch", self._host_watch.run)
-        sup.start("pinger", every(TICK_S, self._pinger.tick))
-        sup.start("moves", self._moves.controller.run)
+        for name, child in {
+            "peer-listener": listener.run,
+            "config-watcher": self._watcher.run,
+            "readiness": every(readiness.TICK_S, self._readiness.tick),
+            "config-repair": every(REPAIR_S, self._spread.repair),
+            "host-watch": self._host_watch.run,
+            "pinger": every(TICK_S, self._pinger.tick),
+            "retired-links": every(TICK_S, self._close_retired),
+            "moves": self._moves.controller.run,
+        }.items():
+            sup.start(name, self.process.control_cost.counted(child))
         self._http.start()
 
     def _caller_api(self) -> CallerApi:
@@ -196,10 +201,17 @@
     def _peers(self) -> list[Peer]:
         with self._lock:
             inbound = list(self._inbound)
-        links = [*self._links.all(), *self._neighbours.all()]
+        links = [*self._links.kept(), *self._neighbours.kept()]
         outbound = [link.peer for link in links]
         return [peer for peer in (*outbound, *inbound) if peer is not None]
 
+    def _on_retired(self, link: Link) -> None:
+        self._dispatcher.tickets.hand_back(link)
+
+    def _close_retired(self) -> None:
+        self._links.close_retired(self._dispatcher.tickets.links())
+        self._neighbours.close_retired(set())
+
     def _on_open(self, link: Link, peer: Peer) -> None:
         self._greet(peer)
         self._host_watch.greet(peer, link)
--- a/cornelpin/daemon/side.py
+++ b/cornelpin/daemon/side.py
@@ -93,13 +93,16 @@
         listener = PeerListener(
             self._process, settings.address, settings.peer_port, self._serve
         )
-        sup.start("peer-listener", listener.run)
         sup.start("dispatch", self._dispatch_loop)
-        sup.start("config-repair", every(REPAIR_S, self.spread.repair))
-        sup.start("announcer", every(TICK_S, self._announcer.tick))
-        sup.start("sweep", every(SWEEP_S, self._sweep))
-        sup.start("versions", every(VERSIONS_S, self._poll_versions))
-        sup.start("move-evidence", every(REPORT_S, self._moves.report))
+        for name, child in {
+            "peer-listener": listener.run,
+            "config-repair": every(REPAIR_S, self.spread.repair),
+            "announcer": every(TICK_S, self._announcer.tick),
+            "sweep": every(SWEEP_S, self._sweep),
+            "versions": every(VERSIONS_S, self._poll_versions),
+            "move-evidence": every(REPORT_S, self._moves.report),
+        }.items():
+            sup.start(name, self._process.control_cost.counted(child))
         self._poll_versions()
 
     def leave(self) -> None:
@@ -140,7 +143,7 @@
         }
         shares = {name: cfg.share for name, cfg in config.workspaces.items()}
         self._admission.set_policies(tiers, shares)
-        if self._process.host_leaving(config):
+        if self._process.host_leaving(config) or self._is_removed(config):
             self.leave()
         elif not self._process.stopping.is_set():
             self._come_back()
@@ -149,6 +152,10 @@
             self._process.current.set()
             self._announcer.now()
 
+    def _is_removed(self, config: Config) -> bool:
+        """Whether the backend server is not, or no longer, in the configuration."""
+        return self._server not in config.backend_servers
+
     def _on_host_notice(self, msg: HostNotice) -> None:
         """Follows what the host list says of this host, the newest reading first."""
         if msg.stamp <= self._listed_at:
@@ -236,6 +243,7 @@
             placed=time.monotonic() - msg.waited_s,
             wait_s=msg.waited_s + msg.wait_s,
             fingerprint=msg.fingerprint,
+            rank=msg.rank,
         )
         shed = self._admission.reserve(res)
         leaving = self._process.leaving.is_set()
@@ -264,6 +272,8 @@
         self, peer: Peer, grant: Grant, reason: Reason, detail: str
     ) -> None:
         peer.send(NotRun(grant.request_id, reason.value, detail, grant.attempt))
+        # The entry knew a state in which the grant seemed possible.
+        self._announcer.tell(self._state(), peer.send)
 
     def _on_withdraw(self, peer: Peer, request_id: str) -> None:
         self._admission.withdraw(peer, request_id)
@@ -340,7 +350,7 @@
         if end.outcome == DONE:
             self._token_time.observe(run)
         if not len(self._admission):
-            run.tell(self._state())
+            self._announcer.tell(self._state(), run.tell)
 
     def _sweep(self) -> None:
         expired = self._admission.sweep()
--- a/cornelpin/tests/test_experiment.py
+++ b/cornelpin/tests/test_experiment.py
@@ -21,7 +21,9 @@
 )
 from benchmarks.naive import BackendServerError, Call, RoundRobin
 from benchmarks.prefill import prefill_by_tier
+from benchmarks.prefill_bound import prefill_bound
 from benchmarks.records import Answer, Kind, RunEvent, SentRecord
+from benchmarks.weighted import set_ratios, total_row
 from benchmarks.workload import PlannedRequest, Shape, plan
 from cornelpin.tests.http_server import serve
 
@@ -114,6 +116,35 @@
     assert (found.computed, found.wasted) == (computed, wasted)
 
 
+def request_after(at_s: float, prefix: str, tokens: int) -> PlannedRequest:
+    name = f"{prefix}-{at_s}"
+    return attrs.evolve(request(name, at_s, tokens), text=f"{prefix} {PREFIX} {name}")
+
+
+# Requests by arrival time, prefix and output tokens; copies in the bound. In 10 s the
+# engines of the small deployment decode 6,600, 3,300 and 900 tokens, rounded down.
+BOUND_PREFILL_TABLE: dict[str, tuple[list[tuple[float, str, int]], int]] = {
+    "no shared prefix": ([(0, "a", 10), (10, "b", 10)], 0),
+    "fits at one engine": ([(0, "a", 10), (10, "a", 10)], 0),
+    "two prefixes at two engines": (
+        [(0, "a", 2000), (1, "a", 2000), (2, "b", 2000), (10, "b", 1000)],
+        0,
+    ),
+    "needs a second engine": ([(0, "a", 6000), (10, "a", 3000)], 1),
+    "needs all engines": ([(0, "a", 6000), (10, "a", 6000)], 2),
+}
+
+
+@pytest.mark.parametrize("name", BOUND_PREFILL_TABLE)
+def test_prefill_with_full_knowledge(name: str) -> None:
+    arrivals, copies = BOUND_PREFILL_TABLE[name]
+    planned = [request_after(*arrival) for arrival in arrivals]
+    found = prefill_bound(SMALL, planned)
+    prefixes = len({prefix for _, prefix, _ in arrivals})
+    own = 66 * len(planned) - 64 * (len(planned) - prefixes)
+    assert (found.computed, found.wasted) == (own + 64 * copies, 64 * copies)
+
+
 def sent(planned: PlannedRequest, **changes: Any) -> SentRecord:
     values: dict[str, Any] = {
         "call_id": planned.call_id,
@@ -191,3 +222,34 @@
         else:
             assert b"".join(pool.call(call).parts()) == b"answer"
     assert len(planned) - len(left) == tries
+
+
+@pytest.mark.parametrize(
+    ("good", "to_bound", "to_naive"),
+    [
+        ({"question": 1.0, "tag": 0.0}, 0.75, 1.5),
+        ({"question": 0.0, "tag": 1.0}, 0.25, 0.5),
+        ({"question": 1.0, "tag": 1.0}, 1.0, 2.0),
+    ],
+)
+def test_total_weighs_tiers_by_their_shed_orders(
+    good: dict[str, float], to_bound: float, to_naive: float
+) -> None:
+    described = DEPLOYMENTS["small"]()
+
+    def total(system: str, shares: Mapping[str, float]) -> Row:
+        cell = Cell("small", 1.0, "", system, 1)
+        rows = [
+            Row("small", 1.0, "", system, tier, 10, share)
+            for tier, share in shares.items()
+        ]
+        return total_row(cell, described, rows)
+
+    rows = [
+        total("bound", {"question": 1.0, "tag": 1.0}),
+        total("naive", {"question": 0.5, "tag": 0.5}),
+        total("cornelpin", good),
+    ]
+    set_ratios(rows)
+    assert rows[-1].to_bound == pytest.approx(to_bound)
+    assert rows[-1].to_naive == pytest.approx(to_naive)
