Test the cancelling of a waiting request and the end of kept answers

A request that waits is cancelled at its entry or another one, with its shard scanned by its own entry or a third: it stops, is not opened again and its call is deleted. An answer that is an object apart is deleted once its retention ends, its key is kept.

Found and not mended: Supervisor.stop waits for one idle shard writer after the other, up to 0.5 s each.

--- /dev/null
+++ b/cornelpin/tests/test_durable.py
@@ -0,0 +1,179 @@
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from types import SimpleNamespace
+from typing import Any
+
+import attrs
+import pytest
+
+from benchmarks.waiting import wait_until
+from cornelpin.core.claim_shards import Retention, shard_key, shard_of
+from cornelpin.core.claims import ClaimState, Held, Record, cancel
+from cornelpin.core.duties import holder
+from cornelpin.core.verdict import Reason, Refusal, Verdict
+from cornelpin.daemon.blobs import Blobs, StoredCall
+from cornelpin.daemon.durable import DurableRequests
+from cornelpin.daemon.leases import EntryLeases
+from cornelpin.daemon.ledger import Ledger
+from cornelpin.daemon.supervisor import Supervisor
+from cornelpin.platform.memory_objects import MemoryObjectStore
+from cornelpin.platform.objects import Listed
+
+RETENTION = Retention(answers_s=60.0, claims_s=60.0)
+WAIT_S = 10.0
+POLL_S = 0.01
+CALL = StoredCall(
+    route="r",
+    version="",
+    tier="review",
+    kind="model",
+    method="POST",
+    path="/",
+    headers={},
+    body=b"".join(i.to_bytes(4) for i in range(0, 40_000_000, 2_003)),
+    cost=1,
+    idempotent=False,
+    streamed=False,
+)
+
+
+@attrs.define
+class WaitingExchange:
+    """An exchange that is never granted; it ends once its caller is gone."""
+
+    waiting: bool = True
+    caller_gone: Callable[[], bool] = bool
+    before_grant: Any = None
+
+    def head(self) -> None:
+        while not self.caller_gone():
+            time.sleep(POLL_S)
+        raise Refusal(Reason.CANCELLED, Verdict.NOT_RUN, "its caller is gone")
+
+    def close(self) -> None:
+        self.waiting = False
+
+
+@attrs.define
+class WaitingDispatcher:
+    """Counts what waits and what was adopted; grants nothing."""
+
+    opened: int = 0
+
+    def open(self, *args: Any, **options: Any) -> WaitingExchange:
+        self.opened += 1
+        return WaitingExchange()
+
+
+@attrs.define
+class FakeEntry:
+    """The parts of an entry that durable requests need."""
+
+    ledger: Ledger
+    dispatcher: WaitingDispatcher
+    requests: DurableRequests
+    leases: EntryLeases
+
+
+@pytest.fixture
+def store() -> MemoryObjectStore:
+    return MemoryObjectStore()
+
+
+@pytest.fixture
+def entries(store: MemoryObjectStore) -> Iterator[list[FakeEntry]]:
+    supervisor = Supervisor("durable")
+    made = [make_entry(f"e{i}", store, supervisor) for i in range(3)]
+    for entry in made:
+        entry.leases.refresh()
+    yield made
+    # All at once: stop() alone waits for one idle writer after the other.
+    for child in supervisor._children:
+        child.stop.set()
+    supervisor.stop()
+
+
+def make_entry(
+    name: str, store: MemoryObjectStore, supervisor: Supervisor
+) -> FakeEntry:
+    process: Any = SimpleNamespace(
+        settings=SimpleNamespace(name=name),
+        incarnation=f"{name}-i",
+        view=SimpleNamespace(config=SimpleNamespace(retention=RETENTION)),
+        ring=SimpleNamespace(record=lambda *args, **fields: None),
+        leaving=threading.Event(),
+        stopping=threading.Event(),
+    )
+    ledger = Ledger(store, lambda: RETENTION)
+    ledger.start(supervisor)
+    leases = EntryLeases(store, name=name, incarnation=process.incarnation)
+    leases.refresh()
+    dispatcher: Any = WaitingDispatcher()
+    requests = DurableRequests(process, dispatcher, ledger, Blobs(store), leases)
+    return FakeEntry(ledger, dispatcher, requests, leases)
+
+
+def file_request(entry: FakeEntry, key: str) -> Record:
+    req: Any = SimpleNamespace(workspace="w")
+    record = entry.requests.new_record(req, key=key, fingerprint="f")
+    outcome = entry.requests.file(record, CALL)
+    assert isinstance(outcome, Held)
+    wait_until(lambda: entry.dispatcher.opened == 1, WAIT_S, "it waits")
+    return outcome.record
+
+
+def wait_until_stopped(entry: FakeEntry) -> None:
+    def stopped() -> bool:
+        entry.requests.scan()
+        return len(entry.requests) == 0
+
+    wait_until(stopped, WAIT_S, "the request stops")
+
+
+def stored_calls(store: MemoryObjectStore) -> int:
+    listed = store.list("calls/")
+    assert isinstance(listed, Listed)
+    return len(listed.objects)
+
+
+def key_scanned_by(name: str) -> str:
+    """Returns a record key whose shard a given entry scans for all."""
+    names = {f"e{i}" for i in range(3)}
+    keys = (f"k{i}" for i in range(1_000))
+    return next(k for k in keys if holder(shard_key(shard_of(k)), names) == name)
+
+
+@pytest.mark.parametrize("scanned_by", ["e0", "e2"])
+@pytest.mark.parametrize("at", [0, 1], ids=["at its entry", "at another entry"])
+def test_cancelled_request_stops_waiting_and_leaves_nothing(
+    store: MemoryObjectStore, entries: list[FakeEntry], at: int, scanned_by: str
+) -> None:
+    key = key_scanned_by(scanned_by)
+    entries[0].requests.scan()
+    record = file_request(entries[0], key)
+    assert stored_calls(store) == 1
+    outcome = entries[at].ledger.apply(key, cancel("w", at=time.time()))
+    assert isinstance(outcome, Held)
+    assert outcome.record.state is ClaimState.CANCELLED
+    wait_until_stopped(entries[0])
+    found = entries[2].ledger.find(key, max_age_s=0.0)
+    assert found is not None
+    assert found.state is ClaimState.CANCELLED
+    assert found.owner == record.owner
+    assert entries[0].dispatcher.opened == 1
+    wait_until(lambda: stored_calls(store) == 0, WAIT_S, "the call is deleted")
+
+
+def test_another_workspace_cannot_cancel(
+    store: MemoryObjectStore, entries: list[FakeEntry]
+) -> None:
+    file_request(entries[0], "k")
+    entries[1].ledger.apply("k", cancel("other", at=time.time()))
+    found = entries[2].ledger.find("k", max_age_s=0.0)
+    assert found is not None
+    assert found.state is ClaimState.ACCEPTED
+    entries[1].ledger.apply("k", cancel("w", at=time.time()))
+    wait_until_stopped(entries[0])
--- a/properties/test_segments.py
+++ b/properties/test_segments.py
@@ -287,3 +287,23 @@
     outcomes = apply_all(open_shard(store), retries)
     assert all(isinstance(outcome, Existing) for outcome in outcomes)
     assert segment_objects(store)
+
+
+@pytest.mark.parametrize("durable", [False, True])
+def test_answer_apart_is_deleted_after_its_retention(durable: bool) -> None:
+    store, clock = MemoryObjectStore(), Clock()
+    shard = open_shard(store, clock=clock)
+    object_key = "answers/k/a"
+    store.put(object_key, b"packed", if_version=0)
+    state = ACCEPTED if durable else DISPATCHED
+    apply_all(shard, {"k": claim(new_record("k", "a", state, clock.now))})
+    packed = Packed(object_key=object_key)
+    end = conclude("a", ClaimState.DONE, at=clock.now, answer=packed)
+    apply_all(shard, {"k": end})
+    for age_s, kept in ((KEEP.answers_s - 1, True), (2, False)):
+        clock.now += age_s
+        shard.submit_tidying()
+        shard.write_batch()
+        assert isinstance(store.get(object_key), Found) is kept
+    retry = {"k": claim(new_record("k", "b", DISPATCHED, clock.now))}
+    assert isinstance(apply_all(shard, retry)[0], Existing)
