Perform runs at backend servers in one place

The drivers of engines and of plain services each opened a connection, tied it to the cancellation and mapped its failures to the end of a run. _http.perform does that for both. One difference: a ValueError while a service's answer is read now ends the run as failed and unreachable, as it did for engines, and no longer as an exception of the runner.

Scenarios service_killed, engine_killed and pause_side_mid_stream pass, and test_callers.py and test_bad_inputs.py.

--- a/cornelpin/backends/_engine.py
+++ b/cornelpin/backends/_engine.py
@@ -11,7 +11,13 @@
 import json
 from typing import TYPE_CHECKING
 
-from cornelpin.backends._http import READ_BYTES, Exchange, Unreachable, small_request
+from cornelpin.backends._http import (
+    READ_BYTES,
+    Exchange,
+    Unreachable,
+    perform,
+    small_request,
+)
 from cornelpin.backends._registry import (
     CANCELLED,
     DONE,
@@ -101,10 +107,8 @@
         cancel: CancelToken,
         call: Call,
     ) -> RunEnd:
-        exchange = Exchange(self._url)
-        try:
-            exchange.open()
-            exchange.interrupt_on(cancel)
+
+        def stream(exchange: Exchange) -> RunEnd:
             resp = exchange.send(method, path, headers, body)
             if method == "GET" and resp.status == 404:
                 return RunEnd(UNKNOWN, "the engine does not know the request")
@@ -113,15 +117,11 @@
                 sink.parts([resp.read()])
                 return RunEnd(DONE if resp.status < 500 else FAILED)
             return _pump(resp, sink)
-        except Unreachable as exc:
-            return RunEnd(NOT_RUN, str(exc), unreachable=True)
-        except (OSError, http.client.HTTPException, ValueError) as exc:
-            if cancel.cancelled:
-                self._cancel(call.request_id)
-                return RunEnd(CANCELLED)
-            return RunEnd(FAILED, f"{type(exc).__name__}: {exc}", unreachable=True)
-        finally:
-            exchange.close()
+
+        end = perform(self._url, cancel, stream)
+        if end.outcome == CANCELLED:
+            self._cancel(call.request_id)
+        return end
 
     def _cancel(self, request_id: str) -> None:
         with contextlib.suppress(OSError):
--- a/cornelpin/backends/_http.py
+++ b/cornelpin/backends/_http.py
@@ -8,8 +8,10 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
+from cornelpin.backends._registry import CANCELLED, FAILED, NOT_RUN, RunEnd
+
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from cornelpin.backends._registry import CancelToken
 
@@ -67,6 +69,34 @@
         self._conn.close()
 
 
+def perform(
+    url: str, cancel: CancelToken, action: Callable[[Exchange], RunEnd]
+) -> RunEnd:
+    """Performs a cancellable run on a connection of its own.
+
+    Args:
+        url: Base URL of the backend server.
+        cancel: Breaks the connection when the run is cancelled.
+        action: Sends the request and passes the answer on.
+
+    Returns:
+        What the action returned, or how the run broke off.
+    """
+    exchange = Exchange(url)
+    try:
+        exchange.open()
+        exchange.interrupt_on(cancel)
+        return action(exchange)
+    except Unreachable as exc:
+        return RunEnd(NOT_RUN, str(exc), unreachable=True)
+    except (OSError, http.client.HTTPException, ValueError) as exc:
+        if cancel.cancelled:
+            return RunEnd(CANCELLED)
+        return RunEnd(FAILED, f"{type(exc).__name__}: {exc}", unreachable=True)
+    finally:
+        exchange.close()
+
+
 def small_request(url: str, method: str, path: str, body: bytes = b"") -> tuple:
     """Performs a short exchange and returns status and body.
 
--- a/cornelpin/backends/_service.py
+++ b/cornelpin/backends/_service.py
@@ -4,12 +4,9 @@
 
 import http.client
 
-from cornelpin.backends._http import READ_BYTES, Exchange, Unreachable
+from cornelpin.backends._http import READ_BYTES, Exchange, perform
 from cornelpin.backends._registry import (
-    CANCELLED,
     DONE,
-    FAILED,
-    NOT_RUN,
     UNKNOWN,
     Call,
     CancelToken,
@@ -34,24 +31,16 @@
 
     def run(self, call: Call, sink: Sink, cancel: CancelToken) -> RunEnd:
         """Performs one call."""
-        exchange = Exchange(self._url)
-        try:
-            exchange.open()
-            exchange.interrupt_on(cancel)
+
+        def pass_on(exchange: Exchange) -> RunEnd:
             headers = {**call.headers, "X-Request-Id": call.request_id}
             resp = exchange.send(call.method, call.path, headers, call.body)
             sink.head(resp.status, _passed_headers(resp))
             while data := resp.read(READ_BYTES):
                 sink.parts([data])
             return RunEnd(DONE)
-        except Unreachable as exc:
-            return RunEnd(NOT_RUN, str(exc), unreachable=True)
-        except (OSError, http.client.HTTPException) as exc:
-            if cancel.cancelled:
-                return RunEnd(CANCELLED)
-            return RunEnd(FAILED, f"{type(exc).__name__}: {exc}", unreachable=True)
-        finally:
-            exchange.close()
+
+        return perform(self._url, cancel, pass_on)
 
     def resume(
         self, call: Call, offset: int, sink: Sink, cancel: CancelToken
