Own test processes in one class

Fleet and Testbed both kept folder, processes and ports, and started and ended them as context managers; OwnedProcesses does it for both. Folders of test processes have one prefix now, cornelpin-.

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -46,10 +46,18 @@
     )
 
 
-def _review(share: float, output_tokens: tuple[int, int]) -> Tier:
+def _durable_tier(
+    name: str,
+    route: str,
+    share: float,
+    output_tokens: tuple[int, int],
+    *,
+    slot_share: float,
+) -> Tier:
+    """Describes long work that may wait but must not be lost."""
     return Tier(
-        name="review",
-        route="furnace",
+        name=name,
+        route=route,
         kind=Kind.MODEL,
         shed_order=20,
         urgency=20,
@@ -59,11 +67,15 @@
         prompt_tokens=(100, 2000),
         output_tokens=output_tokens,
         streamed=0.0,
-        slot_share=0.5,
+        slot_share=slot_share,
         timeout_s=60.0,
     )
 
 
+def _review(share: float, output_tokens: tuple[int, int]) -> Tier:
+    return _durable_tier("review", "furnace", share, output_tokens, slot_share=0.5)
+
+
 def _tag(share: float) -> Tier:
     return Tier(
         name="tag",
@@ -135,21 +147,7 @@
 @deployment("certificates")
 def certificates() -> Deployment:
     """Describes the certificate division at its size of today."""
-    dossier = Tier(
-        name="dossier",
-        route="template",
-        kind=Kind.MODEL,
-        shed_order=20,
-        urgency=20,
-        share=0.1,
-        max_wait_s=60.0,
-        durable=True,
-        prompt_tokens=(100, 2000),
-        output_tokens=(40, 800),
-        streamed=0.0,
-        slot_share=0.7,
-        timeout_s=60.0,
-    )
+    dossier = _durable_tier("dossier", "template", 0.1, (40, 800), slot_share=0.7)
     wording = Tier(
         name="wording",
         route="template",
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,15 +7,11 @@
 from __future__ import annotations
 
 import json
-import shutil
-import tempfile
 import time
 from collections.abc import Iterator
-from pathlib import Path
-from types import TracebackType
 from typing import Any
 
-from attrs import define, field
+from attrs import define
 
 from benchmarks.cluster_settings import (
     OPERATOR_TOKEN,
@@ -24,8 +20,9 @@
     workspace_token,
 )
 from benchmarks.http_json import JsonClient
+from benchmarks.process_group import OwnedProcesses
 from benchmarks.process_usage import Usage, usage_of
-from benchmarks.processes import LOOPBACK, ManagedProcess, PortAllocator, stop_all
+from benchmarks.processes import LOOPBACK
 from benchmarks.waiting import wait_until
 
 ROUTE = "furnace"
@@ -41,7 +38,7 @@
 
 
 @define
-class Fleet:
+class Fleet(OwnedProcesses):
     """Owns the processes of a fleet; use it as a context manager.
 
     Attributes:
@@ -55,33 +52,11 @@
     sides: int
     workspaces: int = 1
     step_ms: int = 1
-    folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="fleet-")))
-    processes: dict[str, ManagedProcess] = field(factory=dict)
-    ports: dict[str, int] = field(factory=dict)
-    allocator: PortAllocator = field(factory=PortAllocator)
-
-    def __enter__(self) -> Fleet:
-        """Starts everything and waits until one number is in force everywhere."""
-        try:
-            self._start()
-        except BaseException:
-            self.close()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        value: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Ends every process that was started and removes the folder."""
-        self.close()
 
     def close(self) -> None:
         """Ends every process that was started and removes the folder."""
-        stop_all(list(self.processes.values()))
-        shutil.rmtree(self.folder, ignore_errors=True)
+        super().close()
+        self.remove_folder()
 
     @property
     def entry_names(self) -> list[str]:
@@ -95,7 +70,8 @@
 
     # Starting
 
-    def _start(self) -> None:
+    def start(self) -> None:
+        """Starts everything and waits until one number is in force everywhere."""
         self._start_standin("objects", "standins.objects")
         engine = ["--name", "f", "--model", ROUTE, "--versions", VERSION]
         batch = ["--step-ms", str(self.step_ms), "--max-batch", str(SLOTS)]
@@ -117,16 +93,12 @@
     def _start_standin(self, name: str, module: str, extra: list[str] = []) -> None:  # noqa: B006
         port = self.ports[name] = self.allocator.allocate()
         arguments = [module, "--address", LOOPBACK, "--port", str(port), *extra]
-        self._run(name, arguments)
-
-    def _run(self, name: str, arguments: list[str]) -> None:
-        process = self.processes[name] = ManagedProcess(name, arguments, self.folder)
-        process.start()
+        self.start_process(name, arguments)
 
     def _start_daemon(self, name: str) -> None:
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self._settings(name)))
-        self._run(name, ["cornelpin.daemon", "--settings", str(path)])
+        self.start_process(name, ["cornelpin.daemon", "--settings", str(path)])
 
     def _settings(self, name: str) -> dict[str, Any]:
         settings = {
--- a/benchmarks/process_group.py
+++ b/benchmarks/process_group.py
@@ -1,10 +1,12 @@
-"""Plain processes of one deployment, by name."""
+"""Plain processes by name, and those of one deployment."""
 
 from __future__ import annotations
 
 import shutil
 import tempfile
 from pathlib import Path
+from types import TracebackType
+from typing import Self
 
 from attrs import define, field
 
@@ -21,26 +23,44 @@
 
 
 @define
-class ProcessGroup:
-    """Owns processes that share a folder.
+class OwnedProcesses:
+    """Owns processes that share a folder; use it as a context manager.
 
     Attributes:
-        described: The deployment to run.
-        seed: Seed passed to the stand-ins.
         folder: Folder for settings, run logs and output.
-        versions: Versions that the engines hold at their start.
         processes: All processes by name, in order of their first start.
         ports: HTTP port by process name.
         allocator: Source of free ports.
     """
 
-    described: Deployment
-    seed: int = 1
-    folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="testbed-")))
-    versions: tuple[str, ...] = (FIRST_VERSION,)
-    processes: dict[str, ManagedProcess] = field(factory=dict)
-    ports: dict[str, int] = field(factory=dict)
-    allocator: PortAllocator = field(factory=PortAllocator)
+    folder: Path = field(
+        factory=lambda: Path(tempfile.mkdtemp(prefix="cornelpin-")), kw_only=True
+    )
+    processes: dict[str, ManagedProcess] = field(factory=dict, kw_only=True)
+    ports: dict[str, int] = field(factory=dict, kw_only=True)
+    allocator: PortAllocator = field(factory=PortAllocator, kw_only=True)
+
+    def __enter__(self) -> Self:
+        """Starts everything."""
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ends every process that was started."""
+        self.close()
+
+    def start(self) -> None:
+        """Starts all processes."""
+        raise NotImplementedError
 
     def close(self) -> None:
         """Ends every process that was started."""
@@ -56,6 +76,21 @@
         self.processes[name] = process
         process.start()
 
+
+@define
+class ProcessGroup(OwnedProcesses):
+    """Owns the processes of one deployment.
+
+    Attributes:
+        described: The deployment to run.
+        seed: Seed passed to the stand-ins.
+        versions: Versions that the engines hold at their start.
+    """
+
+    described: Deployment
+    seed: int = 1
+    versions: tuple[str, ...] = (FIRST_VERSION,)
+
     def wait_ready(self) -> None:
         """Waits for the first ready line of every process started so far."""
         for process in self.processes.values():
--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -4,7 +4,6 @@
 
 import json
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 from attrs import define, field
@@ -50,24 +49,10 @@
 
     __test__ = False
 
-    def __enter__(self) -> Testbed:
+    def start(self) -> None:
         """Starts everything and submits the first configuration."""
-        try:
-            self.start_standins()
-            self.start_system()
-        except BaseException:
-            self.close()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        value: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Ends every process that was started."""
-        self.close()
+        self.start_standins()
+        self.start_system()
 
     # Processes of cornelpin
 
--- /dev/null
+++ b/cornelpin/tests/conftest.py
@@ -0,0 +1,16 @@
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from benchmarks.deployments import DEPLOYMENTS
+from benchmarks.testbed import Testbed
+
+
+@pytest.fixture(scope="module")
+def running(request: pytest.FixtureRequest) -> Iterator[Testbed]:
+    """Returns a small running deployment, seeded by the module's ``SEED``."""
+    with Testbed(DEPLOYMENTS["small"](), seed=request.module.SEED) as testbed:
+        yield testbed
+    testbed.remove_folder()
--- a/cornelpin/tests/test_bad_inputs.py
+++ b/cornelpin/tests/test_bad_inputs.py
@@ -5,14 +5,12 @@
 import random
 import socket
 import struct
-from collections.abc import Iterator
 
 import msgpack
 import pytest
 from openai import OpenAI
 
 from benchmarks.cluster_settings import workspace_token
-from benchmarks.deployments import DEPLOYMENTS
 from benchmarks.testbed import OPERATOR_TOKEN, Testbed
 from cornelpin.daemon.messages import MAX_FRAME_BYTES, Hello, encode
 
@@ -21,13 +19,6 @@
 ENTRY = "e1"
 
 
-@pytest.fixture(scope="module")
-def running() -> Iterator[Testbed]:
-    with Testbed(DEPLOYMENTS["small"](), seed=SEED) as testbed:
-        yield testbed
-    testbed.remove_folder()
-
-
 def workspace(running: Testbed) -> str:
     return sorted(running.described.workspaces)[0]
 
--- a/cornelpin/tests/test_callers.py
+++ b/cornelpin/tests/test_callers.py
@@ -4,13 +4,11 @@
 import json
 import socket
 import threading
-from collections.abc import Iterator
 from hashlib import sha256
 
 import pytest
 
 from benchmarks.cluster_settings import workspace_token
-from benchmarks.deployments import DEPLOYMENTS
 from benchmarks.testbed import Testbed
 from benchmarks.waiting import wait_until
 
@@ -19,13 +17,6 @@
 ENTRY = "e1"
 
 
-@pytest.fixture(scope="module")
-def running() -> Iterator[Testbed]:
-    with Testbed(DEPLOYMENTS["small"](), seed=SEED) as testbed:
-        yield testbed
-    testbed.remove_folder()
-
-
 def connect(running: Testbed) -> socket.socket:
     return socket.create_connection(("127.0.0.1", running.ports[ENTRY]), TIMEOUT_S)
 
--- a/cornelpin/tests/test_metrics.py
+++ b/cornelpin/tests/test_metrics.py
@@ -4,13 +4,11 @@
 import json
 import threading
 import time
-from collections.abc import Iterator
 
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
 from benchmarks.cluster_settings import workspace_token
-from benchmarks.deployments import DEPLOYMENTS
 from benchmarks.http_json import JsonClient
 from benchmarks.testbed import Testbed
 from benchmarks.waiting import wait_until
@@ -26,13 +24,6 @@
 OK = 200
 
 
-@pytest.fixture(scope="module")
-def running() -> Iterator[Testbed]:
-    with Testbed(DEPLOYMENTS["small"](), seed=SEED) as testbed:
-        yield testbed
-    testbed.remove_folder()
-
-
 def scrape(running: Testbed, name: str, metric: str, **labels: str) -> list[float]:
     """Returns the samples of a process that have the given labels."""
     conn = http.client.HTTPConnection("127.0.0.1", running.ports[name], TIMEOUT_S)
