--- /dev/null
+++ b/properties/store_faults.py
@@ -0,0 +1,24 @@
+"""Faults of the object store, as rules for machines that use one."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from cornelpin.platform.memory_objects import MemoryObjectStore
+
+
+class StoreFaults(RuleBasedStateMachine):
+    store: MemoryObjectStore
+
+    @rule(outage=st.booleans())
+    def set_outage(self, outage: bool) -> None:
+        self.store.outage = outage
+
+    @rule()
+    def lose_answer(self) -> None:
+        self.store.lose_answers = 1
+
+    @rule()
+    def lose_write(self) -> None:
+        self.store.lose_writes = 1
--- a/properties/test_leases.py
+++ b/properties/test_leases.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import initialize, invariant, rule
 
 from cornelpin.core.lease import HOLD_SHARE, TERM_S, Lease
 from cornelpin.platform.memory_objects import MemoryObjectStore
 from cornelpin.platform.objects import Found, Written
 from properties.profiles import run_settings
+from properties.store_faults import StoreFaults
 
 CONTENDERS = 3
 LEASE_KEY = "lease"
@@ -29,7 +30,7 @@
             self.accepted.append((fence, contender))
 
 
-class LeaseMachine(RuleBasedStateMachine):
+class LeaseMachine(StoreFaults):
     @initialize()
     def start(self) -> None:
         self.now = 0.0
@@ -58,18 +59,6 @@
         """Time passes; a contender that takes no step in it was paused."""
         self.now += seconds
 
-    @rule(outage=st.booleans())
-    def set_outage(self, outage: bool) -> None:
-        self.store.outage = outage
-
-    @rule()
-    def lose_answer(self) -> None:
-        self.store.lose_answers = 1
-
-    @rule()
-    def lose_write(self) -> None:
-        self.store.lose_writes = 1
-
     @rule(contender=names)
     def release(self, contender: int) -> None:
         self.leases[contender].release()
--- a/properties/test_move_controller.py
+++ b/properties/test_move_controller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from hypothesis.stateful import initialize, invariant, rule
 
 from cornelpin.core.configstore import HEAD_KEY
 from cornelpin.core.lease import TERM_S
@@ -13,6 +13,7 @@
 from cornelpin.platform.memory_objects import MemoryObjectStore
 from cornelpin.tests.move_bed import CONTROLLERS, FINISH_BY, MoveBed
 from properties.profiles import run_settings
+from properties.store_faults import StoreFaults
 
 names = st.integers(min_value=0, max_value=CONTROLLERS - 1)
 
@@ -31,7 +32,7 @@
         return super().put(key, value, if_version=if_version)
 
 
-class MoveMachine(RuleBasedStateMachine):
+class MoveMachine(StoreFaults):
     @initialize()
     def start(self) -> None:
         self.bed = MoveBed(PausingStore())
@@ -81,18 +82,6 @@
         if not self.store.outage:
             self.bed.processes[index] = self.bed.new_controller(index)
 
-    @rule(outage=st.booleans())
-    def set_outage(self, outage: bool) -> None:
-        self.store.outage = outage
-
-    @rule()
-    def lose_answer(self) -> None:
-        self.store.lose_answers = 1
-
-    @rule()
-    def lose_write(self) -> None:
-        self.store.lose_writes = 1
-
     @rule(index=names)
     def brake(self, index: int) -> None:
         """A fault is seen; the brake reaches all processes."""
