--- a/benchmarks/process_group.py
+++ b/benchmarks/process_group.py
@@ -85,11 +85,13 @@
         described: The deployment to run.
         seed: Seed passed to the stand-ins.
         versions: Versions that the engines hold at their start.
+        addresses: Address by process name, of those not at ``LOOPBACK``.
     """
 
     described: Deployment
     seed: int = 1
     versions: tuple[str, ...] = (FIRST_VERSION,)
+    addresses: dict[str, str] = field(factory=dict)
 
     def wait_ready(self) -> None:
         """Waits for the first ready line of every process started so far."""
@@ -111,4 +113,4 @@
 
     def client(self, name: str, token: str = OPERATOR_TOKEN) -> JsonClient:
         """Returns a JSON client of a process."""
-        return JsonClient(LOOPBACK, self.ports[name], token)
+        return JsonClient(self.addresses.get(name, LOOPBACK), self.ports[name], token)
