Write one page over the scenarios that were run

make scenarios printed a line for each and kept nothing. It writes build/scenarios.html and .json now, anew after each scenario, so that an interrupted run leaves what it got. The promises come from the tables of docs/PROMISES.md; a second list in the scenario files was ruled out, as the two would part. The page is the table that the time line is written with.

All scenarios in one run were not run.

--- /dev/null
+++ b/benchmarks/scenario_page.py
@@ -0,0 +1,85 @@
+"""One page over all scenarios that were run, with the promises that they serve."""
+
+from __future__ import annotations
+
+import fnmatch
+import json
+import re
+from collections.abc import Iterable
+from pathlib import Path
+
+from attrs import asdict, frozen
+
+from benchmarks.timeline_page import timeline_page
+
+PASSED = "passed"
+FAILED = "failed"
+PROMISES = Path(__file__).resolve().parent.parent / "docs" / "PROMISES.md"
+EVERY_SCENARIO = "every scenario"
+_NAME = re.compile(r"`([\w*]+)`")
+
+
+@frozen
+class ScenarioResult:
+    """What came of one scenario.
+
+    Attributes:
+        scenario: Name of the scenario.
+        result: ``passed`` or ``failed``.
+        seed: Its seed, None if its file could not be read.
+        duration_s: Seconds that it took, start of the processes included.
+        promises: The promises and failures that it is listed for.
+        faults: What the checker found, or the error that ended it.
+    """
+
+    scenario: str
+    result: str
+    seed: int | None
+    duration_s: float
+    promises: tuple[str, ...]
+    faults: tuple[str, ...] = ()
+
+
+def promises_of(scenario: str, text: str) -> tuple[str, ...]:
+    """Returns the promises and failures that list a scenario.
+
+    Args:
+        scenario: Name of the scenario.
+        text: Contents of ``PROMISES.md``; the last column of its tables of promises
+            and failures names scenarios.
+    """
+    found = []
+    is_listing = False
+    for line in text.splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if not line.startswith("|"):
+            is_listing = False
+        elif cells[-1] == "scenario":
+            is_listing = True
+        elif is_listing and _serves(scenario, cells[-1]):
+            found.append(cells[0])
+    return tuple(found)
+
+
+def _serves(scenario: str, cell: str) -> bool:
+    if cell == EVERY_SCENARIO:
+        return True
+    return any(fnmatch.fnmatchcase(scenario, name) for name in _NAME.findall(cell))
+
+
+def write_page(results: Iterable[ScenarioResult], folder: Path) -> None:
+    """Writes ``scenarios.html`` and ``scenarios.json``."""
+    rows = [asdict(result) for result in results]
+    folder.mkdir(exist_ok=True)
+    (folder / "scenarios.json").write_text(json.dumps(rows, indent=1))
+    shown = [
+        {
+            **row,
+            "promises": "; ".join(row["promises"]),
+            "faults": "; ".join(row["faults"]),
+        }
+        for row in rows
+    ]
+    failed = sum(row["result"] == FAILED for row in rows)
+    title = f"Scenarios: {len(rows)} run, {failed} failed"
+    (folder / "scenarios.html").write_text(timeline_page(title, shown))
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -9,6 +9,7 @@
 
 import json
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -18,9 +19,18 @@
 from benchmarks.checker import Violation
 from benchmarks.deployments import DEPLOYMENTS
 from benchmarks.process_group import TestbedError
+from benchmarks.scenario_page import (
+    FAILED,
+    PASSED,
+    PROMISES,
+    ScenarioResult,
+    promises_of,
+    write_page,
+)
 from benchmarks.scenario_run import STEPS, Run, Scenario, ScenarioError, Step
 from benchmarks.testbed import Testbed
 
+BUILD_FOLDER = Path(__file__).resolve().parent.parent / "build"
 MAX_STEPS = 100
 
 # Importing these two modules fills the registries of steps and of measures.
@@ -97,19 +107,35 @@
     return "\n".join(["time line:", *(json.dumps(event) for event in events)])
 
 
+def result_of(path: Path) -> ScenarioResult:
+    """Runs one scenario file and prints what came of it."""
+    promises = promises_of(path.stem, PROMISES.read_text(encoding="utf-8"))
+    seed = None
+    faults: tuple[str, ...]
+    start = time.monotonic()
+    try:
+        scenario = load_scenario(path)
+        seed = scenario.seed
+        faults = tuple(map(str, run_scenario(scenario)))
+    except (ScenarioError, TestbedError) as exc:
+        print(exc, file=sys.stderr)
+        faults = (str(exc).partition("\n")[0],)
+    duration_s = round(time.monotonic() - start, 1)
+    result = FAILED if faults else PASSED
+    print(path.name, result, *faults, sep="\n  ", flush=True)
+    return ScenarioResult(path.stem, result, seed, duration_s, promises, faults)
+
+
 def main(arguments: list[str]) -> int:
-    """Runs the named scenario files; returns 1 if any of them fails."""
-    failed = 0
+    """Runs the named scenario files; returns 1 if any of them fails.
+
+    ``build/scenarios.html`` and ``build/scenarios.json`` are written anew after each.
+    """
+    results: list[ScenarioResult] = []
     for path in map(Path, arguments):
-        try:
-            found = run_scenario(load_scenario(path))
-        except (ScenarioError, TestbedError) as exc:
-            print(exc, file=sys.stderr)
-            failed += 1
-            continue
-        failed += bool(found)
-        print(path.name, "failed" if found else "passed", *found, sep="\n  ")
-    return min(failed, 1)
+        results.append(result_of(path))
+        write_page(results, BUILD_FOLDER)
+    return int(any(result.result == FAILED for result in results))
 
 
 if __name__ == "__main__":
