Keep the prefix of a durable request

Cause: an entry rebuilds a durable request from its record, and did so without the digests of its prompt. So it was placed like a request without a prompt, and the entry's table never learned of the copy that it made. Ruled out: that reviews had waited in vain for the holders of their prefix. Change: the digests are computed again from the stored body of a model request.

--- a/cornelpin/daemon/durable.py
+++ b/cornelpin/daemon/durable.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import secrets
 import threading
 import time
@@ -11,6 +12,7 @@
 import attrs
 from loguru import logger
 
+from cornelpin.core.affinity import prefix_digests
 from cornelpin.core.claims import (
     NOTHING,
     Change,
@@ -28,6 +30,7 @@
 from cornelpin.core.tickets import Request
 from cornelpin.core.verdict import Reason, Refusal, Verdict
 from cornelpin.daemon.blobs import Answer, StoredCall
+from cornelpin.daemon.http.acceptance import prompt_of
 from cornelpin.daemon.http.answers import join_events, stream_events
 from cornelpin.daemon.http.wsgi import JSON_TYPE
 from cornelpin.daemon.ledger import CHANGE_TIMEOUT_S
@@ -206,7 +209,7 @@
 
     def _open(self, record: Record, call: StoredCall) -> Exchange:
         answers_s = self._process.view.config.retention.answers_s
-        req = _request(record, call, answers_s)
+        req = stored_request(record, call, answers_s)
         if record.state is ClaimState.DISPATCHED:
             exchange = self._dispatcher.adopt(
                 req,
@@ -293,7 +296,9 @@
         self._ledger.apply(record.key, change, timeout_s=None)
 
 
-def _request(record: Record, call: StoredCall, timeout_s: float) -> Request:
+def stored_request(record: Record, call: StoredCall, timeout_s: float) -> Request:
+    """Returns the request of a record, with the prefix of its prompt."""
+    prompt = prompt_of(json.loads(call.body)) if call.kind == "model" else b""
     return Request(
         request_id=record.request_id,
         workspace=record.workspace,
@@ -309,6 +314,8 @@
         max_wait_s=timeout_s,
         idempotent=call.idempotent,
         fingerprint=call.fingerprint,
+        prefix=prefix_digests(record.workspace, prompt),
+        prompt_bytes=len(prompt),
         keep=True,
     )
 
--- a/cornelpin/tests/test_ranking.py
+++ b/cornelpin/tests/test_ranking.py
@@ -1,11 +1,16 @@
 from __future__ import annotations
 
+import json
 import types
 
+import attrs
 import pytest
 
 from cornelpin.core.affinity import BLOCK_BYTES, PrefixTable, homes, prefix_digests
+from cornelpin.core.claims import ClaimState, Record
 from cornelpin.core.ranking import Standing, Work, rank
+from cornelpin.daemon.blobs import StoredCall
+from cornelpin.daemon.durable import stored_request
 from cornelpin.daemon.links import Endpoint, Link
 from cornelpin.daemon.messages import Heartbeat
 from cornelpin.daemon.preferences import EXPLORE_EVERY, Preferences
@@ -108,6 +113,29 @@
     assert not preferences.holders(_request(b"short"), links)
 
 
+def test_a_stored_request_keeps_the_prefix_of_its_prompt() -> None:
+    prompt = PROMPT.decode()
+    call = StoredCall(
+        route="r",
+        version="",
+        tier="t",
+        kind="model",
+        method="POST",
+        path="/v1/completions",
+        headers={},
+        body=json.dumps({"model": "r", "prompt": prompt}).encode(),
+        cost=600,
+        idempotent=False,
+        streamed=False,
+    )
+    record = Record("k", "q", "w", "", "o", "e1", "i", ClaimState.ACCEPTED, 0.0)
+    request = stored_request(record, call, 30.0)
+    assert request.prefix == prefix_digests("w", PROMPT)
+    assert request.prompt_bytes == len(PROMPT)
+    service = attrs.evolve(call, kind="service", body=b"not JSON")
+    assert not stored_request(record, service, 30.0).prefix
+
+
 def test_entries_agree_on_the_next_copy_of_a_prefix() -> None:
     links = _links("a", "b", "c", "d")
     request = _request(PROMPT)
