Bind durable requests to fast servers only

Change: durable requests are bound to servers whose time between tokens is at most 1.75 times the fastest one's; homes follow. After the bound time they may go anywhere.

--- a/cornelpin/daemon/preferences.py
+++ b/cornelpin/daemon/preferences.py
@@ -25,6 +25,9 @@
 BINDING_STEPS = 2
 # A server binds requests if it holds at least this share of the longest known prefix.
 HELD_SHARE = 0.5
+# Durable requests are long, so that a slow server costs more than a prefix saves. They
+# are bound to servers whose tokens take at most this factor of the fastest ones'.
+DURABLE_PACE_FACTOR = 1.75
 
 
 def binding_s(max_wait_s: float) -> float:
@@ -84,6 +87,8 @@
         """
         if not req.prefix:
             return []
+        if req.keep:
+            links = _fast(links)
         by_name = {link.name: link for link in links if link.answers}
         known = self.prefixes.held_bytes(req.prefix)
         held = {name: known[name] for name in known if name in by_name}
@@ -117,6 +122,14 @@
     return Standing(link.name, state.token_s, busy / max(1, state.slots))
 
 
+def _fast(links: list[Link]) -> list[Link]:
+    """Returns the links to servers that are not measured much slower than others."""
+    paces = {link.name: link.state.token_s for link in links if link.state is not None}
+    fastest_s = min((pace for pace in paces.values() if pace), default=0.0)
+    limit_s = fastest_s * DURABLE_PACE_FACTOR
+    return [link for link in links if paces.get(link.name, 0.0) <= limit_s]
+
+
 def _homes(req: Request, links: list[Link]) -> list[str]:
     """Returns the names of the links in the order of a prefix not seen yet."""
     return homes(req.prefix, {link.name: _capacity(link) for link in links})
--- a/cornelpin/tests/test_ranking.py
+++ b/cornelpin/tests/test_ranking.py
@@ -94,7 +94,9 @@
 
 def _request(prompt: bytes) -> types.SimpleNamespace:
     prefix = prefix_digests("w", prompt)
-    return types.SimpleNamespace(prefix=prefix, prompt_bytes=len(prompt), cost=600)
+    return types.SimpleNamespace(
+        prefix=prefix, prompt_bytes=len(prompt), cost=600, keep=False
+    )
 
 
 def test_requests_are_bound_to_the_holders_of_their_prefix() -> None:
@@ -113,6 +115,19 @@
     assert not preferences.holders(_request(b"short"), links)
 
 
+def test_a_durable_request_is_not_bound_to_a_slow_server() -> None:
+    links = _links("a", "b", "c")
+    request = _request(PROMPT)
+    preferences = Preferences()
+    slow = preferences.holders(request, links)[0]
+    preferences.note(request, slow)
+    slow.on_state(Heartbeat(1, False, 8, 8, 0, [], 0.02, 0.0))
+    assert preferences.holders(request, links) == [slow]
+    request.keep = True
+    assert len(preferences.holders(request, links)) == 1
+    assert slow not in preferences.holders(request, links)
+
+
 def test_a_stored_request_keeps_the_prefix_of_its_prompt() -> None:
     prompt = PROMPT.decode()
     call = StoredCall(
