--- a/cornelpin/tests/test_ranking.py
+++ b/cornelpin/tests/test_ranking.py
@@ -1,11 +1,16 @@
 from __future__ import annotations
 
+import json
 import types
 
+import attrs
 import pytest
 
 from cornelpin.core.affinity import BLOCK_BYTES, PrefixTable, homes, prefix_digests
+from cornelpin.core.claims import ClaimState, Record
 from cornelpin.core.ranking import Standing, Work, rank
+from cornelpin.daemon.blobs import StoredCall
+from cornelpin.daemon.durable import stored_request
 from cornelpin.daemon.links import Endpoint, Link
 from cornelpin.daemon.messages import Heartbeat
 from cornelpin.daemon.preferences import EXPLORE_EVERY, Preferences
@@ -89,7 +94,9 @@
 
 def _request(prompt: bytes) -> types.SimpleNamespace:
     prefix = prefix_digests("w", prompt)
-    return types.SimpleNamespace(prefix=prefix, prompt_bytes=len(prompt), cost=600)
+    return types.SimpleNamespace(
+        prefix=prefix, prompt_bytes=len(prompt), cost=600, keep=False
+    )
 
 
 def test_requests_are_bound_to_the_holders_of_their_prefix() -> None:
@@ -108,6 +115,42 @@
     assert not preferences.holders(_request(b"short"), links)
 
 
+def test_a_durable_request_is_not_bound_to_a_slow_server() -> None:
+    links = _links("a", "b", "c")
+    request = _request(PROMPT)
+    preferences = Preferences()
+    slow = preferences.holders(request, links)[0]
+    preferences.note(request, slow)
+    slow.on_state(Heartbeat(1, False, 8, 8, 0, [], 0.02, 0.0))
+    assert preferences.holders(request, links) == [slow]
+    request.keep = True
+    assert len(preferences.holders(request, links)) == 1
+    assert slow not in preferences.holders(request, links)
+
+
+def test_a_stored_request_keeps_the_prefix_of_its_prompt() -> None:
+    prompt = PROMPT.decode()
+    call = StoredCall(
+        route="r",
+        version="",
+        tier="t",
+        kind="model",
+        method="POST",
+        path="/v1/completions",
+        headers={},
+        body=json.dumps({"model": "r", "prompt": prompt}).encode(),
+        cost=600,
+        idempotent=False,
+        streamed=False,
+    )
+    record = Record("k", "q", "w", "", "o", "e1", "i", ClaimState.ACCEPTED, 0.0)
+    request = stored_request(record, call, 30.0)
+    assert request.prefix == prefix_digests("w", PROMPT)
+    assert request.prompt_bytes == len(PROMPT)
+    service = attrs.evolve(call, kind="service", body=b"not JSON")
+    assert not stored_request(record, service, 30.0).prefix
+
+
 def test_entries_agree_on_the_next_copy_of_a_prefix() -> None:
     links = _links("a", "b", "c", "d")
     request = _request(PROMPT)
