--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -13,7 +13,8 @@
 from cornelpin.core.affinity import prefix_digests
 from cornelpin.core.choice import subset
 from cornelpin.core.tickets import Request, Ticket
-from cornelpin.daemon.links import Endpoint, Link
+from cornelpin.daemon.endpoints import Endpoint
+from cornelpin.daemon.links import Link
 from cornelpin.daemon.messages import Heartbeat
 from cornelpin.daemon.placement import Placement
 from cornelpin.daemon.preferences import Preferences
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -18,6 +18,11 @@
 )
 from cornelpin.daemon.census_messages import CensusAsk, CensusReply
 from cornelpin.daemon.dispatch import Dispatcher
+from cornelpin.daemon.endpoints import (
+    neighbour_endpoints,
+    seed_endpoints,
+    side_endpoints,
+)
 from cornelpin.daemon.entry_moves import EntryMoves
 from cornelpin.daemon.host_messages import HostsLeaving
 from cornelpin.daemon.host_watch import HostWatch
@@ -26,13 +31,7 @@
 from cornelpin.daemon.http.callers import CallerApi
 from cornelpin.daemon.http.server import HttpServer
 from cornelpin.daemon.http.wsgi import as_wsgi
-from cornelpin.daemon.links import (
-    Link,
-    LinkTable,
-    neighbour_endpoints,
-    seed_endpoints,
-    side_endpoints,
-)
+from cornelpin.daemon.links import Link, LinkTable
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.liveness import TICK_S, Pinger
 from cornelpin.daemon.messages import EventsAsk, EventsReply, Heartbeat
--- a/cornelpin/daemon/links.py
+++ b/cornelpin/daemon/links.py
@@ -6,10 +6,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-import attrs
 from loguru import logger
 
-from cornelpin.core.choice import covered, subset, subset_size
 from cornelpin.daemon.messages import Heartbeat, ProtocolError
 from cornelpin.daemon.peer import PeerClosed, connect
 
@@ -17,9 +15,9 @@
     from collections.abc import Callable, Mapping
 
     from cornelpin.core.config import Config
+    from cornelpin.daemon.endpoints import Endpoint
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
-    from cornelpin.daemon.settings import Settings
 
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
@@ -28,71 +26,6 @@
 RETIRED_FOR_S = 2.0
 
 
-@attrs.frozen
-class Endpoint:
-    """Where a process listens for peers.
-
-    Attributes:
-        address: Address and port as ``ip:port``.
-        data_centre: Data centre of its host.
-    """
-
-    address: str
-    data_centre: str
-
-
-def side_endpoints(config: Config, name: str, data_centre: str) -> dict[str, Endpoint]:
-    """Returns the sides that an entry is linked to, by backend server.
-
-    They are a bounded subset for each route, and one of the backend servers that
-    belong to no route.
-    """
-    known = _endpoints(config, config.backend_servers)
-    routed = [set(route.backend_servers) for route in config.routes.values()]
-    pools = [*routed, set(known).difference(*routed)]
-    chosen: set[str] = set()
-    size = subset_size(len(routed))
-    for pool in pools:
-        centres = {s: known[s].data_centre for s in pool if s in known}
-        chosen.update(subset(name, data_centre, centres, size=size))
-    chosen.update(covered(name, config.entries, known))
-    return {server: known[server] for server in sorted(chosen)}
-
-
-def neighbour_endpoints(config: Config, name: str) -> dict[str, Endpoint]:
-    """Returns the entries that an entry keeps links to.
-
-    The entries form a ring in order of their names; each one is linked to those at
-    distances 1, 2, 4 and so on, so that the links of an entry and the hops to any
-    other both grow with the logarithm of their number.
-    """
-    ring = sorted(config.entries)
-    if name not in ring:
-        return {}
-    start = ring.index(name)
-    distances = [1 << power for power in reversed(range(len(ring).bit_length()))]
-    chosen = [ring[(start + d) % len(ring)] for d in distances if d < len(ring)]
-    return _endpoints(config, {n: config.entries[n] for n in chosen})
-
-
-def seed_endpoints(settings: Settings) -> dict[str, Endpoint]:
-    """Returns the entries to learn from before a configuration is known."""
-    own = f"{settings.address}:{settings.peer_port}"
-    return {
-        f"seed-{seed}": Endpoint(seed, "") for seed in settings.seeds if seed != own
-    }
-
-
-def _endpoints(config: Config, listed: Mapping[str, Any]) -> dict[str, Endpoint]:
-    found = {}
-    for name, item in listed.items():
-        host = config.hosts.get(item.host)
-        if host is not None:
-            address = f"{host.address}:{item.peer_port}"
-            found[name] = Endpoint(address, host.data_centre)
-    return found
-
-
 class Link:
     """The link to one side: its current session and last announced state."""
 
--- a/cornelpin/tests/test_links.py
+++ b/cornelpin/tests/test_links.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cornelpin.daemon import links
-from cornelpin.daemon.links import Endpoint, LinkTable
+from cornelpin.daemon.endpoints import Endpoint
+from cornelpin.daemon.links import LinkTable
 
 WANTED = {"f1": Endpoint("127.0.0.1:1", "dc-1")}
 
--- a/cornelpin/tests/test_ranking.py
+++ b/cornelpin/tests/test_ranking.py
@@ -6,7 +6,8 @@
 
 from cornelpin.core.affinity import BLOCK_BYTES, PrefixTable, homes, prefix_digests
 from cornelpin.core.ranking import Standing, Work, rank
-from cornelpin.daemon.links import Endpoint, Link
+from cornelpin.daemon.endpoints import Endpoint
+from cornelpin.daemon.links import Link
 from cornelpin.daemon.messages import Heartbeat
 from cornelpin.daemon.preferences import EXPLORE_EVERY, Preferences
 
--- a/properties/dispatch_fakes.py
+++ b/properties/dispatch_fakes.py
@@ -15,7 +15,8 @@
 from cornelpin.core.clock import HybridClock
 from cornelpin.core.events import EventRing
 from cornelpin.daemon.admission import Admission
-from cornelpin.daemon.links import Endpoint, Link
+from cornelpin.daemon.endpoints import Endpoint
+from cornelpin.daemon.links import Link
 from cornelpin.daemon.runner import Runner
 from cornelpin.daemon.runs import RunTable
 from cornelpin.daemon.side import Side
