Keep leases alive in the test of cancelling

The other entries' leases expired within the wait, so the entry scanned all shards and the test could not fail.

--- a/cornelpin/tests/test_durable.py
+++ b/cornelpin/tests/test_durable.py
@@ -29,7 +29,7 @@
     route="r",
     version="",
     tier="review",
-    kind="model",
+    kind="service",
     method="POST",
     path="/",
     headers={},
@@ -125,10 +125,12 @@
     return outcome.record
 
 
-def wait_until_stopped(entry: FakeEntry) -> None:
+def wait_until_stopped(entries: list[FakeEntry]) -> None:
     def stopped() -> bool:
-        entry.requests.scan()
-        return len(entry.requests) == 0
+        for entry in entries:
+            entry.leases.refresh()
+        entries[0].requests.scan()
+        return len(entries[0].requests) == 0
 
     wait_until(stopped, WAIT_S, "the request stops")
 
@@ -158,7 +160,7 @@
     outcome = entries[at].ledger.apply(key, cancel("w", at=time.time()))
     assert isinstance(outcome, Held)
     assert outcome.record.state is ClaimState.CANCELLED
-    wait_until_stopped(entries[0])
+    wait_until_stopped(entries)
     found = entries[2].ledger.find(key, max_age_s=0.0)
     assert found is not None
     assert found.state is ClaimState.CANCELLED
@@ -176,4 +178,4 @@
     assert found is not None
     assert found.state is ClaimState.ACCEPTED
     entries[1].ledger.apply("k", cancel("w", at=time.time()))
-    wait_until_stopped(entries[0])
+    wait_until_stopped(entries)
