--- a/cornelpin/tests/test_ranking.py
+++ b/cornelpin/tests/test_ranking.py
@@ -11,7 +11,8 @@
 from cornelpin.core.ranking import Standing, Work, rank
 from cornelpin.daemon.blobs import StoredCall
 from cornelpin.daemon.durable import stored_request
-from cornelpin.daemon.links import Endpoint, Link
+from cornelpin.daemon.endpoints import Endpoint
+from cornelpin.daemon.links import Link
 from cornelpin.daemon.messages import Heartbeat
 from cornelpin.daemon.preferences import EXPLORE_EVERY, Preferences
 
