--- a/benchmarks/testbed.py
+++ b/benchmarks/testbed.py
@@ -5,7 +5,6 @@
 import itertools
 import json
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 from attrs import define, field
@@ -57,24 +56,10 @@
 
     __test__ = False
 
-    def __enter__(self) -> Testbed:
+    def start(self) -> None:
         """Starts everything and submits the first configuration."""
-        try:
-            self.start_standins()
-            self.start_system()
-        except BaseException:
-            self.close()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        value: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Ends every process that was started."""
-        self.close()
+        self.start_standins()
+        self.start_system()
 
     # Processes of cornelpin
 
