Send a request elsewhere than to the side that refused it

The trace shows a suspected content granted to the side of the dead engine f1 five times, each grant answered "not run", until its wait was over: that side has all slots free, so it ranked first each time, and a suspect asks one side only. Ruled out: the suspicion itself, which all sides had. Other requests lost half a second for each such grant. Change: a side that refused a grant of a request for want of a server is asked again only when every other one has refused it, too.

--- a/cornelpin/daemon/exchange.py
+++ b/cornelpin/daemon/exchange.py
@@ -198,6 +198,8 @@
             taken_back = self._ticket.take_back(link, msg.attempt)
             if taken_back and msg.reason == Reason.QUARANTINED.value:
                 raise self._refusal(Reason.QUARANTINED, QUARANTINE_DETAIL)
+            if msg.reason == Reason.NO_SERVER.value:
+                self._placement.refused_by.add(link)
             self._place()
             return
         self._ticket.release(link)
--- a/cornelpin/daemon/placement.py
+++ b/cornelpin/daemon/placement.py
@@ -48,6 +48,7 @@
         self._runs_alone = runs_alone
         self._preferences = preferences
         self.shed_by: set[Link] = set()
+        self.refused_by: set[Link] = set()
         self._began = time.monotonic()
         self._wait_s = wait_s
         self.wait_until = self._began + wait_s
@@ -63,6 +64,7 @@
         self._choose_version(self._ticket, usable)
         version = self._ticket.version
         usable = [link for link in usable if not link.lacks_version(version)]
+        usable = self._willing(usable)
         alone = self._runs_alone(self._req)
         if not alone:
             usable = self._bound(usable)
@@ -81,6 +83,13 @@
             if self._ticket.reserve(link):
                 link.send(self._reserve_message(rank))
 
+    def _willing(self, usable: list[Link]) -> list[Link]:
+        """Returns the sides that did not refuse a grant, or all if each one did.
+
+        A side whose backend server is gone has free slots and is soon first again.
+        """
+        return [link for link in usable if link not in self.refused_by] or usable
+
     def _bound(self, usable: list[Link]) -> list[Link]:
         """Returns the sides to wait for: at first those that hold the prefix."""
         waited_s = time.monotonic() - self._began
