Take the bed of the claims tests out of one test file

Change: properties/claims_bed.py has the delayed store, the record and the shard that both use; no check is touched.

--- a/properties/test_claims.py
+++ b/properties/test_claims.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
 
 import attrs
 import pytest
@@ -10,7 +9,6 @@
 
 from cornelpin.core.claim_segments import SEGMENT_PREFIX, parse_segment_key
 from cornelpin.core.claim_shards import (
-    Retention,
     StoredShard,
     decode_shard,
     encode_shard,
@@ -35,22 +33,23 @@
 )
 from cornelpin.daemon.garbage import GarbageCollector
 from cornelpin.daemon.pending_changes import PendingChange
-from cornelpin.daemon.sealing import SealLimits
 from cornelpin.daemon.shard_reader import ShardCopy
 from cornelpin.daemon.shard_writer import ShardWriter
-from cornelpin.daemon.write_budget import WriteBudget
 from cornelpin.platform.memory_objects import MemoryObjectStore
-from cornelpin.platform.objects import Conflict, Listed, Unavailable, Unknown, Written
+from cornelpin.platform.objects import Listed
+from properties.claims_bed import (
+    KEEP,
+    SHARD,
+    DelayedWrites,
+    new_record,
+    open_shard,
+)
 from properties.claims_model import KEEP_S, UNFINISHED_S, NaiveClaims
 from properties.profiles import run_settings
 
 OWNERS = ("e1", "e2", "e3")
 KEYS = ("k1", "k2", "k3", "k4", "k5", "k6")
-SHARD = 0
 TRIES = 8
-KEEP = Retention(answers_s=3600.0, claims_s=KEEP_S)
-# So small that a few records are sealed and a few segments are joined.
-TINY = SealLimits(above_bytes=200, least_bytes=150, segment_bytes=500)
 AGES_S = (1800.0, KEEP_S - 1000.0, KEEP_S + 10.0, KEEP_S + UNFINISHED_S + 10.0)
 MACHINE_SETTINGS = run_settings(
     300,
@@ -59,69 +58,6 @@
 )
 
 
-class DelayedWrites(MemoryObjectStore):
-    """A store whose lost writes may yet take effect, any time later.
-
-    Attributes:
-        delay_writes: How many next writes are delayed.
-        delay_keys: Prefix of the keys whose writes are delayed.
-        delayed: The delayed writes.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.delay_keys = ""
-        self.delay_writes = 0
-        self.delayed: list[tuple[str, bytes, int | None]] = []
-
-    def put(
-        self, key: str, value: bytes, *, if_version: int | None
-    ) -> Written | Conflict | Unavailable | Unknown:
-        if (
-            self.delay_writes > 0
-            and not self.outage
-            and key.startswith(self.delay_keys)
-        ):
-            self.delay_writes -= 1
-            self.delayed.append((key, value, if_version))
-            return Unknown("delayed")
-        return super().put(key, value, if_version=if_version)
-
-    def deliver(self) -> None:
-        key, value, if_version = self.delayed.pop(0)
-        lost = self.lose_answers, self.lose_writes
-        self.lose_answers = self.lose_writes = 0
-        super().put(key, value, if_version=if_version)
-        self.lose_answers, self.lose_writes = lost
-
-
-def new_record(
-    key: str, owner: str, state: ClaimState, at: float | None = None
-) -> Record:
-    return Record(
-        key=key,
-        request_id=key,
-        workspace="w",
-        fingerprint="f",
-        owner=owner,
-        entry=owner.partition(":")[0],
-        incarnation="i",
-        state=state,
-        at=time.time() if at is None else at,
-        durable=state is ClaimState.ACCEPTED,
-    )
-
-
-def open_shard(
-    store: MemoryObjectStore,
-    *,
-    limits: SealLimits = TINY,
-    clock: Callable[[], float] = time.time,
-) -> ShardWriter:
-    budget = WriteBudget(1e6, 1e6)
-    return ShardWriter(SHARD, store, budget, lambda: KEEP, limits=limits, clock=clock)
-
-
 @attrs.define
 class Work:
     """A request that an owner holds but has not dispatched yet."""
--- a/properties/test_segments.py
+++ b/properties/test_segments.py
@@ -42,9 +42,9 @@
     Unknown,
     Written,
 )
+from properties.claims_bed import KEEP, SHARD, DelayedWrites, new_record, open_shard
 from properties.claims_model import KEEP_S
 from properties.profiles import run_settings
-from properties.test_claims import KEEP, SHARD, DelayedWrites, new_record, open_shard
 
 DISPATCHED, ACCEPTED = ClaimState.DISPATCHED, ClaimState.ACCEPTED
 OLD_SHARD_RECORDS = 4_700
