--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -12,8 +12,9 @@
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.endpoints import MetricsEndpoint, ReadyEndpoint
-from cornelpin.gateway.peers import Peer, Peers
+from cornelpin.gateway.peers import Peers
 from cornelpin.gateway.relay import Relay
+from cornelpin.gateway.rollouts import RolloutKeeper
 from cornelpin.gateway.scheduler import Scheduler
 from cornelpin.gateway.snapshots import SnapshotServer
 from cornelpin.gateway.state import GatewayState
@@ -78,9 +79,7 @@
             state=self._told,
             news=self._news,
             ages=lambda: self._view.ages(),
-            rarely=lambda: {
-                "shares": self.scheduler.dispatcher.shares(time.monotonic())
-            },
+            shares=lambda: self.scheduler.dispatcher.shares(time.monotonic()),
             on_message=self._on_peer,
         )
         self.state = GatewayState(
@@ -93,12 +92,20 @@
             self.state.servers,
             self.state.pool,
             self.peers,
+            self.state.rollouts,
             settings.data_centre,
         )
-        self.relay = Relay(self.state, self.scheduler)
         self.store = Store(settings.store)
+        self.rollouts = RolloutKeeper(
+            self.store, self.peers, self.state.rollouts, urgent=self.peers.flush
+        )
+        self.relay = Relay(self.state, self.scheduler, self.rollouts)
         self._view = StoreView(
-            self.store, self.state, self.peers, pump=self.scheduler.pump_all
+            self.store,
+            self.state,
+            self.peers,
+            self.rollouts,
+            pump=self.scheduler.pump_all,
         )
         self._snapshots = SnapshotServer(self._view.copy)
         self._connections: set[ClientConnection] = set()
@@ -184,6 +191,7 @@
             "keys": self.scheduler.dispatcher.waiting_keys(),
             "used": {k: round(v) for k, v in self.state.quotas.used.items()},
             "versions": self._view.revisions(),
+            "rollouts": self.state.rollouts.told(time.monotonic()),
         }
 
     def _news(self) -> dict[str, Any]:
@@ -193,14 +201,17 @@
         }
         return {part: told for part, told in news.items() if told}
 
-    def _on_peer(self, host: str, peer: Peer, message: dict[str, Any]) -> None:
+    def _on_peer(self, host: str, incarnation: str, message: dict[str, Any]) -> None:
+        """Takes what another entry has told, or a whole data centre."""
         used = message.get("used")
         if used:
-            self.state.quotas.peer_used((host, peer.incarnation), used)
+            self.state.quotas.peer_used((host, incarnation), used)
         if "refused" in message:
             self.state.returns.heard(message["refused"], time.monotonic())
         if "broken" in message:
             self.state.suspects.heard(message["broken"], time.monotonic())
+        if "rollouts" in message:
+            self.rollouts.heard((host, incarnation), message["rollouts"])
         if "shares" in message:
             dispatcher = self.scheduler.dispatcher
             dispatcher.heard_shares(host, message["shares"], time.monotonic())
@@ -232,6 +243,7 @@
             self.scheduler.pump_all()
             self.peers.beat()
             await self._view.catch_up()
+            await self.rollouts.state_outcomes()
 
     async def _housekeeping(self) -> None:
         from cornelpin.gateway.metrics import Metrics
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -21,9 +21,11 @@
 )
 from cornelpin.gateway.scheduler import Place, Refused, Scheduler
 from cornelpin.platform import backend_headers, resume_headers
+from cornelpin.scheduling.rollouts import MIN_TIME_S
 from cornelpin.scheduling.routing import Repeat
 
 if TYPE_CHECKING:
+    from cornelpin.gateway.rollouts import RolloutKeeper
     from cornelpin.gateway.state import GatewayState
     from cornelpin.http1.client import Headers
     from cornelpin.http1.server import ClientRequest, Responder
@@ -69,6 +71,7 @@
         begun: Whether a part of an answer was passed on.
         events: Events that were passed on.
         first_ms: Time from its arrival to the first bytes of an answer.
+        pause_ms: Longest pause between two events.
         waited_s: Time for which it waited for slots.
         server: Id of the last server.
         failure: A server's own failure, passed on if nothing better comes.
@@ -82,11 +85,20 @@
     begun: bool = False
     events: int = 0
     first_ms: int | None = None
+    pause_ms: int = 0
     waited_s: float = 0.0
     server: str = ""
     failure: Answer | None = None
     reasons: list[str] = attrs.field(factory=list)
 
+    def late(self, job: Job) -> bool:
+        """Returns whether an answer missed its route's objective or a pause."""
+        if self.first_ms is None:
+            return False
+        pause_s = job.route.pause_s
+        paused = pause_s is not None and self.pause_ms > 1e3 * pause_s
+        return paused or job.arrived + self.first_ms / 1e3 > job.objective
+
 
 @attrs.define(kw_only=True)
 class Attempts:
@@ -95,22 +107,26 @@
     Attributes:
         state: What the entry believes and shares.
         scheduler: Hands out slots.
+        rollouts: Judges new versions by what comes of their sends.
         job: The request as the scheduler sees it.
         req: The request as it came.
         responder: Writes its answer.
         workspace: The caller's workspace.
         progress: What has been done so far.
         place: The slot of the present send.
+        sent_at: Monotonic time of that send.
     """
 
     state: GatewayState
     scheduler: Scheduler
+    rollouts: RolloutKeeper
     job: Job
     req: ClientRequest
     responder: Responder
     workspace: Workspace | None
     progress: Progress
     place: Place | None = None
+    sent_at: float = 0.0
 
     async def run(self) -> int:
         """Sends until there is an answer; returns its status."""
@@ -198,6 +214,8 @@
         exchange = Exchange(self.state.pool, place.server, sent, self, silence)
         ran_before = self.progress.may_have_run
         self.progress.may_have_run = True
+        self.sent_at = time.monotonic()
+        self.state.rollouts.sent(place.server)
         try:
             outcome = await exchange.run(stream=stream)
         finally:
@@ -222,6 +240,14 @@
     def _learn(self, place: Place, outcome: Outcome) -> None:
         self.state.count_send(place.server, type(outcome).__name__)
         standing = self.scheduler.dispatcher.standing(place.server)
+        if not isinstance(outcome, NotRun):
+            failed = isinstance(outcome, Broken) or outcome.answer.status >= 500
+            self.rollouts.ended(
+                place.server,
+                self.job.route.name,
+                failed=failed,
+                took_s=None if failed else self._relative_time(),
+            )
         match outcome:
             case Answered(answer=answer):
                 if answer.status >= 500:
@@ -238,6 +264,13 @@
             case NotRun():
                 standing.failed()
 
+    def _relative_time(self) -> float:
+        """Returns the time of the present run, of a stream that for its work."""
+        took_s = max(MIN_TIME_S, time.monotonic() - self.sent_at)
+        if not self.job.stream:
+            return took_s
+        return took_s / self.job.work(self.progress.events)
+
     def _conclude(self, outcome: Outcome) -> int | None:
         """Ends the request, or returns None if it is to be sent again."""
         progress = self.progress
@@ -327,5 +360,6 @@
 
     def gap(self, took_s: float) -> None:
         """Tells the scheduler the pause before an event."""
+        self.progress.pause_ms = max(self.progress.pause_ms, round(1e3 * took_s))
         if self.place is not None:
             self.scheduler.dispatcher.pace(self.place.server).gap(took_s)
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -1,4 +1,8 @@
-"""Messages between entries: what each has in flight, waiting and used."""
+"""Messages between entries: what each has in flight, waiting and used.
+
+Entries of one data centre tell each other every change; between data centres relays
+exchange summaries. What must be known at once goes to everybody directly.
+"""
 
 from __future__ import annotations
 
@@ -7,60 +11,51 @@
 import time
 from typing import TYPE_CHECKING, Any, cast
 
-import attrs
 import msgpack
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.circle import Circle
+from cornelpin.gateway.peer import Peer
+from cornelpin.gateway.summaries import (
+    BACKUP_FACTOR,
+    BUSY_INTERVAL_S,
+    CALM_INTERVAL_S,
+    DIGEST_INTERVAL_S,
+    RELAYS,
+    Digest,
+    Summary,
+    shares_of,
+    short_id,
+    sum_up,
+    taken,
+    turn,
+)
 from cornelpin.scheduling.quota import Share
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
 FULL_INTERVAL_S = 3.0
-"""Time between whole states, which heal lost messages and cost bytes between zones."""
-BEAT_INTERVAL_S = 1.0
-"""Longest time between messages, so that a silent entry is noticed."""
+"""Time between whole states to the own data centre, which heal lost messages."""
+GREETING_INTERVAL_S = 12.0
+"""Time between greetings to other data centres: relays tell of each entry meanwhile."""
+RANK_FRESH_S = 0.1
+"""Time for which an entry takes its place among the relays for unchanged."""
+BEAT_INTERVAL_S = 0.4
+"""Longest time between messages to the own data centre, so that a silent entry is
+noticed there and elsewhere."""
 NEAR_SENDS_PER_S = 600
 """Messages a second to the entries of the own data centre while slots are scarce."""
-FAR_SENDS_PER_S = 200
-"""The same to all others: bytes between data centres are dear. With 30 entries in three
-data centres what they know of each other is a tenth of a second old."""
 HEARD_S = 1.5
-"""Silence after which a peer counts as not heard: more than a beat."""
+"""Silence after which a peer counts as not heard: more than two beats and a digest."""
 KEYS_HEARD_S = 1.2
 """Silence after which a peer's waiting requests no longer count."""
 TIMER_SLACK_S = 0.002
 """Time by which a message may go early rather than need a timer of its own."""
 KNOWN_S = 15.0
 """Silence after which a peer is forgotten: longer than a restart."""
-
-
-@attrs.define
-class Peer:
-    """What one other entry has told.
-
-    Attributes:
-        ip: Its address.
-        data_centre: Where it is.
-        incarnation: Random id of its process.
-        sequence: Number of its last message.
-        heard: Monotonic time of its last message.
-        in_flight: Requests and unread prompt tokens by server.
-        keys: Keys of its waiting requests by service, ascending.
-        versions: Revisions that it has in force, by kind.
-        seen: Monotonic times at which the store last told it of a kind.
-    """
-
-    ip: str
-    data_centre: str
-    incarnation: str
-    sequence: int = -1
-    heard: float = 0.0
-    in_flight: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    keys: dict[str, list[float]] = attrs.field(factory=dict)
-    versions: dict[str, int] = attrs.field(factory=dict)
-    seen: dict[str, float] = attrs.field(factory=dict)
+NEWS = ("refused", "broken")
+"""Parts of messages that are told once."""
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -73,9 +68,10 @@
         port: Port that all entries use for these messages.
         state: Returns this entry's whole state to tell.
         news: Returns what is told once.
-        rarely: Returns what is told with whole states only.
+        shares: Returns how well each kind of request was served here.
         ages: Returns how long ago the store last told of each kind; told each time.
-        on_message: Called with each peer and its message once it is taken in.
+        on_message: Called with the host and incarnation of an entry, or with a data
+            centre and an empty word, and what was told, once that is taken in.
     """
 
     def __init__(
@@ -87,9 +83,9 @@
         *,
         state: Callable[[], dict[str, Any]],
         news: Callable[[], dict[str, Any]],
-        rarely: Callable[[], dict[str, Any]],
+        shares: Callable[[], dict[str, dict[str, list[float]]]],
         ages: Callable[[], dict[str, float]],
-        on_message: Callable[[str, Peer, dict[str, Any]], None],
+        on_message: Callable[[str, str, dict[str, Any]], None],
     ) -> None:
         self.host = host
         self.incarnation = secrets.token_hex(4)
@@ -98,16 +94,24 @@
         self._port = port
         self._state = state
         self._news = news
-        self._rarely = rarely
+        self._shares = shares
         self._ages = ages
         self._on_message = on_message
         self._peers: dict[str, Peer] = {}
         self._totals: dict[str, list[int]] = {}
+        self._summaries: dict[str, Summary] = {}
         self._near = Circle(NEAR_SENDS_PER_S)
-        self._far = Circle(FAR_SENDS_PER_S)
+        self._far: set[str] = set()
+        self._far_news: dict[str, list[Any]] = {}
+        self._rank: tuple[float, int | None] = (float("-inf"), None)
+        self._shares_at = 0.0
+        self._digest = Digest()
+        self._digest_at = 0.0
+        self._summed_at = 0.0
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._full_at = 0.0
+        self._greeted_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self.busy = False
         self.malformed = 0
@@ -130,16 +134,16 @@
 
     def add_addresses(self, addresses: Iterable[str]) -> None:
         """Takes addresses at which entries may run."""
-        self._far.addresses |= set(addresses) - self._near.addresses - {self._ip}
+        self._far |= set(addresses) - self._near.addresses - {self._ip}
 
     @property
     def addresses(self) -> set[str]:
         """Addresses at which other entries may run."""
-        return self._near.addresses | self._far.addresses
+        return self._near.addresses | self._far
 
     def far_age_s(self) -> float:
-        """Returns how old the word of entries in other data centres may be."""
-        return self._far.interval_s(busy=True)
+        """Returns how old the word of other data centres is on average."""
+        return (self._near.interval_s(busy=True) + BUSY_INTERVAL_S) / 2
 
     @property
     def count(self) -> int:
@@ -148,24 +152,31 @@
 
     def share(self) -> Share:
         """Returns the part of the fleet that is heard."""
-        now = time.monotonic()
-        heard = sum(1 for p in self._peers.values() if now - p.heard < HEARD_S)
-        return Share(heard=1 + heard, known=1 + len(self._peers))
+        return Share(heard=1 + len(self.heard()), known=1 + len(self._peers))
 
     def heard(self) -> dict[str, Peer]:
         """Returns the peers heard lately."""
         now = time.monotonic()
         return {h: p for h, p in self._peers.items() if now - p.heard < HEARD_S}
 
+    def _heard_in(self, data_centre: str) -> dict[str, Peer]:
+        return {h: p for h, p in self.heard().items() if p.data_centre == data_centre}
+
     def in_flight(self, server_id: str) -> tuple[int, int]:
         """Returns requests and unread prompt tokens of the others at a server."""
-        total = self._totals.get(server_id)
-        return (total[0], total[1]) if total is not None else (0, 0)
+        count, tokens = self._totals.get(server_id, (0, 0))
+        short = short_id(server_id)
+        for summary in self._summaries.values():
+            more = summary.in_flight.get(short)
+            if more is not None:
+                count += more[0]
+                tokens += more[1]
+        return count, tokens
 
     def _set_in_flight(
         self, peer: Peer, server_id: str, count: int, tokens: int
     ) -> None:
-        """Takes what a peer has at a server, and keeps the sum of all peers."""
+        """Takes what a peer has at a server, and keeps the sum of all near peers."""
         old_count, old_tokens = peer.in_flight.get(server_id, (0, 0))
         total = self._totals.setdefault(server_id, [0, 0])
         total[0] += count - old_count
@@ -185,9 +196,11 @@
         """Returns the keys of what waits at the others, ascending."""
         now = time.monotonic()
         keys: list[float] = []
-        for peer in self._peers.values():
-            if now - peer.heard < KEYS_HEARD_S:
-                keys += peer.keys.get(service, ())
+        words: list[Peer | Summary] = [*self._peers.values()]
+        words += self._summaries.values()
+        for word in words:
+            if now - word.heard < KEYS_HEARD_S:
+                keys += word.keys.get(service, ())
         keys.sort()
         return keys
 
@@ -196,7 +209,7 @@
         if self._transport is None:
             return
         loop = asyncio.get_running_loop()
-        due = min(c.due_at(busy=self.busy) for c in (self._near, self._far))
+        due = self._near.due_at(busy=self.busy)
         at = loop.time() + max(0.0, due - time.monotonic())
         if self._timer is not None:
             if self._timer.when() <= at:
@@ -207,50 +220,84 @@
     def beat(self) -> None:
         """Tells what is due, and forgets peers long silent."""
         now = time.monotonic()
-        if now - self._full_at >= FULL_INTERVAL_S:
+        if now - self._greeted_at >= GREETING_INTERVAL_S:
             self.tell_all()
+        elif now - self._full_at >= FULL_INTERVAL_S:
+            self._tell_whole()
         elif self.busy or now - self._near.sent_at >= BEAT_INTERVAL_S:
             self._tell_due()
+        self._sum_up_if_due(now)
         for host, peer in list(self._peers.items()):
             if now - peer.heard > HEARD_S:
                 self._clear_in_flight(peer)
             if now - peer.heard > KNOWN_S:
                 self._forget(host, peer, now)
+        for data_centre, summary in list(self._summaries.items()):
+            if now - summary.heard > HEARD_S:
+                del self._summaries[data_centre]
 
     def _forget(self, host: str, peer: Peer, now: float) -> None:
         del self._peers[host]
         self._near.addresses.discard(peer.ip)
-        self._far.addresses.discard(peer.ip)
+        self._far.discard(peer.ip)
         silent_s = round(now - peer.heard, 1)
         logs.event("peer.forgotten", peer=host, silent_s=silent_s)
 
     def flush(self) -> None:
-        """Tells everybody what has changed, at once."""
-        self._tell(self._near)
-        self._tell(self._far)
+        """Tells everybody at once what can't wait, and the own data centre the rest."""
+        news = self._news()
+        self._tell_near(news=news)
+        state = self._state()
+        urgent = {part: state[part] for part in ("versions", "rollouts")}
+        if "broken" in news:
+            urgent["broken"] = news["broken"]
+        self._send(urgent, self._far)
+
+    def tell_all(self) -> None:
+        """Tells the own data centre this entry's whole state, and greets the others."""
+        self._greeted_at = time.monotonic()
+        self._tell_whole()
+        self._greet(self._far)
+
+    def _tell_whole(self) -> None:
+        self._full_at = time.monotonic()
+        whole = dict(self._state(), full=True, ips=sorted(self.addresses))
+        self._tell_near(whole)
+
+    def _greet(self, addresses: Iterable[str]) -> None:
+        versions = self._state()["versions"]
+        self._send({"versions": versions, "ips": sorted(self.addresses)}, addresses)
 
     def _tell_due(self) -> None:
-        """Tells each circle whose time has come what has changed."""
         self._timer = None
         now = time.monotonic()
-        for circle in (self._near, self._far):
-            if circle.due_at(busy=self.busy) <= now + TIMER_SLACK_S:
-                self._tell(circle)
+        if self._near.due_at(busy=self.busy) <= now + TIMER_SLACK_S:
+            self._tell_near()
+        self._sum_up_if_due(now)
 
-    def tell_all(self) -> None:
-        """Tells everybody this entry's whole state."""
-        self._full_at = time.monotonic()
-        whole = dict(self._state(), full=True, ips=sorted(self.addresses))
-        for circle in (self._near, self._far):
-            self._tell(circle, whole | self._rarely())
+    def _tell_near(
+        self, whole: dict[str, Any] | None = None, news: dict[str, Any] | None = None
+    ) -> None:
+        now = time.monotonic()
+        news = self._news() if news is None else news
+        self._near.add_news(news)
+        self._keep_for_far(news)
+        message = self._near.message(self._state(), now) | (whole or {})
+        if now >= self._shares_at + DIGEST_INTERVAL_S:
+            self._shares_at = now
+            message["shares"] = self._shares()
+        self._send(message, self._near.addresses)
+
+    def _keep_for_far(self, news: dict[str, Any]) -> None:
+        if self._relay_rank() is None:
+            self._far_news.clear()
+            return
+        for part, told in news.items():
+            self._far_news.setdefault(part, []).extend(told)
 
-    def _tell(self, circle: Circle, whole: dict[str, Any] | None = None) -> None:
+    def _send(self, message: dict[str, Any], addresses: Iterable[str]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        news = self._news()
-        self._near.add_news(news)
-        self._far.add_news(news)
-        message = circle.message(self._state(), time.monotonic()) | (whole or {})
         self._sequence += 1
         message["ages"] = self._ages()
         message["from"] = [
@@ -259,10 +306,79 @@
             self._sequence,
             self._data_centre,
         ]
-        data = msgpack.packb(message)
-        for ip in circle.addresses:
+        self._post(msgpack.packb(message, use_single_float=True), addresses)
+
+    def _post(self, data: bytes, addresses: Iterable[str]) -> None:
+        assert self._transport is not None
+        for ip in addresses:
             self._transport.sendto(data, (ip, self._port))
 
+    # Summaries for other data centres.
+
+    def _relay_rank(self) -> int | None:
+        """Returns this entry's place among its data centre's relays, if it is one."""
+        now = time.monotonic()
+        at, rank = self._rank
+        if now - at > RANK_FRESH_S:
+            hosts = turn([self.host, *self._heard_in(self._data_centre)])
+            place = hosts.index(self.host)
+            rank = place if place < RELAYS else None
+            self._rank = (now, rank)
+        return rank
+
+    def _sum_up_if_due(self, now: float) -> None:
+        """Sends the summary of this data centre if this entry relays it."""
+        interval_s = BUSY_INTERVAL_S if self.busy else CALM_INTERVAL_S
+        if now + TIMER_SLACK_S < self._summed_at + interval_s:
+            return
+        rank = self._relay_rank()
+        if rank is None:
+            return
+        if rank and now < self._summed_at + BACKUP_FACTOR * interval_s:
+            return
+        relays = self._relays_elsewhere(rank)
+        if not relays:
+            return
+        self._summed_at = now
+        near = self._heard_in(self._data_centre)
+        summary = sum_up(self._state(), near.values(), now, HEARD_S)
+        summary |= self._far_news
+        self._far_news = {}
+        digest_s = DIGEST_INTERVAL_S * (BACKUP_FACTOR if rank else 1)
+        if now >= self._digest_at + digest_s:
+            self._digest_at = now
+            summary["digest"] = self._digest.of(near | {self.host: self._self()}, now)
+            summary["shares"] = shares_of(self._shares(), near.values())
+        self._send(summary, relays)
+
+    def _self(self) -> Peer:
+        """Returns this entry as the others see it."""
+        state, now = self._state(), time.monotonic()
+        return Peer(
+            self._ip,
+            self._data_centre,
+            self.incarnation,
+            sequence=self._sequence,
+            heard=now,
+            versions=state["versions"],
+            seen={kind: now - age_s for kind, age_s in self._ages().items()},
+            used=state["used"],
+            rollouts=state["rollouts"],
+        )
+
+    def _relays_elsewhere(self, rank: int) -> list[str]:
+        """Returns the addresses of the relays of the same rank elsewhere."""
+        hosts: dict[str, list[str]] = {}
+        heard = self.heard()
+        for host, peer in heard.items():
+            if peer.data_centre != self._data_centre:
+                hosts.setdefault(peer.data_centre, []).append(host)
+        return [
+            heard[turn(some)[min(rank, len(some) - 1)]].ip for some in hosts.values()
+        ]
+
+    # What the others tell.
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the open port."""
         self._transport = cast("asyncio.DatagramTransport", transport)
@@ -270,11 +386,16 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Takes a message of another entry; a malformed one is dropped."""
         try:
-            message = msgpack.unpackb(data)
+            message = msgpack.unpackb(data, strict_map_key=False)
             host, incarnation, sequence, data_centre = message["from"]
-            if host != self.host:
-                peer = self._peer(host, incarnation, data_centre, addr[0])
-                self._take(host, peer, int(sequence), message)
+            if host == self.host:
+                return
+            if "entries" in message:
+                if data_centre != self._data_centre:
+                    self._take_summary(data_centre, message, data, addr[0])
+                return
+            peer = self._peer(host, incarnation, data_centre, addr[0])
+            self._take(host, peer, int(sequence), message)
         except (
             ValueError,
             TypeError,
@@ -293,27 +414,73 @@
         if peer is not None:
             self._clear_in_flight(peer)
         near = data_centre == self._data_centre
-        (self._far if near else self._near).addresses.discard(ip)
-        (self._near if near else self._far).addresses.add(ip)
-        self._full_at = 0.0
+        (self._far if near else self._near.addresses).discard(ip)
+        (self._near.addresses if near else self._far).add(ip)
         peer = self._peers[host] = Peer(ip, data_centre, incarnation)
+        if near:
+            self._full_at = 0.0
+        elif self._transport is not None:
+            self._greet([ip])
         return peer
 
     def _take(
         self, host: str, peer: Peer, sequence: int, message: dict[str, Any]
     ) -> None:
+        """Takes an entry's own message."""
         if sequence <= peer.sequence:
             return
         peer.sequence = sequence
         peer.heard = time.monotonic()
         if message.get("full"):
             self._clear_in_flight(peer)
-            self.add_addresses(message.get("ips", ()))
+        self.add_addresses(message.get("ips", ()))
         for server_id, (count, tokens) in message.get("in_flight", {}).items():
             self._set_in_flight(peer, server_id, int(count), int(tokens))
         for service, keys in message.get("keys", {}).items():
             peer.keys[service] = sorted(float(key) for key in keys)
         peer.versions.update(message.get("versions", {}))
+        peer.used.update(message.get("used", {}))
+        peer.rollouts.update(message.get("rollouts", {}))
+        peer.shares.update(message.get("shares", {}))
         for kind, age_s in message.get("ages", {}).items():
             peer.seen[kind] = peer.heard - age_s
-        self._on_message(host, peer, message)
+        if peer.data_centre == self._data_centre:
+            self._keep_for_far({n: message[n] for n in NEWS if n in message})
+        self._on_message(host, peer.incarnation, message)
+
+    def _take_summary(
+        self, data_centre: str, message: dict[str, Any], data: bytes, ip: str
+    ) -> None:
+        """Takes a summary of another data centre, and hands it on in the own one."""
+        if ip not in self._near.addresses:
+            self._post(data, self._near.addresses)
+        now = time.monotonic()
+        known = self._summaries.setdefault(data_centre, Summary())
+        summary = taken(message, now)
+        if known.replaced_by(summary.relay, summary.entries, now):
+            self._summaries[data_centre] = summary
+        for host, word in message.get("digest", {}).items():
+            self._take_digest(host, data_centre, word, now)
+        self._on_message(data_centre, "", message)
+
+    def _take_digest(
+        self, host: str, data_centre: str, word: list[Any], now: float
+    ) -> None:
+        """Takes what a relay tells of an entry of its data centre."""
+        incarnation, ip, sequence, age_s, used, ages, versions, rollouts = word
+        known = self._peers.get(host)
+        if host == self.host or (
+            known is not None
+            and known.incarnation != incarnation
+            and known.heard > now - age_s
+        ):
+            return
+        peer = self._peer(host, incarnation, data_centre, ip)
+        if sequence < peer.sequence:
+            return
+        peer.sequence = sequence
+        peer.heard = max(peer.heard, now - age_s)
+        peer.versions.update(versions)
+        for kind, seen_s in ages.items():
+            peer.seen[kind] = max(peer.seen.get(kind, 0.0), now - seen_s)
+        self._on_message(host, incarnation, {"used": used, "rollouts": rollouts})
--- a/cornelpin/gateway/relay.py
+++ b/cornelpin/gateway/relay.py
@@ -16,6 +16,7 @@
 from cornelpin.scheduling.returns import fingerprint
 
 if TYPE_CHECKING:
+    from cornelpin.gateway.rollouts import RolloutKeeper
     from cornelpin.gateway.scheduler import Scheduler
     from cornelpin.gateway.state import GatewayState
     from cornelpin.http1.server import ClientRequest, Responder
@@ -32,9 +33,12 @@
 class Relay:
     """Serves requests at one entry."""
 
-    def __init__(self, state: GatewayState, scheduler: Scheduler) -> None:
+    def __init__(
+        self, state: GatewayState, scheduler: Scheduler, rollouts: RolloutKeeper
+    ) -> None:
         self._state = state
         self._scheduler = scheduler
+        self._rollouts = rollouts
 
     async def serve(self, req: ClientRequest, responder: Responder) -> None:
         """Answers one request and logs how it ended."""
@@ -128,6 +132,7 @@
                 return await Attempts(
                     state=self._state,
                     scheduler=self._scheduler,
+                    rollouts=self._rollouts,
                     job=job,
                     req=req,
                     responder=responder,
@@ -210,6 +215,8 @@
             "output": job.output_tokens if job is not None else 0,
             "events": progress.events,
             "first_ms": progress.first_ms,
+            "pause_ms": progress.pause_ms,
+            "late": job is not None and progress.late(job),
             "returned": job is not None and job.returned,
             "waited_ms": round(1e3 * progress.waited_s),
             "server": progress.server,
--- /dev/null
+++ b/cornelpin/gateway/rollouts.py
@@ -0,0 +1,145 @@
+"""Keeps roll-outs: takes orders from the store and states how they stand."""
+
+from __future__ import annotations
+
+import time
+import zlib
+from typing import TYPE_CHECKING, Any
+
+from cornelpin.gateway import logs
+from cornelpin.platform import (
+    ROLLOUT_KIND,
+    BadValue,
+    Change,
+    Store,
+    StoreDown,
+    decode_rollout,
+    rollout_status,
+)
+from cornelpin.scheduling.rollouts import Order, Outcome, Rollouts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from cornelpin.gateway.peers import Peers
+    from cornelpin.scheduling.servers import BackendServer
+
+TURN_S = 0.15
+"""Time between the entries that would state an outcome: some answers of the store, so
+that usually one of them calls it."""
+MAX_TURNS = 4
+"""Entries that take turns; the others wait as long as the last of these."""
+RETRY_S = 0.4
+"""Time between tries of one entry while the store is away."""
+
+
+class RolloutKeeper:
+    """Roll-outs as one entry follows them.
+
+    Whoever's turn it is states the outcome; the store takes the first word, as each
+    write is conditional on the order's revision.
+
+    Args:
+        store: Client of the store.
+        peers: The other entries.
+        rollouts: The decisions.
+        urgent: Called when the other entries have to know at once.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        peers: Peers,
+        rollouts: Rollouts,
+        urgent: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._rollouts = rollouts
+        self._urgent = urgent
+        self._due_since: dict[tuple[Order, Outcome], float] = {}
+
+    def on_list(self, changes: Iterable[Change]) -> None:
+        """Takes all orders."""
+        for change in changes:
+            self.on_change(change)
+
+    def on_change(self, change: Change) -> None:
+        """Takes a new, changed or removed order."""
+        if change.removed:
+            self._rollouts.drop(change.name)
+            logs.event("rollout.removed", service=change.name)
+            return
+        try:
+            order = decode_rollout(change)
+        except BadValue as exc:
+            logs.warning("rollout.malformed", order=change.name, reason=str(exc))
+            return
+        new = self._rollouts.take(order, time.monotonic())
+        logs.event(
+            "rollout.ordered" if new else "rollout.changed",
+            service=order.service,
+            version=order.version,
+            outcome=order.outcome.value,
+            duration_s=order.duration_s,
+            revision=order.revision,
+        )
+
+    def ended(
+        self, server: BackendServer, route: str, *, failed: bool, took_s: float | None
+    ) -> None:
+        """Takes a run's end, and stops a version that is found bad."""
+        if self._rollouts.ended(server, route, failed=failed, took_s=took_s):
+            self._found_bad()
+
+    def heard(self, entry: tuple[str, str], told: dict[str, Any]) -> None:
+        """Takes what another entry has counted."""
+        if self._rollouts.heard(entry, told, time.monotonic()):
+            self._found_bad()
+
+    def _found_bad(self) -> None:
+        for order, _, reason in self._rollouts.due(time.monotonic()):
+            logs.event(
+                "rollout.judged",
+                service=order.service,
+                version=order.version,
+                reason=reason,
+            )
+        self._urgent()
+
+    async def state_outcomes(self) -> None:
+        """Writes what is due and this entry's turn."""
+        now = time.monotonic()
+        due = self._rollouts.due(now)
+        pending = {(order, outcome) for order, outcome, _ in due}
+        self._due_since = {k: t for k, t in self._due_since.items() if k in pending}
+        for order, outcome, reason in due:
+            since = self._due_since.setdefault((order, outcome), now)
+            if now >= since + self._turn_s(order):
+                self._due_since[order, outcome] = now + RETRY_S
+                await self._state(order, outcome, reason)
+
+    def _turn_s(self, order: Order) -> float:
+        """Returns how long this entry leaves a write to the others."""
+        hosts = [self._peers.host, *self._peers.heard()]
+        hosts.sort(key=lambda host: zlib.crc32(f"{order.service} {host}".encode()))
+        return TURN_S * min(MAX_TURNS, hosts.index(self._peers.host))
+
+    async def _state(self, order: Order, outcome: Outcome, reason: str) -> None:
+        status = rollout_status(order, outcome)
+        try:
+            first = await self._store.set_status(
+                ROLLOUT_KIND, order.service, order.revision, status
+            )
+        except StoreDown as exc:
+            logs.warning("rollout.not_stated", service=order.service, reason=str(exc))
+            return
+        logs.event(
+            "rollout.stated",
+            service=order.service,
+            version=order.version,
+            outcome=outcome.value,
+            reason=reason,
+            revision=order.revision,
+            first=first,
+        )
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -14,6 +14,7 @@
     from cornelpin.gateway.peers import Peers
     from cornelpin.gateway.pool import Pool
     from cornelpin.scheduling.jobs import Job
+    from cornelpin.scheduling.rollouts import Rollouts
     from cornelpin.scheduling.servers import BackendServer, ServerList
 
 __all__ = ["Place", "Refused", "Scheduler"]
@@ -30,13 +31,20 @@
         servers: The believed list of backend servers.
         pool: Connections to them.
         peers: The other entries.
+        rollouts: Says which versions may be used.
         data_centre: Where this entry is.
     """
 
     def __init__(
-        self, servers: ServerList, pool: Pool, peers: Peers, data_centre: str
+        self,
+        servers: ServerList,
+        pool: Pool,
+        peers: Peers,
+        rollouts: Rollouts,
+        data_centre: str,
     ) -> None:
         self._list = servers
+        self._rollouts = rollouts
         self._reach = Reach(peers.host, data_centre)
         self._peers = peers
         self._waiting: dict[Job, asyncio.Future[Place | Refused]] = {}
@@ -46,6 +54,7 @@
             others=peers,
             connected=pool.connected,
             data_centre=data_centre,
+            wanted=rollouts.wanted,
         )
 
     async def place(self, job: Job) -> Place | Refused:
@@ -131,4 +140,5 @@
         )
 
     def _of_service(self, service: str, now: float) -> list[BackendServer]:
-        return self._reach.of_service(service, self._list.all(now))
+        servers = self._reach.of_service(service, self._list.all(now))
+        return self._rollouts.usable(service, servers, now)
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -10,6 +10,7 @@
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.quota import Quotas, Share
 from cornelpin.scheduling.returns import Returns
+from cornelpin.scheduling.rollouts import Rollouts
 from cornelpin.scheduling.servers import ServerList
 from cornelpin.scheduling.suspects import Suspects
 
@@ -48,6 +49,9 @@
         self.pool = Pool()
         self.quotas = Quotas(time.monotonic())
         self.returns = Returns()
+        self.rollouts = Rollouts(
+            share=bounds.new_version_share, extra=bounds.new_version_extra
+        )
         self.suspects = Suspects()
         self.metrics: Metrics | None = None
         self.servers_listed = False
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -9,10 +9,11 @@
 from cornelpin.gateway import logs
 from cornelpin.gateway.mirror import Mirror
 from cornelpin.gateway.snapshots import fetch_snapshot
-from cornelpin.gateway.watching import watch_s
+from cornelpin.gateway.watching import RARE, USUAL, watch_s
 from cornelpin.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
+    ROLLOUT_KIND,
     SERVER_KIND,
     BadValue,
     Change,
@@ -24,7 +25,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterator
 
-    from cornelpin.gateway.peers import Peer, Peers
+    from cornelpin.gateway.peer import Peer
+    from cornelpin.gateway.peers import Peers
+    from cornelpin.gateway.rollouts import RolloutKeeper
     from cornelpin.gateway.state import GatewayState
     from cornelpin.scheduling.servers import BackendServer
 
@@ -39,11 +42,17 @@
         store: Client of the store.
         state: What the entry believes.
         peers: The other entries.
+        rollouts: Takes the operator's roll-out orders.
         pump: Called when the servers have changed.
     """
 
     def __init__(
-        self, store: Store, state: GatewayState, peers: Peers, pump: Callable[[], None]
+        self,
+        store: Store,
+        state: GatewayState,
+        peers: Peers,
+        rollouts: RolloutKeeper,
+        pump: Callable[[], None],
     ) -> None:
         self._store = store
         self._state = state
@@ -64,6 +73,12 @@
                 on_change=self._on_server,
                 on_return=lambda: state.servers.outage_ended(time.monotonic()),
             ),
+            ROLLOUT_KIND: self._mirror(
+                ROLLOUT_KIND,
+                on_list=rollouts.on_list,
+                on_change=rollouts.on_change,
+                on_return=lambda: None,
+            ),
         }
         state.servers_seen = lambda: self._mirrors[SERVER_KIND].seen_at
 
@@ -126,7 +141,8 @@
 
     def _watch_s(self, kind: str) -> float | None:
         host = self._state.settings.host
-        return watch_s(host, kind, self._peers.heard(), time.monotonic())
+        pace = RARE if kind == ROLLOUT_KIND else USUAL
+        return watch_s(host, kind, self._peers.heard(), time.monotonic(), pace)
 
     def _on_config_list(self, changes: list[Change]) -> None:
         for change in changes:
--- a/cornelpin/gateway/watching.py
+++ b/cornelpin/gateway/watching.py
@@ -9,25 +9,47 @@
 import zlib
 from typing import TYPE_CHECKING
 
+import attrs
+
 from cornelpin.gateway.mirror import WATCH_S
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from cornelpin.gateway.peers import Peer
+    from cornelpin.gateway.peer import Peer
 
 ALL_WATCH = 8
 """Entries up to which each watches: a few calls a second in all."""
 WATCHERS = 3
 """Entries that watch in a larger fleet: two may be cut off at once."""
-SHORT_WATCH_S = 1.0
-"""Time for which their watches wait, so that what they say of the store is fresh."""
-FRESH_S = 1.8
-"""Age of a watcher's word after which the next entry watches: one watch, the message
-that tells of it and a beat, within the bound on configuration."""
 
 
-def watch_s(own: str, kind: str, peers: Mapping[str, Peer], now: float) -> float | None:
+@attrs.frozen
+class WatchPace:
+    """How long watches of a kind wait.
+
+    Attributes:
+        wait_s: In a small fleet.
+        short_wait_s: In a larger one, so that what watchers say of the store is fresh.
+        fresh_s: Age of a watcher's word after which the next entry watches: one watch,
+            the message that tells of it and a beat.
+    """
+
+    wait_s: float
+    short_wait_s: float
+    fresh_s: float
+
+
+USUAL = WatchPace(wait_s=WATCH_S, short_wait_s=1.0, fresh_s=1.8)
+"""For what must be in force within the platform's bound on configuration."""
+RARE = WatchPace(wait_s=10.0, short_wait_s=10.0, fresh_s=12.0)
+"""For roll-out orders: each call is priced, orders run for longer than this, and an
+order that one entry has heard of reaches the others at once."""
+
+
+def watch_s(
+    own: str, kind: str, peers: Mapping[str, Peer], now: float, pace: WatchPace = USUAL
+) -> float | None:
     """Returns how long this entry's watch is to wait; None if others watch.
 
     Args:
@@ -35,20 +57,21 @@
         kind: Kind of the objects.
         peers: The entries heard lately, by host.
         now: Monotonic time in seconds.
+        pace: How long watches of the kind wait.
     """
     if len(peers) < ALL_WATCH:
-        return WATCH_S
+        return pace.wait_s
     before = [
         host
         for host, peer in peers.items()
-        if _turn(host, kind) < _turn(own, kind) and fresh(peer, kind, now)
+        if _turn(host, kind) < _turn(own, kind) and fresh(peer, kind, now, pace.fresh_s)
     ]
-    return SHORT_WATCH_S if len(before) < WATCHERS else None
+    return pace.short_wait_s if len(before) < WATCHERS else None
 
 
-def fresh(peer: Peer, kind: str, now: float) -> bool:
+def fresh(peer: Peer, kind: str, now: float, fresh_s: float) -> bool:
     """Returns whether a peer has just heard from the store."""
-    return now - peer.seen.get(kind, float("-inf")) < FRESH_S
+    return now - peer.seen.get(kind, float("-inf")) < fresh_s
 
 
 def _turn(host: str, kind: str) -> int:
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -17,6 +17,7 @@
     refusal_headers,
     resume_headers,
 )
+from cornelpin.platform._rollout import ROLLOUT_KIND, decode_rollout, rollout_status
 from cornelpin.platform._server_entry import SERVER_KIND, decode_server
 from cornelpin.platform._settings import (
     SETTINGS_VARIABLE,
@@ -29,6 +30,7 @@
 __all__ = [
     "CONFIG_KIND",
     "CONFIG_NAME",
+    "ROLLOUT_KIND",
     "SERVER_KIND",
     "SETTINGS_VARIABLE",
     "BadValue",
@@ -44,10 +46,12 @@
     "answer_headers",
     "backend_headers",
     "decode_config",
+    "decode_rollout",
     "decode_server",
     "load_host_settings",
     "read_request",
     "read_response",
     "refusal_headers",
     "resume_headers",
+    "rollout_status",
 ]
--- a/cornelpin/platform/_settings.py
+++ b/cornelpin/platform/_settings.py
@@ -26,6 +26,8 @@
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
     retry_window_s: float = 10.0
+    new_version_share: float = 0.1
+    new_version_extra: float = 50.0
 
 
 @attrs.frozen
@@ -119,4 +121,11 @@
         retry_ratio=value(table, "budget_ratio", float, defaults.retry_ratio),
         retry_extra=value(table, "budget_extra", float, defaults.retry_extra),
         retry_window_s=value(table, "budget_window_s", float, defaults.retry_window_s),
+        # The "canary" is the new version of a roll-out, whether good or bad.
+        new_version_share=value(
+            table, "canary_share", float, defaults.new_version_share
+        ),
+        new_version_extra=value(
+            table, "canary_slack", float, defaults.new_version_extra
+        ),
     )
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -112,6 +112,7 @@
         servers: Returns the believed servers of a service at a time.
         others: The view of the other entries.
         connected: Returns whether an idle connection to a server is open.
+        wanted: Returns whether a server's version is to be tried more.
         data_centre: Where this entry is.
         rng: Source of randomness.
     """
@@ -123,11 +124,13 @@
         others: Others,
         connected: Callable[[BackendServer], bool],
         data_centre: str,
+        wanted: Callable[[BackendServer], bool] = lambda server: False,
         rng: Callable[[], float] = random.random,
     ) -> None:
         self._servers = servers
         self._others = others
         self._connected = connected
+        self._wanted = wanted
         self._data_centre = data_centre
         self._rng = rng
         self._services: dict[str, _Service] = {}
@@ -325,6 +328,7 @@
                 server.slots // 2, round(server.slots * age_s / SLOT_TURNOVER_S)
             ),
             connected=self._connected(server),
+            wanted=self._wanted(server),
         )
 
     def _load(self, service: _Service, candidates: list[Candidate], now: float) -> Load:
--- a/cornelpin/scheduling/jobs.py
+++ b/cornelpin/scheduling/jobs.py
@@ -116,6 +116,11 @@
             MIN_COST, self.prompt_tokens + OUTPUT_TOKEN_COST * self.output_tokens
         )
 
+    def work(self, events: int) -> float:
+        """Returns the engine time of a run that wrote so many events, in tokens."""
+        written = events * self.event_tokens
+        return MIN_COST + self.prompt_tokens + OUTPUT_TOKEN_COST * written
+
     @property
     def size(self) -> float:
         """Size by which a generation is worth more than another of its kind."""
--- a/cornelpin/scheduling/placing.py
+++ b/cornelpin/scheduling/placing.py
@@ -24,6 +24,9 @@
 """Cost of another data centre: a few round trips, and bytes that are priced."""
 NEW_CONN_PENALTY_S = 0.004
 """Cost of a connection that is not open yet."""
+WANTED_BONUS_S = 1.0
+"""Worth of trying a new version that has had less than its part: more than servers of
+one service differ by in calm."""
 CROWD_S = 0.02
 """Weight of a full batch: how much a first event and its neighbours slow down."""
 TAIL_FACTOR = 3.0
@@ -47,6 +50,7 @@
         remote: Whether it is in another data centre.
         margin: Slots left free there, as others may have taken them unheard.
         connected: Whether an idle connection to it is open.
+        wanted: Whether its version is to be tried more.
     """
 
     server: BackendServer
@@ -57,6 +61,7 @@
     remote: bool = False
     margin: int = 0
     connected: bool = True
+    wanted: bool = False
 
     @property
     def free(self) -> int:
@@ -88,6 +93,7 @@
     cost += CROWD_S * candidate.running / max(1, candidate.server.slots)
     cost += REMOTE_PENALTY_S * candidate.remote
     cost += NEW_CONN_PENALTY_S * (not candidate.connected)
+    cost -= WANTED_BONUS_S * candidate.wanted
     if job.route.pause_s is not None and candidate.running:
         stall_s = expected_s(job, candidate) + candidate.pace.gap_s
         cost += PAUSE_WEIGHT * max(0.0, stall_s - job.route.pause_s)
--- a/cornelpin/tests/test_gateway_fleet.py
+++ b/cornelpin/tests/test_gateway_fleet.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cornelpin.gateway.peers import Peer
+from cornelpin.gateway.peer import Peer
 from cornelpin.gateway.watching import watch_s
 from cornelpin.tests.fleet_client import ask, connect, request
 from cornelpin.tests.gateway_bed import Bed, bed, config, route, until
--- /dev/null
+++ b/cornelpin/tests/test_rollouts.py
@@ -0,0 +1,249 @@
+"""Roll-outs: what a new version gets, how it is judged, and who says so."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+
+from cornelpin.scheduling.rollouts import (
+    MIN_RUNS,
+    STATE_MARGIN_S,
+    Order,
+    Outcome,
+    Rollouts,
+)
+from cornelpin.tests.fleet_client import ask
+from cornelpin.tests.gateway_bed import Bed, bed, route, until
+from cornelpin.tests.scheduling_bed import server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SHARE, EXTRA = 0.1, 50
+"""The platform's bound on a bad version's requests."""
+ORDER = Order("app", "v2", duration_s=12.0)
+OLD = [server(f"old-{n}", version="v1") for n in range(4)]
+NEW = [server(f"new-{n}", version="v2") for n in range(4)]
+SPEEDS = (0.55, 1.0, 1.0, 2.8)
+"""Factors on the times of the servers of one version."""
+GOSSIP_S = 0.3
+"""Time between messages of entries."""
+
+
+def sound(route: str, at: float) -> tuple[float, float]:
+    """Returns the chance of a failure and the factor on a run's time."""
+    return 0.004, 1.0
+
+
+VERSIONS: dict[str, tuple[Outcome, Callable[[str, float], tuple[float, float]]]] = {
+    "good": (Outcome.DONE, sound),
+    "failing": (Outcome.TAKEN_BACK, lambda route, at: (0.5, 1.0)),
+    "failing a little": (Outcome.TAKEN_BACK, lambda route, at: (0.3, 1.0)),
+    "slow": (Outcome.TAKEN_BACK, lambda route, at: (0.0, 4.0)),
+    "failing on one route": (
+        Outcome.TAKEN_BACK,
+        lambda route, at: (0.6 if route == "b" else 0.0, 1.0),
+    ),
+    "failing later": (
+        Outcome.TAKEN_BACK,
+        lambda route, at: (0.6 if at > 4.0 else 0.0, 1.0),
+    ),
+}
+
+
+@attrs.define
+class Played:
+    """What came of a replayed order."""
+
+    outcome: Outcome = Outcome.RUNNING
+    stated_at: float = 0.0
+    sent: int = 0
+    sent_new: int = 0
+    bad_at: list[float] = attrs.field(factory=list)
+    last_new: float = 0.0
+
+
+class Replay:
+    """An order over several entries that talk with a delay."""
+
+    def __init__(self, version: str, entries: int, seed: int) -> None:
+        self.played = Played()
+        self._rng = random.Random(seed)
+        self._behaviour = VERSIONS[version][1]
+        self._fleet = [Rollouts(share=SHARE, extra=EXTRA) for _ in range(entries)]
+        for rollouts in self._fleet:
+            rollouts.take(ORDER, 0.0)
+
+    def run(self, per_s: float) -> Played:
+        """Plays requests until some time after the order's end."""
+        now = told_at = 0.0
+        while now < ORDER.duration_s + 4.0:
+            now += self._rng.expovariate(per_s)
+            one = self._rng.choice(self._fleet)
+            self._request(one, now)
+            if now - told_at > GOSSIP_S:
+                told_at = now
+                self._talk(now)
+            if self.played.outcome is Outcome.RUNNING:
+                self._state(one, now)
+        return self.played
+
+    def _request(self, one: Rollouts, now: float) -> None:
+        for_route = self._rng.choice("abc")
+        chosen = self._rng.choice(one.usable("app", [*OLD, *NEW], now))
+        one.sent(chosen)
+        failure, slowness = sound(for_route, now)
+        if chosen.version == "v2":
+            failure, slowness = self._behaviour(for_route, now)
+            self.played.last_new = now
+        failed = self._rng.random() < failure
+        if now < ORDER.duration_s:
+            self.played.sent += 1
+            self.played.sent_new += chosen.version == "v2"
+        if chosen.version == "v2" and (failed or slowness > 1):
+            self.played.bad_at.append(now)
+        took_s = 0.1 * SPEEDS[int(chosen.id[-1])] * slowness
+        took_s *= self._rng.lognormvariate(0.0, 0.4)
+        one.ended(chosen, for_route, failed=failed, took_s=None if failed else took_s)
+
+    def _talk(self, now: float) -> None:
+        words = [rollouts.told(now) for rollouts in self._fleet]
+        for n, rollouts in enumerate(self._fleet):
+            for m, word in enumerate(words):
+                if m != n:
+                    rollouts.heard((f"e{m}", "1"), word, now)
+
+    def _state(self, one: Rollouts, now: float) -> None:
+        for order, outcome, _ in one.due(now):
+            if outcome is Outcome.RUNNING:
+                continue
+            self.played.outcome, self.played.stated_at = outcome, now
+            stated = attrs.evolve(order, outcome=outcome, stated=True, revision=9)
+            for rollouts in self._fleet:
+                rollouts.take(stated, now)
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize(("entries", "per_s"), [(6, 35.0), (24, 200.0)])
+@pytest.mark.parametrize("version", VERSIONS)
+def test_a_version_is_judged_in_time_and_a_bad_one_gets_little(
+    version: str, entries: int, per_s: float, seed: int
+) -> None:
+    played = Replay(version, entries, seed).run(per_s)
+    wanted = VERSIONS[version][0]
+    assert played.outcome is wanted
+    assert played.stated_at <= ORDER.duration_s
+    if wanted is Outcome.DONE:
+        assert played.stated_at >= ORDER.duration_s - STATE_MARGIN_S
+        return
+    assert played.sent_new <= SHARE * played.sent + EXTRA
+    if len(played.bad_at) >= 50:
+        assert played.last_new <= played.bad_at[49] + 5.0
+
+
+def test_a_version_that_nobody_could_judge_is_taken_back_at_the_end() -> None:
+    rollouts = Rollouts(share=SHARE, extra=EXTRA)
+    rollouts.take(ORDER, 0.0)
+    assert [o for _, o, _ in rollouts.due(1.0)] == [Outcome.RUNNING]
+    assert [o for _, o, _ in rollouts.due(12.0)] == [Outcome.TAKEN_BACK]
+
+
+def test_without_an_order_every_version_is_used() -> None:
+    rollouts = Rollouts(share=SHARE, extra=EXTRA)
+    assert rollouts.usable("app", [*OLD, *NEW], 0.0) == [*OLD, *NEW]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "used"), [(Outcome.DONE, NEW), (Outcome.TAKEN_BACK, OLD)]
+)
+def test_a_concluded_order_leaves_one_version(outcome: Outcome, used: list) -> None:
+    rollouts = Rollouts(share=SHARE, extra=EXTRA)
+    rollouts.take(attrs.evolve(ORDER, outcome=outcome), 0.0)
+    assert rollouts.usable("app", [*OLD, *NEW], 0.0) == used
+
+
+def test_an_entry_that_starts_again_learns_how_long_an_order_runs() -> None:
+    rollouts = Rollouts(share=SHARE, extra=EXTRA)
+    rollouts.take(ORDER, 100.0)
+    rollouts.heard(("e1", "1"), {"app": ["v2", 8.0, "", 10, 1, {}, {}]}, 100.0)
+    assert [o for _, o, _ in rollouts.due(104.5)] == [Outcome.TAKEN_BACK]
+
+
+async def load(made: Bed, seconds: float) -> None:
+    """Asks at all entries for a while."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + seconds
+    number = 0
+    while loop.time() < until_s:
+        entry = made.entries[number % len(made.entries)]
+        await ask(entry._settings.callers, f"/safe/{number}")
+        number += 1
+        await asyncio.sleep(0.004)
+
+
+@pytest.mark.parametrize(
+    ("fault", "state"), [("", "done"), ("error", "rolled_back")], ids=["good", "bad"]
+)
+def test_an_order_is_stated_once_in_the_store(fault: str, state: str) -> None:
+    async def scenario() -> None:
+        routes = [route("/safe/", "safe", max_attempts=1)]
+        async with bed(entries=2, servers=2, routes=routes) as made:
+            for _ in range(2):
+                new = await made.add_server(version="v2")
+                new.behaviour.fault = fault
+            order = {"service": "app", "target": "v2", "duration_s": 4}
+            first = made.store.put("rollouts", "app", order)
+            await load(made, 4.2)
+            status = made.store.status("rollouts", "app")
+            assert status == {"state": state, "target": "v2"}
+            written = [e for e in made.store.history("rollouts") if e > first]
+            assert len(written) == 2, "running and the outcome, once each"
+            old, taken = made.servers[:2], made.servers[2:]
+            runs = [sum(sum(s.runs.values()) for s in group) for group in (old, taken)]
+            await load(made, 0.3)
+            after = [sum(sum(s.runs.values()) for s in group) for group in (old, taken)]
+            stopped = 0 if state == "done" else 1
+            assert after[stopped] == runs[stopped]
+            assert after[1 - stopped] > runs[1 - stopped]
+
+    asyncio.run(scenario())
+
+
+def test_an_outcome_is_written_once_the_store_is_back() -> None:
+    async def scenario() -> None:
+        async with bed(entries=1, servers=1) as made:
+            order = {"service": "app", "target": "v2", "duration_s": 1.5}
+            made.store.put("rollouts", "app", order)
+            entry = made.entries[0]
+            await until(lambda: bool(entry.state.rollouts.told(0.0)))
+            made.store.mode = "busy"
+            await asyncio.sleep(2.0)
+            made.store.mode = "up"
+            await until(
+                lambda: (
+                    (made.store.status("rollouts", "app") or {}).get("state")
+                    == "rolled_back"
+                )
+            )
+
+    asyncio.run(scenario())
+
+
+def test_a_malformed_order_is_logged_and_changes_nothing() -> None:
+    async def scenario() -> None:
+        async with bed(entries=1) as made:
+            made.store.put("rollouts", "app", {"service": "app", "target": 7})
+            await asyncio.sleep(0.1)
+            entry = made.entries[0]
+            assert entry.state.rollouts.told(0.0) == {}
+            assert (await ask(entry._settings.callers, "/safe/x")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_the_least_number_of_runs_shows_a_fault() -> None:
+    assert 1 - (1 - 0.15) ** MIN_RUNS > 0.9
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -46,11 +46,19 @@
         cancelled: Ids of runs whose caller left.
     """
 
-    def __init__(self, service: str, *, slots: int = 4, zone: str = "here") -> None:
+    def __init__(
+        self,
+        service: str,
+        *,
+        slots: int = 4,
+        zone: str = "here",
+        version: str = "v1",
+    ) -> None:
         self.id = f"i-{next(_numbers)}"
         self.service = service
         self.slots = slots
         self.zone = zone
+        self.version = version
         self.behaviour = Behaviour()
         self.runs: Counter[str] = Counter()
         self.seen: list[RawRequest] = []
@@ -71,7 +79,7 @@
             "service": self.service,
             "address": f"{ip}:{port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold_left_ms": 0,
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -69,6 +69,10 @@
         """Returns the status of an object."""
         return self._objects[kind][name]["status"]
 
+    def history(self, kind: str) -> list[int]:
+        """Returns the revisions of a kind's changes."""
+        return [event.revision for event in self._history if event.kind == kind]
+
     def go_silent(self) -> None:
         """Answers nothing more, nor ever the watches that wait now."""
         self.mode = "silent"
