--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 READY := .venv/ready
 endif
 
-.PHONY: bench demo fuzz moves test lint format types clean scenarios experiment replay soak slopes
+.PHONY: bench demo fuzz moves test lint format types clean scenarios experiment replay soak gateway-soak slopes
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -35,6 +35,9 @@
 soak: $(READY)
 	$(PY) -m benchmarks.soak
 
+gateway-soak: $(READY)
+	$(PY) -m benchmarks.fault_soak
+
 replay: $(READY)
 	$(PY) -m benchmarks.replay
 
--- a/cornelpin/gateway/relay.py
+++ b/cornelpin/gateway/relay.py
@@ -210,6 +210,7 @@
             "outcome": outcome,
             "took_ms": round(took_s * 1e3),
             "route": job.route.name if job is not None else "",
+            "workspace": job.workspace if job is not None else "",
             "rank": job.rank if job is not None else None,
             "prompt": facts.prompt_tokens,
             "output": job.output_tokens if job is not None else 0,
