Do not wait for entries that lost the store as well; tell keys of what waits

Cause: the store cut all watches at once, and each entry held back its calls since it took the others to hear the store by words from before the loss. Now only words from after it count. Ruled out: the longer watch of roll-outs (another kind of object). Test: entries that lose the store together, fails on the earlier form.

Found by reading: while no slot was free, what waited was told to the other entries with a key of zero, so that lesser requests elsewhere went first. Test: keys are told also while no slot is free.

Links to other data centres are a module of their own.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -273,10 +273,11 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self._reload_if_changed()
-            servers = self.state.servers.all(time.monotonic()).values()
+            now = time.monotonic()
+            servers = self.state.servers.all(now).values()
             alive = {server.incarnation for server in servers}
             self.state.pool.sweep(alive)
-            self.scheduler.dispatcher.forget(alive)
+            self.scheduler.dispatcher.forget(alive, now)
 
     def _reload_if_changed(self) -> None:
         """Reloads settings that changed without a signal."""
--- a/cornelpin/gateway/mirror.py
+++ b/cornelpin/gateway/mirror.py
@@ -42,7 +42,8 @@
         on_revision: Called when the store has told of changes.
         on_seen: Called when the store has told anything at all.
         watch_s: Returns how long a watch is to wait; None if other entries watch.
-        told: Returns whether other entries hear the store just now.
+        told: Returns whether other entries hear the store just now, and have since a
+            monotonic time.
     """
 
     def __init__(
@@ -56,7 +57,7 @@
         on_revision: Callable[[], None] = lambda: None,
         on_seen: Callable[[], None] = lambda: None,
         watch_s: Callable[[], float | None] = lambda: WATCH_S,
-        told: Callable[[], bool] = lambda: False,
+        told: Callable[[float], bool] = lambda since: False,
     ) -> None:
         self.kind = kind
         self.revision = -1
@@ -72,6 +73,7 @@
         self._on_seen = on_seen
         self._watch_s = watch_s
         self._told = told
+        self._down_since = 0.0
         self._hurry = asyncio.Event()
         self._backoff_s = FIRST_BACKOFF_S
 
@@ -180,11 +182,12 @@
     async def _wait(self, exc: StoreDown) -> None:
         if self.up:
             self.up = False
+            self._down_since = time.monotonic()
             age_s = round(time.monotonic() - self.seen_at, 1)
             logs.warning("store.lost", kind=self.kind, reason=str(exc), age_s=age_s)
         pause_s = self._backoff_s * random.uniform(0.5, 1.0)
         self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
         until = time.monotonic() + TOLD_BACKOFF_S * random.uniform(0.5, 1.0)
         await asyncio.sleep(pause_s)
-        while self._told() and time.monotonic() < until:
+        while self._told(self._down_since) and time.monotonic() < until:
             await asyncio.sleep(IDLE_S)
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -15,21 +15,14 @@
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.circle import Circle
+from cornelpin.gateway.far_links import FarLinks
 from cornelpin.gateway.peer import Peer
 from cornelpin.gateway.summaries import (
-    BACKUP_FACTOR,
     BUSY_INTERVAL_S,
-    CALM_INTERVAL_S,
     DIGEST_INTERVAL_S,
-    RELAYS,
-    Digest,
     Summary,
     paces_of,
     shares_of,
-    short_id,
-    sum_up,
-    taken,
-    turn,
 )
 from cornelpin.scheduling.quota import Share
 
@@ -40,8 +33,6 @@
 """Time between whole states to the own data centre, which heal lost messages."""
 GREETING_INTERVAL_S = 12.0
 """Time between greetings to other data centres: relays tell of each entry meanwhile."""
-RANK_FRESH_S = 0.1
-"""Time for which an entry takes its place among the relays for unchanged."""
 BEAT_INTERVAL_S = 0.4
 """Longest time between messages to the own data centre, so that a silent entry is
 noticed there and elsewhere."""
@@ -106,15 +97,10 @@
         self._on_message = on_message
         self._peers: dict[str, Peer] = {}
         self._totals: dict[str, list[int]] = {}
-        self._summaries: dict[str, Summary] = {}
         self._near = Circle(NEAR_SENDS_PER_S)
         self._far: set[str] = set()
-        self._far_news: dict[str, list[Any]] = {}
-        self._rank: tuple[float, int | None] = (float("-inf"), None)
-        self._shares_at = 0.0
-        self._digest = Digest()
-        self._digest_at = 0.0
-        self._summed_at = 0.0
+        self._far_links = FarLinks(host, data_centre, link_mbps)
+        self._learned_at = 0.0
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
         self._full_at = 0.0
@@ -166,19 +152,15 @@
         now = time.monotonic()
         return {h: p for h, p in self._peers.items() if now - p.heard < HEARD_S}
 
-    def _heard_in(self, data_centre: str) -> dict[str, Peer]:
-        return {h: p for h, p in self.heard().items() if p.data_centre == data_centre}
+    def _heard_near(self) -> dict[str, Peer]:
+        heard = self.heard().items()
+        return {h: p for h, p in heard if p.data_centre == self._data_centre}
 
     def in_flight(self, server_id: str) -> tuple[int, int]:
         """Returns requests and unread prompt tokens of the others at a server."""
-        count, tokens = self._totals.get(server_id, (0, 0))
-        short = short_id(server_id)
-        for summary in self._summaries.values():
-            more = summary.in_flight.get(short)
-            if more is not None:
-                count += more[0]
-                tokens += more[1]
-        return count, tokens
+        near = self._totals.get(server_id, (0, 0))
+        far = self._far_links.in_flight(server_id)
+        return near[0] + far[0], near[1] + far[1]
 
     def _set_in_flight(
         self, peer: Peer, server_id: str, count: int, tokens: int
@@ -204,7 +186,7 @@
         now = time.monotonic()
         keys: list[float] = []
         words: list[Peer | Summary] = [*self._peers.values()]
-        words += self._summaries.values()
+        words += self._far_links.summaries()
         for word in words:
             if now - word.heard < KEYS_HEARD_S:
                 keys += word.keys.get(service, ())
@@ -239,9 +221,7 @@
                 self._clear_in_flight(peer)
             if now - peer.heard > KNOWN_S:
                 self._forget(host, peer, now)
-        for data_centre, summary in list(self._summaries.items()):
-            if now - summary.heard > HEARD_S:
-                del self._summaries[data_centre]
+        self._far_links.expire(now)
 
     def _forget(self, host: str, peer: Peer, now: float) -> None:
         del self._peers[host]
@@ -288,21 +268,14 @@
         now = time.monotonic()
         news = self._news() if news is None else news
         self._near.add_news(news)
-        self._keep_for_far(news)
+        self._far_links.keep(news, self._heard_near(), now)
         message = self._near.message(self._state(), now) | (whole or {})
-        if now >= self._shares_at + DIGEST_INTERVAL_S:
-            self._shares_at = now
+        if now >= self._learned_at + DIGEST_INTERVAL_S:
+            self._learned_at = now
             message["shares"] = self._shares()
             message["paces"] = self._paces()
         self._send(message, self._near.addresses)
 
-    def _keep_for_far(self, news: dict[str, Any]) -> None:
-        if self._relay_rank() is None:
-            self._far_news.clear()
-            return
-        for part, told in news.items():
-            self._far_news.setdefault(part, []).extend(told)
-
     def _send(self, message: dict[str, Any], addresses: Iterable[str]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -322,45 +295,24 @@
         for ip in addresses:
             self._transport.sendto(data, (ip, self._port))
 
-    # Summaries for other data centres.
-
-    def _relay_rank(self) -> int | None:
-        """Returns this entry's place among its data centre's relays, if it is one."""
-        now = time.monotonic()
-        at, rank = self._rank
-        if now - at > RANK_FRESH_S:
-            near = self._heard_in(self._data_centre)
-            links = {host: peer.link_mbps for host, peer in near.items()}
-            place = turn(links | {self.host: self._link_mbps}).index(self.host)
-            rank = place if place < RELAYS else None
-            self._rank = (now, rank)
-        return rank
-
     def _sum_up_if_due(self, now: float) -> None:
         """Sends the summary of this data centre if this entry relays it."""
-        interval_s = BUSY_INTERVAL_S if self.busy else CALM_INTERVAL_S
-        if now + TIMER_SLACK_S < self._summed_at + interval_s:
+        near = self._heard_near()
+        rank = self._far_links.rank(near, now)
+        if rank is None or not self._far_links.due(rank, now, busy=self.busy):
             return
-        rank = self._relay_rank()
-        if rank is None:
-            return
-        if rank and now < self._summed_at + BACKUP_FACTOR * interval_s:
-            return
-        relays = self._relays_elsewhere(rank)
+        relays = self._far_links.relays_elsewhere(rank, self.heard())
         if not relays:
             return
-        self._summed_at = now
-        near = self._heard_in(self._data_centre)
-        summary = sum_up(self._state(), near.values(), now, HEARD_S)
-        summary |= self._far_news
-        self._far_news = {}
-        digest_s = DIGEST_INTERVAL_S * (BACKUP_FACTOR if rank else 1)
-        if now >= self._digest_at + digest_s:
-            self._digest_at = now
-            summary["digest"] = self._digest.of(near | {self.host: self._self()}, now)
-            summary["shares"] = shares_of(self._shares(), near.values())
-            summary["paces"] = paces_of(self._paces(), near.values())
-        self._send(summary, relays)
+        message = self._far_links.summary(self._state(), near, now)
+        digest = self._far_links.digest(
+            rank, lambda: near | {self.host: self._self()}, now
+        )
+        if digest is not None:
+            message["digest"] = digest
+            message["shares"] = shares_of(self._shares(), near.values())
+            message["paces"] = paces_of(self._paces(), near.values())
+        self._send(message, relays)
 
     def _self(self) -> Peer:
         """Returns this entry as the others see it."""
@@ -378,17 +330,6 @@
             rollouts=state["rollouts"],
         )
 
-    def _relays_elsewhere(self, rank: int) -> list[str]:
-        """Returns the addresses of the relays of the same rank elsewhere."""
-        links: dict[str, dict[str, float]] = {}
-        heard = self.heard()
-        for host, peer in heard.items():
-            if peer.data_centre != self._data_centre:
-                links.setdefault(peer.data_centre, {})[host] = peer.link_mbps
-        return [
-            heard[turn(some)[min(rank, len(some) - 1)]].ip for some in links.values()
-        ]
-
     # What the others tell.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -459,7 +400,8 @@
         for kind, age_s in message.get("ages", {}).items():
             peer.seen[kind] = peer.heard - age_s
         if peer.data_centre == self._data_centre:
-            self._keep_for_far({n: message[n] for n in NEWS if n in message})
+            news = {n: message[n] for n in NEWS if n in message}
+            self._far_links.keep(news, self._heard_near(), peer.heard)
         self._on_message(host, peer.incarnation, message)
 
     def _take_summary(
@@ -469,10 +411,7 @@
         if ip not in self._near.addresses:
             self._post(data, self._near.addresses)
         now = time.monotonic()
-        known = self._summaries.setdefault(data_centre, Summary())
-        summary = taken(message, now)
-        if known.replaced_by(summary.relay, summary.entries, now):
-            self._summaries[data_centre] = summary
+        self._far_links.take(data_centre, message, now)
         for host, word in message.get("digest", {}).items():
             self._take_digest(host, data_centre, word, now)
         self._on_message(data_centre, "", message)
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -34,6 +34,8 @@
 TOLD_FRESH_S = 3.5
 """Age of the other entries' word of the store up to which this one relies on it: a
 watch of theirs and the messages that tell of it."""
+TOLD_SLACK_S = 0.2
+"""What messages between entries may take, by which the others' word is younger."""
 BEHIND_S = 0.3
 """Time for which this entry's own watch may lag behind a peer's before it copies."""
 
@@ -143,11 +145,15 @@
             if mirror.adopt(revision, objects):
                 logs.event("store.copied", kind=kind, revision=revision, peer=peer.ip)
 
-    def _told(self) -> bool:
-        """Returns whether other entries have just heard from the store."""
+    def _told(self, since: float) -> bool:
+        """Returns whether others hear from the store that is away here since a time.
+
+        Without it entries that lost the store together would wait for each other.
+        """
         now = time.monotonic()
+        within_s = min(TOLD_FRESH_S, now - since - TOLD_SLACK_S)
         heard = self._peers.heard().values()
-        return any(fresh(peer, SERVER_KIND, now, TOLD_FRESH_S) for peer in heard)
+        return any(fresh(peer, SERVER_KIND, now, within_s) for peer in heard)
 
     def _watch_s(self, kind: str) -> float | None:
         host = self._state.settings.host
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -49,6 +49,8 @@
 service are unlike, and what a slow one can't serve in time is not worth most there."""
 PACES_FRESH_S = 0.05
 """Time for which joined estimates of speeds are used again."""
+PACES_KEPT_S = 30.0
+"""Time after which what a silent entry told of speeds has faded away."""
 MIN_TOLD_WEIGHT = 0.01
 """Weight below which an estimate is not told."""
 MAX_KEYS = 8
@@ -267,7 +269,7 @@
         decisions = self._refuse_hopeless(service, load, now)
         peer_keys = self._others.waiting_keys(name)
         free, granted = load.free, 0
-        waiting = service.room.ordered(now, service.first_s) if free else []
+        waiting = service.room.ordered(now, service.first_s)
         while granted < free:
             some = waiting[:CHOICE]
             pair = self._pick(service, some, candidates, peer_keys, free - granted, now)
@@ -379,8 +381,13 @@
         self.standing(place.server).ended(job.request_id)
         return True
 
-    def forget(self, alive: set[tuple[str, int]]) -> None:
+    def forget(self, alive: set[tuple[str, int]], now: float) -> None:
         """Drops what was learned of servers that are gone."""
+        self._heard_paces = {
+            source: heard
+            for source, heard in self._heard_paces.items()
+            if now - heard[0] < PACES_KEPT_S
+        }
         for table in (self._paces, self._standings, self._common_paces):
             for incarnation in table.keys() - alive:
                 del table[incarnation]
--- a/cornelpin/scheduling/quota.py
+++ b/cornelpin/scheduling/quota.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -16,13 +17,14 @@
 
     from cornelpin.scheduling.routing import Workspace
 
-HEADROOM = 1.03
-"""Factor on rate and burst: a third of the overage that the platform bears, so that
-requests at the edge of a limit are not refused for a peer's delayed count; the rest is
-for what is used while such counts are on their way."""
+HEADROOM = 1.05
+"""Factor on rate and burst: half of the overage that the platform bears, so that
+requests at the edge of a limit are not refused for a peer's delayed count."""
 RECENT_S = 1.0
 """Half-life of what peers used of a rate that this entry has not met yet: about the
 time in which a bucket fills."""
+SPARE_SHARE = 0.3
+"""Part of a rate that peers must leave unused for its bucket to be taken for full."""
 MIN_WAIT_S = 0.05
 """Shortest advice to come back, one round trip of a client and its scheduling."""
 
@@ -102,11 +104,13 @@
         return None
 
     def _first_met(self, name: str, rate: float, burst: float, now: float) -> _Bucket:
-        """Returns a new bucket less what peers have used of it of late."""
+        """Returns a new bucket, as full as peers have left it of late."""
         level = min(burst, (now - self._started) * rate)
         used = self._unmet.pop(name, None)
         if used is not None:
-            level -= used.level * 0.5 ** ((now - used.at) / RECENT_S)
+            faded = used.level * 0.5 ** ((now - used.at) / RECENT_S)
+            used_share = faded * math.log(2) / (RECENT_S * rate)
+            level *= min(1.0, max(0.0, (1.0 - used_share) / SPARE_SHARE))
         self._buckets[name] = _Bucket(level, now)
         return self._buckets[name]
 
--- a/cornelpin/tests/test_fleet_limits.py
+++ b/cornelpin/tests/test_fleet_limits.py
@@ -45,6 +45,13 @@
     assert quotas.admit(WORKSPACE, 50, 20.0, Share(2, 2)) is not None
 
 
+def test_a_rate_that_peers_use_half_of_is_there_at_first_contact() -> None:
+    quotas = Quotas(started=0.0)
+    for tenth in range(100):
+        quotas.peer_used(("other", "1"), {"blue": 5.0 * tenth}, 10 + tenth / 10)
+    assert quotas.admit(WORKSPACE, 100, 20.0, Share(2, 2)) is None
+
+
 def test_an_amount_that_did_not_run_is_given_back() -> None:
     quotas = Quotas(started=0.0)
     assert quotas.admit(WORKSPACE, 100, 2.0, Share()) is None
--- a/cornelpin/tests/test_gateway_fleet.py
+++ b/cornelpin/tests/test_gateway_fleet.py
@@ -352,6 +352,26 @@
     return {host: peer for host, peer in peers.items() if host != own}
 
 
+def test_entries_that_lose_the_store_together_do_not_wait_for_each_other() -> None:
+    """certpin-sul scale-2: CONFIG broken 4.2 s after a change.
+
+    All watches were cut at once, and each entry took the others to hear the store.
+    """
+
+    async def scenario() -> None:
+        async with bed(entries=3) as made:
+            await heard(made)
+            await asyncio.sleep(0.5)
+            made.store.mode = "busy"
+            made.store.cut_watches()
+            await asyncio.sleep(0.1)
+            made.store.mode = "up"
+            made.store.put("config", "main", config(9))
+            await until(lambda: all(version(e) == 9 for e in made.entries), 1.5)
+
+    asyncio.run(scenario())
+
+
 def test_an_entry_that_the_store_refuses_calls_it_rarely_while_others_hear_it() -> None:
     """tempra-log-grown trouble-1: 2,355 calls, many of hosts that the store refused."""
 
--- a/cornelpin/tests/test_scheduling.py
+++ b/cornelpin/tests/test_scheduling.py
@@ -469,3 +469,11 @@
         reach = Reach(f"front-{number}", "here")
         used |= {s.id for s in reach.of_service("app", servers)}
     assert used == set(servers)
+
+
+def test_what_waits_is_told_by_its_worth_also_while_no_slot_is_free() -> None:
+    deck = dispatcher([server("full", slots=1)], Others({"full": (1, 0)}))
+    deck.offer(job(), NOW)
+    assert deck.pump("app", NOW) == []
+    (key,) = deck.waiting_keys()["app"]
+    assert key > 0
--- a/standins/fleet/raw_http.py
+++ b/standins/fleet/raw_http.py
@@ -46,9 +46,13 @@
         """Stops listening and resets all connections."""
         if self._server is not None:
             self._server.close()
+        self.reset()
+        await asyncio.sleep(0)
+
+    def reset(self) -> None:
+        """Resets all connections."""
         for writer in list(self._writers):
             writer.transport.abort()
-        await asyncio.sleep(0)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -78,6 +78,10 @@
         self.mode = "silent"
         self._era += 1
 
+    def cut_watches(self) -> None:
+        """Resets all connections, so that watches that wait are lost."""
+        self.server.reset()
+
     def forget_history(self) -> None:
         """Drops the history, so that watches from before get 410."""
         self._forgotten = self._revision
