--- a/benchmarks/fault_soak/soak.py
+++ b/benchmarks/fault_soak/soak.py
@@ -84,6 +84,7 @@
         await asyncio.sleep(SETTLE_S)
         await _end(users)
         asking.check_runs()
+        asking.broken += [f"READY: {log}" for log in fleet.never_ready]
         _check_recovery(asking, before)
     finally:
         await _end(users)
