--- a/cornelpin/gateway/far_links.py
+++ b/cornelpin/gateway/far_links.py
@@ -12,10 +12,10 @@
     RELAYS,
     Digest,
     Summary,
+    read_summary,
+    relay_order,
     short_id,
     sum_up,
-    taken,
-    turn,
 )
 
 if TYPE_CHECKING:
@@ -70,7 +70,7 @@
     def take(self, data_centre: str, message: Mapping[str, Any], now: float) -> None:
         """Takes a summary of another data centre."""
         known = self._summaries.setdefault(data_centre, Summary())
-        summary = taken(message, now)
+        summary = read_summary(message, now)
         if known.replaced_by(summary.relay, summary.entries, now):
             self._summaries[data_centre] = summary
 
@@ -89,7 +89,7 @@
         at, rank = self._rank
         if now - at > RANK_FRESH_S:
             links = {host: peer.link_mbps for host, peer in near.items()}
-            place = turn(links | {self._host: self._link_mbps}).index(self._host)
+            place = relay_order(links | {self._host: self._link_mbps}).index(self._host)
             rank = place if place < RELAYS else None
             self._rank = (now, rank)
         return rank
@@ -127,5 +127,6 @@
             if peer.data_centre != self._data_centre:
                 links.setdefault(peer.data_centre, {})[host] = peer.link_mbps
         return [
-            heard[turn(some)[min(rank, len(some) - 1)]].ip for some in links.values()
+            heard[relay_order(some)[min(rank, len(some) - 1)]].ip
+            for some in links.values()
         ]
--- a/cornelpin/gateway/summaries.py
+++ b/cornelpin/gateway/summaries.py
@@ -47,7 +47,7 @@
     return zlib.crc32(server_id.encode())
 
 
-def turn(links: Mapping[str, float]) -> list[str]:
+def relay_order(links: Mapping[str, float]) -> list[str]:
     """Returns hosts in the order in which they are relays: those with wide links first.
 
     Args:
@@ -121,7 +121,7 @@
     }
 
 
-def taken(message: Mapping[str, Any], now: float) -> Summary:
+def read_summary(message: Mapping[str, Any], now: float) -> Summary:
     """Returns a received summary."""
     return Summary(
         relay=str(message["from"][0]),
--- a/cornelpin/tests/test_summaries.py
+++ b/cornelpin/tests/test_summaries.py
@@ -15,11 +15,11 @@
     READING_UNIT,
     Digest,
     Summary,
+    read_summary,
+    relay_order,
     shares_of,
     short_id,
     sum_up,
-    taken,
-    turn,
 )
 from cornelpin.tests.fleet_client import ask
 from cornelpin.tests.gateway_bed import Bed, bed, until
@@ -43,7 +43,7 @@
 def test_a_summary_adds_up_what_its_entries_hold() -> None:
     own = {"in_flight": {"a": (2, 100)}, "keys": {"app": [3.0]}}
     told = summary([peer(in_flight={"a": (1, 30), "b": (1, 0)})], own)
-    got = taken(told | {"from": ["relay", "1", 1, "there"]}, 100.5)
+    got = read_summary(told | {"from": ["relay", "1", 1, "there"]}, 100.5)
     assert got.in_flight[short_id("a")] == (3, 3 * READING_UNIT)
     assert got.in_flight[short_id("b")] == (1, 0)
     assert got.keys == {"app": [3.0]}
@@ -51,7 +51,7 @@
 
 
 def test_hosts_with_wide_links_relay() -> None:
-    assert turn({"a": 5.0, "b": 100.0, "c": 10.0}) == ["b", "c", "a"]
+    assert relay_order({"a": 5.0, "b": 100.0, "c": 10.0}) == ["b", "c", "a"]
 
 
 def test_a_silent_entry_is_left_out() -> None:
@@ -143,7 +143,7 @@
         async with bed(entries=0) as made:
             await two_centres(made)
             there = {e.peers.host: e for e in made.entries[2:]}
-            lost = there.pop(turn(dict.fromkeys(there, 100.0))[rank])
+            lost = there.pop(relay_order(dict.fromkeys(there, 100.0))[rank])
             lost.peers.close()
             asking = next(iter(there.values()))
             made.servers[0].behaviour.answer_s = 1.5
