--- a/cornelpin/tests/test_rollouts.py
+++ b/cornelpin/tests/test_rollouts.py
@@ -30,6 +30,8 @@
 NEW = [server(f"new-{n}", version="v2") for n in range(4)]
 SPEEDS = (0.55, 1.0, 1.0, 2.8)
 """Factors on the times of the servers of one version."""
+CLIENTS = 4
+"""Clients of a bed: with fewer a busy machine leaves too few runs to judge by."""
 GOSSIP_S = 0.3
 """Time between messages of entries."""
 
@@ -174,7 +176,12 @@
 
 
 async def load(made: Bed, seconds: float) -> None:
-    """Asks at all entries for a while."""
+    """Asks at all entries for a while, by several clients."""
+    await asyncio.gather(*(ask_on(made, seconds) for _ in range(CLIENTS)))
+
+
+async def ask_on(made: Bed, seconds: float) -> None:
+    """Asks at all entries in turn."""
     loop = asyncio.get_running_loop()
     until_s = loop.time() + seconds
     number = 0
