Retry an entry's registration only once a cache has reached the store

Its log shows that the store was refused before the entry had registered; registration was retried every 0.5 s, whatever the backoff of the caches: 6 of the 8 calls. Change: registration waits until a cache has reached the store.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -259,6 +259,7 @@
                 listing = await self.store.list(ENTRY_KIND)
             except StoreUnavailable:
                 await asyncio.sleep(HOUSEKEEPING_S)
+                await self._view.until_reachable()
                 continue
             ips = [c.spec["ip"] for c in listing.objects if isinstance(c.spec, dict)]
             self.peers.add_addresses(ip for ip in ips if isinstance(ip, str))
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.snapshots import fetch_snapshot
-from cornelpin.gateway.watch_cache import WatchCache
+from cornelpin.gateway.watch_cache import POLL_S, WatchCache
 from cornelpin.gateway.watcher_selection import (
     DEFAULT_TIMING,
     ROLLOUT_TIMING,
@@ -111,6 +112,15 @@
         """Returns the coroutines that keep the caches current, to be run as tasks."""
         return (cache.run() for cache in self._caches.values())
 
+    async def until_reachable(self) -> None:
+        """Waits until the last call of a cache succeeded.
+
+        The caches retry at intervals that take the peers' access into account, so that
+        other callers need no schedule of their own during an outage.
+        """
+        while not any(cache.reachable for cache in self._caches.values()):
+            await asyncio.sleep(POLL_S)
+
     def revisions(self) -> dict[str, int]:
         """Returns the revision of each kind."""
         return {kind: cache.revision for kind, cache in self._caches.items()}
--- a/cornelpin/tests/test_gateway_fleet.py
+++ b/cornelpin/tests/test_gateway_fleet.py
@@ -7,13 +7,14 @@
 import subprocess
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
+from cornelpin.gateway.app import ENTRY_KIND
 from cornelpin.gateway.peer import Peer
 from cornelpin.gateway.watcher_selection import watch_wait_s
-from cornelpin.platform import StoreUnavailable
+from cornelpin.platform import Store, StoreUnavailable
 from cornelpin.tests.fleet_client import connect, fetch, request
 from cornelpin.tests.gateway_harness import Harness, config, route, run_harness, until
 
@@ -467,3 +468,32 @@
             await until(lambda: version(refused) == 9, 1.0)
 
     asyncio.run(scenario())
+
+
+def test_entry_that_the_store_refuses_from_its_start_backs_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against retries of the registration at an interval of its own."""
+    exchange = Store._exchange
+
+    async def scenario() -> None:
+        async with run_harness(entries=1) as harness:
+            served = harness.entries[0].store
+
+            async def refuse(store: Store, *args: Any) -> Any:
+                if store is served:
+                    return await exchange(store, *args)
+                store.calls += 1
+                raise StoreUnavailable("refused")
+
+            monkeypatch.setattr(Store, "_exchange", refuse)
+            refused = await harness.add_entry()
+            await asyncio.sleep(6.5)
+            before = refused.store.calls
+            await asyncio.sleep(3.0)
+            assert refused.store.calls - before <= 2 * 3
+            monkeypatch.undo()
+            # Registration is retried once a cache has reached the store.
+            await until(lambda: "front-1" in harness.store.objects(ENTRY_KIND), 6.0)
+
+    asyncio.run(scenario())
