Pay the debts of concurrent admissions from the tolerated slack

No refusal was for load. Change: while a bucket is below zero it also refills from half of the slack that the platform tolerates; overage, slack and window come from its bounds.

--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -10,7 +10,7 @@
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.client_retries import ClientRetries
 from cornelpin.scheduling.poison_requests import PoisonDetector
-from cornelpin.scheduling.quota import FleetView, Quotas
+from cornelpin.scheduling.quota import FleetView, Quotas, QuotaTolerance
 from cornelpin.scheduling.rollouts import Rollouts
 from cornelpin.scheduling.servers import ServerList
 
@@ -56,7 +56,12 @@
         self.config: RoutingConfig | None = None
         self.servers = ServerList(bounds.drain_s)
         self.pool = ConnectionPool()
-        self.quotas = Quotas(time.monotonic())
+        self.quotas = Quotas(
+            time.monotonic(),
+            QuotaTolerance(
+                bounds.quota_overage, bounds.quota_slack, bounds.quota_window_s
+            ),
+        )
         self.client_retries = ClientRetries()
         self.rollouts = Rollouts(
             share=bounds.new_version_share, extra=bounds.new_version_extra
@@ -144,6 +149,14 @@
         if self.metrics is not None:
             self.metrics.response_time.labels(server.id).observe(took_s)
 
+    def record_queue_wait(self, forecast_s: float, measured_s: float) -> None:
+        """Records how long a request waited for its slot, and the forecast of it."""
+        if self.metrics is None:
+            return
+        self.metrics.queue_wait.labels("forecast").observe(forecast_s)
+        self.metrics.queue_wait.labels("measured").observe(measured_s)
+        self.metrics.forecast_error.observe(measured_s - forecast_s)
+
     def count_request(
         self, job: Job | None, outcome: str, status: int, reason: str, took_s: float
     ) -> None:
--- a/cornelpin/platform/_settings.py
+++ b/cornelpin/platform/_settings.py
@@ -14,6 +14,8 @@
 SETTINGS_VARIABLE = "CORNELPIN_SETTINGS"
 MS = 1e-3
 """Seconds per millisecond."""
+MIN_WINDOW_S = 0.1
+"""Lower bound of a sliding window, against division by zero."""
 
 
 @attrs.frozen
@@ -29,6 +31,10 @@
         retry_ratio: Retries allowed per request in a window.
         retry_extra: Further retries allowed in a window, for all entries together.
         retry_window_s: Length of the sliding window for retries, seconds.
+        quota_overage: Part of a workspace's rate and burst by which all entries
+            together may exceed them.
+        quota_slack: Tokens by which they may exceed them in addition, per window.
+        quota_window_s: Length of the sliding window for limits, seconds.
         new_version_share: Largest share of the requests that a bad new version may
             receive.
         new_version_extra: Requests that it may receive beyond that share.
@@ -41,6 +47,9 @@
     retry_ratio: float = 0.2
     retry_extra: float = 50.0
     retry_window_s: float = 10.0
+    quota_overage: float = 0.1
+    quota_slack: float = 0.0
+    quota_window_s: float = 8.0
     new_version_share: float = 0.1
     new_version_extra: float = 50.0
 
@@ -148,6 +157,12 @@
         retry_ratio=value(table, "budget_ratio", float, defaults.retry_ratio),
         retry_extra=value(table, "budget_extra", float, defaults.retry_extra),
         retry_window_s=value(table, "budget_window_s", float, defaults.retry_window_s),
+        quota_overage=value(table, "quota_overage", float, defaults.quota_overage),
+        quota_slack=value(table, "quota_slack", float, defaults.quota_slack),
+        quota_window_s=max(
+            MIN_WINDOW_S,
+            value(table, "quota_window_s", float, defaults.quota_window_s),
+        ),
         # The platform calls the new version of a roll-out its canary.
         new_version_share=value(
             table, "canary_share", float, defaults.new_version_share
--- a/cornelpin/scheduling/quota.py
+++ b/cornelpin/scheduling/quota.py
@@ -16,9 +16,13 @@
 
     from cornelpin.scheduling.routing import Workspace
 
-HEADROOM = 1.05
-"""Factor on rate and burst, so that requests at the edge of a limit are not refused
-because a peer's count arrives late. The platform tolerates an overage of 0.1."""
+OVERAGE_SHARE = 0.5
+"""Part of the tolerated overage by which rates and bursts are raised, so that requests
+at the edge of a limit are not refused because a peer's count arrives late."""
+SLACK_SHARE = 0.5
+"""Part of the tolerated slack from which debts are paid that entries run up together
+before they know of each other, so that later requests within the limit are not refused
+for them. The rest covers the debts themselves."""
 USAGE_HALF_LIFE_S = 1.0
 """Half-life of the sum of peers' usage that is kept for a workspace without a bucket at
 this entry, seconds: about the time in which a bucket fills."""
@@ -37,6 +41,30 @@
     at: float
 
 
+@attrs.frozen
+class QuotaTolerance:
+    """How far the platform lets all entries together exceed a workspace's limit.
+
+    Attributes:
+        overage: Part of rate and burst.
+        slack: Tokens per window in addition.
+        window_s: Length of the sliding window, seconds.
+    """
+
+    overage: float = 0.1
+    slack: float = 0.0
+    window_s: float = 8.0
+
+    @property
+    def factor(self) -> float:
+        """Factor on rates and bursts."""
+        return 1.0 + OVERAGE_SHARE * self.overage
+
+    def repayment_rate(self, workspace: Workspace) -> float:
+        """Returns the tokens per second by which a debt shrinks beyond the rate."""
+        return SLACK_SHARE * self.slack / self.window_s if workspace.by_tokens else 0.0
+
+
 @attrs.frozen
 class FleetView:
     """Numbers of entries from which this entry receives reports, and of all entries.
@@ -62,10 +90,16 @@
 
 
 class Quotas:
-    """This entry's replica of the buckets of all workspaces."""
+    """This entry's replica of the buckets of all workspaces.
+
+    Args:
+        started: Monotonic time of this entry's start.
+        tolerance: How far limits may be exceeded.
+    """
 
-    def __init__(self, started: float) -> None:
+    def __init__(self, started: float, tolerance: QuotaTolerance | None = None) -> None:
         self._started = started
+        self._tolerance = tolerance or QuotaTolerance()
         self._buckets: dict[str, _TimedAmount] = {}
         self._used: dict[str, float] = {}
         self._last_totals: dict[tuple[str, str], dict[str, float]] = {}
@@ -96,12 +130,17 @@
         """
         if workspace.rate_per_s <= 0:
             return None
-        rate = workspace.rate_per_s * HEADROOM * fleet.rate_fraction
-        burst = max(1.0, workspace.burst * HEADROOM * fleet.rate_fraction)
+        factor = self._tolerance.factor * fleet.rate_fraction
+        rate = workspace.rate_per_s * factor
+        burst = max(1.0, workspace.burst * factor)
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             bucket = self._new_bucket(workspace.name, rate, burst, now)
-        bucket.level = min(burst, bucket.level + (now - bucket.at) * rate)
+        elapsed_s = now - bucket.at
+        if bucket.level < 0:
+            repayment = elapsed_s * self._tolerance.repayment_rate(workspace)
+            bucket.level = min(0.0, bucket.level + repayment * fleet.rate_fraction)
+        bucket.level = min(burst, bucket.level + elapsed_s * rate)
         bucket.at = now
         needed = min(amount, burst)
         if bucket.level < needed:
