Refuse requests by a forecast of their wait, at once

Change: scheduling/admission.py forecasts the wait as that of a priority queue over all entries; a review after 0.15 of the objective, and repeated ones of late requests; a safety margin that balances at nine early refusals of ten. Streams that would not end in time leave their slot to others. Size bands are boosted beside ranks. Values of late responses and steps of priorities are settings (CORNELPIN_VALUE_*). Histograms of forecast and measured waits; request.refused says what was forecast.

--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -12,7 +12,8 @@
 
 import click
 
-from cornelpin.scheduling.dispatcher import Dispatcher, Placement
+from cornelpin.scheduling.decisions import Placement
+from cornelpin.scheduling.dispatcher import Dispatcher
 from cornelpin.scheduling.jobs import Job
 from cornelpin.scheduling.routing import Route, RouteKind
 from cornelpin.scheduling.servers import BackendServer
--- a/benchmarks/replay/patterns.py
+++ b/benchmarks/replay/patterns.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from benchmarks.replay.engine import EngineModel
 from cornelpin.scheduling.routing import Route, RouteKind
 
 if TYPE_CHECKING:
@@ -90,6 +91,44 @@
 )
 
 
+# Drafts of middle size, summaries, and queries with short prompts and long answers,
+# which hold a slot for seconds.
+DRAFT = RequestKind(
+    _route("draft", 0, 0.8, 6.0, resumable=False),
+    12.7,
+    7.1,
+    2.0,
+    (2_950.0, 1.0),
+    (52.0, 1.5),
+    520,
+)
+SUMMARY = RequestKind(
+    _route("summary", 1, 0.6, 4.0, resumable=True),
+    17.5,
+    2.1,
+    0.62,
+    (1_860.0, 1.3),
+    (22.6, 1.5),
+    224,
+)
+QUERY = RequestKind(
+    _route("query", 2, 0.5, 15.0, resumable=False),
+    19.4,
+    0.35,
+    0.1,
+    (600.0, 0.9),
+    (280.0, 1.5),
+    2_800,
+)
+SLOW_PREFILL = EngineModel(
+    step_s=4.73e-3,
+    step_per_request_s=0.0138e-3,
+    prefill_tokens_per_s=38_400.0,
+    pairs_s_per_m=1.18e-3,
+    event_tokens=4,
+)
+
+
 @attrs.frozen
 class Surge:
     """A factor on the arrival rate for a while: of one kind, or of all if None."""
@@ -120,6 +159,8 @@
         entries: Entries that share the servers.
         slots: Maximum number of running requests of a server.
         duration_s: Time during which requests arrive.
+        engine: Speed of a server of slowness 1.
+        clump: Mean number of requests of a kind that arrive together.
         kinds: The kinds of requests that clients send.
     """
 
@@ -129,6 +170,8 @@
     entries: int = 6
     slots: int = 8
     duration_s: float = 20.0
+    engine: EngineModel = EngineModel()
+    clump: float = 1.0
     kinds: tuple[RequestKind, ...] = (REVIEW, QUESTION, TAG)
 
     def factor(self, kind: str, now: float) -> float:
@@ -188,6 +231,21 @@
     return Pattern(surges=(Surge(5.0, 6.0, 1.8),), crashes=(Crash(6.0, 4.0, 0),))
 
 
+@register
+def long_answers() -> Pattern:
+    """1.3 times the capacity, and bursts, beside answers that hold slots for long."""
+    return Pattern(
+        slowness=(0.6, 0.6, 1.7, 1.7, 1.7),
+        surges=(Surge(4.0, 5.0, 1.7), Surge(14.0, 2.5, 2.2), Surge(24.0, 9.0, 0.7)),
+        entries=4,
+        slots=7,
+        duration_s=30.0,
+        kinds=(DRAFT, SUMMARY, QUERY),
+        engine=SLOW_PREFILL,
+        clump=3.0,
+    )
+
+
 def sample(rng: random.Random, mean: float, sigma: float, limit: float) -> int:
     """Draws a length from a log-normal distribution with a mean and an upper limit."""
     mu = math.log(mean) - sigma * sigma / 2
--- a/benchmarks/replay/systems.py
+++ b/benchmarks/replay/systems.py
@@ -8,7 +8,8 @@
 import attrs
 
 from benchmarks.replay.engine import Engine, Run
-from cornelpin.scheduling.dispatcher import Dispatcher, Placement, Refused
+from cornelpin.scheduling.decisions import Placement, Refused
+from cornelpin.scheduling.dispatcher import Dispatcher
 from cornelpin.scheduling.servers import BackendServer
 
 if TYPE_CHECKING:
@@ -173,18 +174,29 @@
         """Queues a request at an entry and dispatches the queue."""
         refused = self._dispatchers[entry].offer(job, self._sim.now)
         if refused is not None:
+            call.refusal_waits_s.append(0.0)
             self._caller.on_refused(call, refused.retry_after_s)
             return
         self._queued[job] = call
+        self._sim.call_later(
+            job.abandoned_at - self._sim.now,
+            lambda: self._abandon(entry, call, job),
+        )
         self._dispatch(entry)
 
+    def _abandon(self, entry: int, call: Call, job: Job) -> None:
+        """Removes a queued request whose client has disconnected."""
+        if self._queued.pop(job, None) is not None:
+            self._dispatchers[entry].withdraw(job)
+            self._caller.on_failed(call)
+
     def _tick(self, entry: int) -> None:
         class_counts = self._dispatchers[entry].export_class_counts(self._sim.now)
-        speeds = self._dispatchers[entry].export_speeds(self._sim.now)
+        speeds = self._dispatchers[entry].speeds.export(self._sim.now)
         for other, dispatcher in enumerate(self._dispatchers):
             if other != entry:
                 dispatcher.merge_class_counts(str(entry), class_counts, self._sim.now)
-                dispatcher.merge_speeds(str(entry), speeds, self._sim.now)
+                dispatcher.speeds.merge_from(str(entry), speeds, self._sim.now)
         self._dispatch(entry)
         self._sim.call_later(DISPATCH_INTERVAL_S, lambda: self._tick(entry))
 
@@ -195,6 +207,7 @@
             call = self._queued.pop(job)
             if isinstance(decision, Refused):
                 call.refused_wait_s += now - job.arrived
+                call.refusal_waits_s.append(now - job.arrived)
                 self._caller.on_refused(call, decision.retry_after_s)
             else:
                 self._send(entry, call, job, decision)
@@ -242,11 +255,17 @@
             HOP_LATENCY_S,
             lambda: self._arrive(entry, call, job, placement, engine, run),
         )
-        left_s = call.deadline - sent_at
         self._sim.call_later(
-            left_s, lambda: self._expire(entry, job, placement, engine, run)
+            call.deadline - sent_at,
+            lambda: self._expire(entry, job, placement, engine, run),
         )
 
+        def abandon() -> None:
+            if not events:
+                self._expire(entry, job, placement, engine, run)
+
+        self._sim.call_later(job.abandoned_at - sent_at, abandon)
+
     def _arrive(
         self,
         entry: int,
--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -34,6 +34,7 @@
     refusal_headers,
 )
 from cornelpin.scheduling.routing import ClientLimits
+from cornelpin.scheduling.valuation import Valuation
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -71,10 +72,15 @@
         settings: Settings of this host.
         settings_path: Path of the settings file, for reloads.
         lines: Writer of the log lines.
+        valuation: Relative values of responses.
     """
 
     def __init__(
-        self, settings: HostSettings, settings_path: str, lines: logs.LineWriter
+        self,
+        settings: HostSettings,
+        settings_path: str,
+        lines: logs.LineWriter,
+        valuation: Valuation | None = None,
     ) -> None:
         self._settings = settings
         self._settings_path = settings_path
@@ -91,7 +97,7 @@
             class_counts=lambda: self.scheduler.dispatcher.export_class_counts(
                 time.monotonic()
             ),
-            speeds=lambda: self.scheduler.dispatcher.export_speeds(time.monotonic()),
+            speeds=lambda: self.scheduler.dispatcher.speeds.export(time.monotonic()),
             on_message=self._on_peer_message,
         )
         self.state = GatewayState(
@@ -106,6 +112,7 @@
             self.peers,
             self.state.rollouts,
             settings.data_centre,
+            valuation or Valuation(),
         )
         self.store = Store(settings.store)
         self.rollout_controller = RolloutController(
@@ -245,7 +252,7 @@
             dispatcher.merge_class_counts(sender, message["shares"], time.monotonic())
         if "paces" in message:
             dispatcher = self.scheduler.dispatcher
-            dispatcher.merge_speeds(sender, message["paces"], time.monotonic())
+            dispatcher.speeds.merge_from(sender, message["paces"], time.monotonic())
         if "in_flight" in message or "keys" in message:
             self.scheduler.dispatch_soon()
 
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -48,7 +48,7 @@
 MIN_TIMEOUT_OBJECTIVES = 2.0
 """A silent server times out no earlier than after this many latency objectives of the
 route, not after one, because a late response still has some value
-(``jobs.LATE_VALUE``)."""
+(``Valuation.late``)."""
 MIN_SAMPLES = 5
 """Responses of a server required before its expected response time is used for
 time-outs; until then its requests have none but their deadline."""
@@ -167,6 +167,9 @@
                 self.progress.waited_s += time.monotonic() - queued_at
             if isinstance(placement, Refused):
                 return self._refused(placement)
+            self.state.record_queue_wait(
+                self.job.forecast_wait_s, time.monotonic() - queued_at
+            )
             self._log_placement(placement)
             outcome = await self._send(placement)
             self._record_outcome(placement, outcome)
@@ -187,6 +190,7 @@
             slots=refused.slots,
             free=refused.free,
             ahead=refused.ahead,
+            forecast_ms=round(1e3 * refused.forecast_wait_s),
             waited_ms=round(1e3 * self.progress.waited_s),
             retry_after_s=round(refused.retry_after_s, 3),
             servers_age_ms=self.state.servers_age_ms(),
@@ -220,6 +224,7 @@
             tokens_ahead=placement.tokens_ahead,
             expected_ms=round(1e3 * placement.expected_s),
             waited_ms=round(1e3 * self.progress.waited_s),
+            forecast_ms=round(1e3 * self.job.forecast_wait_s),
             servers_age_ms=self.state.servers_age_ms(),
             entries=self.state.live_entry_count(),
         )
--- a/cornelpin/gateway/metrics.py
+++ b/cornelpin/gateway/metrics.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
+ERROR_BUCKETS_S = (-3.0, -1.0, -0.4, -0.1, -0.02, 0.02, 0.1, 0.4, 1.0, 3.0)
 
 
 class Metrics:
@@ -27,6 +28,10 @@
         latency: Seconds from a request's arrival to its end.
         response_time: Seconds from a send to the response: the first event of a stream
             or the end of another response.
+        queue_wait: Seconds from a request's arrival in the queue to its slot, as
+            forecast and as measured. Requests refused from the queue have no slot and
+            are left out.
+        forecast_error: The measured wait of the same requests minus the forecast one.
         rejections: Responses made by the entry itself instead of a server.
         sends: Requests sent to servers; the outcome is a class name of
             cornelpin.gateway.exchange.
@@ -54,6 +59,19 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.queue_wait = Histogram(
+            "cornelpin_queue_wait_seconds",
+            "Time in the queue until a slot was granted",
+            ["value"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.forecast_error = Histogram(
+            "cornelpin_queue_forecast_error_seconds",
+            "Measured minus forecast time in the queue",
+            buckets=ERROR_BUCKETS_S,
+            registry=self.registry,
+        )
         self.rejections = Counter(
             "cornelpin_rejections",
             "Answers of our own, by reason",
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -114,7 +114,7 @@
             route=route,
             service=service,
             # Zero is the highest priority. A lower workspace priority reduces the value
-            # of its requests (``Job.rank_weight``); having none does not.
+            # of its requests (``Valuation.rank_weight``); having none does not.
             rank=(
                 workspace.priority or 0 if workspace is not None else 0,
                 route.priority,
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from cornelpin.gateway import logs
-from cornelpin.scheduling.dispatcher import Dispatcher, Placement, Refused
+from cornelpin.scheduling.decisions import Placement, Refused
+from cornelpin.scheduling.dispatcher import Dispatcher
 from cornelpin.scheduling.subsetting import ServerSubsets
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.rollouts import Rollouts
     from cornelpin.scheduling.servers import BackendServer, ServerList
+    from cornelpin.scheduling.valuation import Valuation
 
 __all__ = ["Placement", "Refused", "Scheduler"]
 
@@ -34,6 +36,7 @@
         peers: The other entries.
         rollouts: Decides which software versions of the servers may be used.
         data_centre: Data centre of this entry.
+        valuation: Relative values of responses.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         peers: Peers,
         rollouts: Rollouts,
         data_centre: str,
+        valuation: Valuation,
     ) -> None:
         self._servers = servers
         self._rollouts = rollouts
@@ -55,6 +59,7 @@
             peers=peers,
             connected=pool.has_idle,
             data_centre=data_centre,
+            valuation=valuation,
             needs_traffic=rollouts.needs_traffic,
         )
 
--- /dev/null
+++ b/cornelpin/scheduling/decisions.py
@@ -0,0 +1,67 @@
+"""Decisions on a request: it gets a slot of a server, or it is refused."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from cornelpin.scheduling.jobs import Job
+    from cornelpin.scheduling.servers import BackendServer
+
+NO_SLOT = "no slot in time worth having"
+TOO_LONG = "its answer would not end in time"
+WAITED = "waited in vain"
+"""Reasons of refusals, for the client and the log."""
+
+
+@attrs.frozen
+class Refused:
+    """Refusal of a request, with the load that it was based on.
+
+    Attributes:
+        reason: Reason in the response to the client.
+        retry_after_s: Seconds after which the client should retry.
+        slots: Slots of all usable servers.
+        free: Free slots among them.
+        ahead: Requests ahead of it at all entries.
+        forecast_wait_s: Forecast wait for a slot, seconds.
+    """
+
+    reason: str
+    retry_after_s: float
+    slots: int = 0
+    free: int = 0
+    ahead: int = 0
+    forecast_wait_s: float = 0.0
+
+
+@attrs.define(eq=False)
+class Placement:
+    """A slot of a server, held for one send.
+
+    Attributes:
+        server: The server.
+        pending_tokens: Prompt tokens of the request that await prefill; zero after the
+            first event of the response.
+        tokens_ahead: Prompt tokens that the server prefills before the request's first
+            event, those of the request included.
+        running: Requests already in flight there, from all entries.
+        held_since: Monotonic time at which it was granted.
+        expected_s: Expected response time, seconds: from the send to the first event of
+            a stream, or to the whole response if it is not streamed.
+        free_local: Free slots in the own data centre when it was granted.
+    """
+
+    server: BackendServer
+    pending_tokens: int
+    tokens_ahead: int
+    running: int
+    held_since: float
+    expected_s: float
+    free_local: int = 0
+
+
+Decision = tuple["Job", Placement | Refused]
+"""A request and what was decided on it."""
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -12,18 +12,37 @@
 
 import attrs
 
-from cornelpin.scheduling.jobs import LATE_VALUE
-from cornelpin.scheduling.request_queue import RequestQueue, ServiceLoad
+from cornelpin.scheduling.admission import (
+    EARLY_STRICTNESS,
+    AdmissionControl,
+    Forecast,
+    ServiceLoad,
+    due_review,
+    prospects,
+)
+from cornelpin.scheduling.decisions import (
+    NO_SLOT,
+    TOO_LONG,
+    WAITED,
+    Decision,
+    Placement,
+    Refused,
+)
+from cornelpin.scheduling.fleet_speeds import FleetSpeeds
+from cornelpin.scheduling.jobs import Review
+from cornelpin.scheduling.request_queue import RequestQueue
 from cornelpin.scheduling.server_health import ServerHealth
 from cornelpin.scheduling.server_selection import (
     Candidate,
+    can_finish,
     expected_response_s,
     finish_probability,
     rank_candidates,
     should_wait,
     success_probability,
 )
-from cornelpin.scheduling.speed import SAMPLE_HALF_LIFE_S, SpeedEstimate
+from cornelpin.scheduling.speed import PRIOR_GAP_S, SpeedEstimate
+from cornelpin.scheduling.valuation import Valuation
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -50,66 +69,10 @@
 MAX_COMPARED_JOBS = 8
 """Queued requests considered for a free slot: the servers of one service differ, and
 the request with the highest score may be too late on a slow one."""
-MERGED_SPEED_TTL_S = 0.05
-"""TTL of a merged speed estimate, so that it is not computed for each request."""
-PEER_SPEEDS_EXPIRY_S = 30.0
-"""Time after which the speeds received from an entry are dropped: their weight has
-decayed to less than a hundredth."""
-MIN_EXPORT_WEIGHT = 0.01
-"""Weight below which an estimate is not exported."""
 MAX_SCORES = 8
 """Queued requests of a service whose scores are sent to peers."""
 
 
-@attrs.frozen
-class Refused:
-    """Refusal of a request, with the load that it was based on.
-
-    Attributes:
-        reason: Reason in the response to the client.
-        retry_after_s: Seconds after which the client should retry.
-        slots: Slots of all usable servers.
-        free: Free slots among them.
-        ahead: Requests ahead of it at all entries; None if it was refused after it had
-            waited in the queue.
-    """
-
-    reason: str
-    retry_after_s: float
-    slots: int = 0
-    free: int = 0
-    ahead: int | None = None
-
-
-@attrs.define(eq=False)
-class Placement:
-    """A slot of a server, held for one send.
-
-    Attributes:
-        server: The server.
-        pending_tokens: Prompt tokens of the request that await prefill; zero after the
-            first event of the response.
-        tokens_ahead: Prompt tokens that the server prefills before the request's first
-            event, those of the request included.
-        running: Requests already in flight there, from all entries.
-        held_since: Monotonic time at which it was granted.
-        expected_s: Expected response time, seconds: from the send to the first event of
-            a stream, or to the whole response if it is not streamed.
-        free_local: Free slots in the own data centre when it was granted.
-    """
-
-    server: BackendServer
-    pending_tokens: int
-    tokens_ahead: int
-    running: int
-    held_since: float
-    expected_s: float
-    free_local: int = 0
-
-
-Decision = tuple["Job", Placement | Refused]
-
-
 class PeerView(Protocol):
     """State of the other entries as last received."""
 
@@ -132,15 +95,19 @@
 
     Attributes:
         queue: Its queued requests.
+        admission: Decides which requests may queue.
         hold_s: Mean time for which a request holds a slot, seconds.
         first_s: Mean response time, seconds.
+        gap_s: Mean gap between two events of a stream, seconds.
         mean_output: Mean output tokens by route name.
         free_share: Share of its slots that were free after the last grant.
     """
 
     queue: RequestQueue
+    admission: AdmissionControl
     hold_s: float = PRIOR_HOLD_S
     first_s: float = PRIOR_FIRST_S
+    gap_s: float = PRIOR_GAP_S
     mean_output: dict[str, float] = attrs.field(factory=dict)
     free_share: float = 1.0
 
@@ -154,7 +121,11 @@
         connected: Returns whether an idle connection to a server exists.
         needs_traffic: Returns whether a server's version is below its traffic share.
         data_centre: Data centre of this entry.
+        valuation: Relative values of responses.
         rng: Source of randomness.
+
+    Attributes:
+        speeds: Speed estimates of the servers.
     """
 
     def __init__(
@@ -165,57 +136,24 @@
         connected: Callable[[BackendServer], bool],
         data_centre: str,
         needs_traffic: Callable[[BackendServer], bool] = lambda server: False,
+        valuation: Valuation | None = None,
         rng: Callable[[], float] = random.random,
     ) -> None:
+        self._valuation = valuation or Valuation()
         self._servers = servers
         self._peers = peers
         self._connected = connected
         self._needs_traffic = needs_traffic
         self._data_centre = data_centre
         self._rng = rng
+        self.speeds = FleetSpeeds()
         self._services: dict[str, _Service] = {}
-        self._speeds: dict[tuple[str, int], SpeedEstimate] = {}
         self._health: dict[tuple[str, int], ServerHealth] = {}
         self._placements: dict[str, set[Placement]] = {}
-        self._peer_speeds: dict[str, tuple[float, dict[str, list[float]]]] = {}
-        self._merged_speeds: dict[tuple[str, int], tuple[float, SpeedEstimate]] = {}
 
     def speed(self, server: BackendServer) -> SpeedEstimate:
         """Returns the speed of a server as estimated at this entry."""
-        return self._speeds.setdefault(server.incarnation, SpeedEstimate())
-
-    def export_speeds(self, now: float) -> dict[str, list[float]]:
-        """Returns weighted speed estimates of servers used recently, by server id."""
-        return {
-            server_id: speed.export(now)
-            for (server_id, _), speed in self._speeds.items()
-            if speed.weight(now) > MIN_EXPORT_WEIGHT
-        }
-
-    def merge_speeds(
-        self, source: str, speeds: dict[str, list[float]], now: float
-    ) -> None:
-        """Stores the speed estimates of another entry or of a whole data centre.
-
-        They are by server id, so those of a restarted server's previous incarnation
-        count until they are replaced by the next report or have decayed.
-        """
-        self._peer_speeds[source] = (now, speeds)
-
-    def _merged_speed(self, server: BackendServer, now: float) -> SpeedEstimate:
-        """Returns the speed of a server, merged over all entries."""
-        at, speed = self._merged_speeds.get(server.incarnation, (float("-inf"), None))
-        if speed is not None and now - at < MERGED_SPEED_TTL_S:
-            return speed
-        received = []
-        for received_at, speeds in self._peer_speeds.values():
-            sums = speeds.get(server.id)
-            if sums is not None:
-                decay = 0.5 ** ((now - received_at) / SAMPLE_HALF_LIFE_S)
-                received.append([decay * figure for figure in sums])
-        speed = self.speed(server).merged_with(received, now)
-        self._merged_speeds[server.incarnation] = (now, speed)
-        return speed
+        return self.speeds.own(server)
 
     def health(self, server: BackendServer) -> ServerHealth:
         """Returns the health of a server as observed at this entry."""
@@ -275,16 +213,91 @@
             job.route.name, PRIOR_OUTPUT_TOKENS
         )
         service.queue.count_request(job, now)
-        load = self._load(service, self._candidates(job.service, now), now)
-        peer_scores = self._peers.queue_scores(job.service)
-        ahead = service.queue.ahead(job, load, peer_scores, now)
-        retry_after_s = service.queue.retry_after_if_refused(job, load, ahead, now)
-        if retry_after_s is not None:
-            reason = "no slot in time worth having"
-            return Refused(reason, retry_after_s, load.slots, load.free, ahead)
+        candidates = self._candidates(job.service, now)
+        load = self._load(job.service, service, candidates, now)
+        refusal = self._refusal(service, job, candidates, load, now)
+        if refusal is not None:
+            service.admission.refused_early()
+            return refusal
+        forecast = self._forecast(service, job, load, now, score_at=now)
+        job.forecast_wait_s = forecast.wait_s
+        score = service.queue.score(job, now, load.first_s)
+        service.admission.record_admission(score, now)
         service.queue.add(job, now)
         return None
 
+    def _refusal(
+        self,
+        service: _Service,
+        job: Job,
+        candidates: list[Candidate],
+        load: ServiceLoad,
+        now: float,
+        strictness: float = 1.0,
+    ) -> Refused | None:
+        """Returns the refusal of a job that is not expected to be served in time.
+
+        Args:
+            service: State of the service.
+            job: The job.
+            candidates: Servers of the service.
+            load: Load of the service.
+            now: Monotonic time in seconds.
+            strictness: Factor on the safety margin.
+        """
+        reason = NO_SLOT
+        for at, until in prospects(job, now, load.first_s):
+            forecast = self._forecast(service, job, load, now, score_at=at)
+            if service.admission.admits(forecast, until, now, strictness=strictness):
+                if not load.contested or can_finish(job, candidates, now):
+                    return None
+                reason = TOO_LONG
+        return self._refuse(service, job, load, now, reason, forecast)
+
+    def _forecast(
+        self,
+        service: _Service,
+        job: Job,
+        load: ServiceLoad,
+        now: float,
+        *,
+        score_at: float,
+    ) -> Forecast:
+        """Returns the forecast for a job with its queue score of a monotonic time."""
+        queue = service.queue
+        score = queue.score(job, score_at, load.first_s)
+        peer_scores = self._peers.queue_scores(job.service)
+        ahead = queue.ahead(score, peer_scores, without=job)
+        own_share = queue.classes.own_share(now)
+        return service.admission.forecast(score, ahead, load, own_share, now)
+
+    def _refuse(
+        self,
+        service: _Service,
+        job: Job,
+        load: ServiceLoad,
+        now: float,
+        reason: str,
+        forecast: Forecast,
+    ) -> Refused:
+        retry_after_s = service.admission.retry_after_s(
+            job, self._run_s(service, job), now
+        )
+        return Refused(
+            reason,
+            retry_after_s,
+            slots=load.slots,
+            free=load.free,
+            ahead=forecast.ahead,
+            forecast_wait_s=forecast.wait_s,
+        )
+
+    def _run_s(self, service: _Service, job: Job) -> float:
+        """Returns the expected duration of a run of a job, seconds."""
+        if not job.stream:
+            return service.first_s
+        return service.first_s + job.output_tokens / job.event_tokens * service.gap_s
+
     def withdraw(self, job: Job) -> None:
         """Removes a queued job whose client has disconnected."""
         self._service(job.service).queue.remove(job)
@@ -295,8 +308,8 @@
         if service is None or not len(service.queue):
             return []
         candidates = self._candidates(name, now)
-        load = self._load(service, candidates, now)
-        decisions = self._refuse_unservable(service, load, now)
+        load = self._load(name, service, candidates, now)
+        decisions: list[Decision] = []
         peer_scores = self._peers.queue_scores(name)
         free, granted = load.free, 0
         jobs = service.queue.ordered(now, service.first_s)
@@ -317,7 +330,7 @@
                 self._candidate(c.server, now) if c is chosen else c for c in candidates
             ]
         service.free_share = (free - granted) / max(1, load.slots)
-        return decisions
+        return decisions + self._review_queue(service, candidates, load, now)
 
     def _pick(
         self,
@@ -339,6 +352,7 @@
             now: Monotonic time in seconds.
         """
         best, best_value = None, 0.0
+        contested = len(jobs) + len(peer_scores) > 1
         for job in jobs:
             score = service.queue.score(job, now, service.first_s)
             # Each request of a peer with a higher score is assumed to take one free
@@ -347,9 +361,9 @@
             # The expected value of a job is at most its score, and scores descend.
             if ahead >= free or score <= best_value:
                 break
-            ranked = rank_candidates(job, candidates, now)
+            ranked = rank_candidates(job, candidates, now, contested=contested)
             if not ranked:
-                break
+                continue
             chosen = ranked[min(ahead, len(ranked) - 1)]
             if should_wait(job, chosen, candidates, now):
                 continue
@@ -358,7 +372,7 @@
             value = score
             if now <= job.objective:
                 probability = success_probability(job, chosen, now)
-                value *= probability + LATE_VALUE * (1.0 - probability)
+                value *= probability + self._valuation.late * (1.0 - probability)
             value *= finish_probability(job, chosen, now)
             if value > best_value:
                 best, best_value = (job, chosen), value
@@ -386,14 +400,34 @@
         chosen.health.sent(job.request_id, now, placement.expected_s)
         return placement
 
-    def _refuse_unservable(
-        self, service: _Service, load: ServiceLoad, now: float
+    def _review_queue(
+        self,
+        service: _Service,
+        candidates: list[Candidate],
+        load: ServiceLoad,
+        now: float,
     ) -> list[Decision]:
+        """Refuses queued jobs that are no longer expected to be served in time."""
         refused: list[Decision] = []
-        for job in service.queue.unservable(now, service.first_s):
+        for job in service.queue:
+            review = due_review(job, now, load.first_s)
+            if review is None:
+                continue
+            job.reviewed_at = now
+            refusal: Refused | None
+            if review is Review.EXPIRED:
+                forecast = self._forecast(service, job, load, now, score_at=now)
+                refusal = self._refuse(service, job, load, now, WAITED, forecast)
+            else:
+                strictness = EARLY_STRICTNESS if review is Review.EARLY else 1.0
+                refusal = self._refusal(service, job, candidates, load, now, strictness)
+            if refusal is None:
+                continue
             service.queue.remove(job)
-            retry_after_s = service.queue.retry_after(job, now)
-            refusal = Refused("waited in vain", retry_after_s, load.slots, load.free)
+            if review is Review.EARLY:
+                service.admission.refused_early()
+            else:
+                service.admission.refused_late()
             refused.append((job, refusal))
         return refused
 
@@ -432,6 +466,8 @@
         service = self._service(job.service)
         held_s = now - placement.held_since
         service.hold_s = DECAY * service.hold_s + (1 - DECAY) * held_s
+        gap_s = self.speed(placement.server).gap_s
+        service.gap_s = DECAY * service.gap_s + (1 - DECAY) * gap_s
         self.health(placement.server).ended(job.request_id)
         return True
 
@@ -442,19 +478,16 @@
             alive: Incarnations of the servers that are believed to be running.
             now: Monotonic time in seconds.
         """
-        self._peer_speeds = {
-            source: received
-            for source, received in self._peer_speeds.items()
-            if now - received[0] < PEER_SPEEDS_EXPIRY_S
-        }
-        for table in (self._speeds, self._health, self._merged_speeds):
-            for incarnation in table.keys() - alive:
-                del table[incarnation]
+        self.speeds.forget(alive, now)
+        for incarnation in self._health.keys() - alive:
+            del self._health[incarnation]
 
     def _service(self, name: str) -> _Service:
         service = self._services.get(name)
         if service is None:
-            service = self._services[name] = _Service(RequestQueue(self._rng))
+            service = self._services[name] = _Service(
+                RequestQueue(self._valuation), AdmissionControl(self._rng)
+            )
         return service
 
     def _candidates(self, service: str, now: float) -> list[Candidate]:
@@ -471,7 +504,7 @@
         age_s = self._peers.remote_age_s() if remote else 0.0
         return Candidate(
             server=server,
-            speed=self._merged_speed(server, now),
+            speed=self.speeds.merged(server, now),
             health=self.health(server),
             running=running + len(placements),
             pending_tokens=pending_tokens
@@ -485,7 +518,7 @@
         )
 
     def _load(
-        self, service: _Service, candidates: list[Candidate], now: float
+        self, name: str, service: _Service, candidates: list[Candidate], now: float
     ) -> ServiceLoad:
         """Returns the load of a service and sets its ``free_share``.
 
@@ -500,4 +533,5 @@
             free=free,
             hold_s=service.hold_s,
             first_s=service.first_s,
+            queued=len(service.queue) + len(self._peers.queue_scores(name)),
         )
--- a/cornelpin/scheduling/jobs.py
+++ b/cornelpin/scheduling/jobs.py
@@ -1,13 +1,13 @@
 """One request as the scheduler represents it: deadlines, expected cost, and value.
 
-The platform specifies the value of a response, by which operators rate the service: it
-grows with the request's priority and size and is lower if the response is late. Costs
-are compute time of a server, in units of the time that it takes to prefill one prompt
-token.
+The value of a response to its caller grows with the request's priority and size and is
+lower if the response is late. Costs are compute time of a server, in units of the time
+that it takes to prefill one prompt token.
 """
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,28 +20,28 @@
 OUTPUT_TOKEN_COST = 40
 """Cost of an output token in prompt tokens, at a full batch of 8 or 9 requests."""
 OUTPUT_TOKEN_SIZE = 10
-"""Weight of an output token relative to a prompt token in a request's size, as the
-platform specifies it."""
-PRIORITY_STEP = 4.0
-"""Ratio of value between adjacent route priorities: the lowest of the ratios that the
-platform specifies, which are 4 to 7."""
-WORKSPACE_STEP = 64.0
-"""Ratio of value between adjacent workspace priorities: three steps of route
-priorities, because workspace priorities take precedence."""
+"""Weight of an output token relative to a prompt token in a request's size, by which
+callers value a response."""
 MIN_SILENCE_LIMIT_S = 2.0
 """Lower bound of the time without events after which a stream's client disconnects. The
 platform specifies it together with the multiples in ``Job.abandoned_at``."""
-LATE_VALUE = 0.29
-"""Value of a late response, relative to a timely one, as the platform specifies it."""
-LATE_RETRY_VALUE = 0.3
-"""Value of a late response to a client retry, relative to a timely one. Refusing a
-client a second time costs this part of the value, as the platform specifies it, so even
-a late response is worth that much."""
 MIN_COST = 200.0
 """Lower bound of the expected cost, and fixed part of the actual cost, in prompt
 tokens: requests without token counts and with tiny prompts take time, too."""
 
 
+class Review(enum.Enum):
+    """Occasions on which it is reviewed whether a job stays in the queue.
+
+    EARLY is soon after it was queued, LATE repeatedly once its response can no longer
+    be in time, and EXPIRED when a slot is of no more use to its client.
+    """
+
+    EARLY = "early"
+    LATE = "late"
+    EXPIRED = "expired"
+
+
 @attrs.define(eq=False)
 class Job:
     """One request from its arrival to its end.
@@ -64,6 +64,8 @@
         first_attempt_at: Monotonic time of its first attempt; before its arrival if
             this is a client retry.
         queued_since: Monotonic time at which it was last put in the queue.
+        reviewed_at: Monotonic time of the last review of its place in the queue.
+        forecast_wait_s: Wait for a slot that was forecast when it was queued, seconds.
     """
 
     request_id: str
@@ -86,6 +88,8 @@
     queued_since: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived, takes_self=True)
     )
+    reviewed_at: float = float("-inf")
+    forecast_wait_s: float = 0.0
 
     @property
     def objective(self) -> float:
@@ -150,9 +154,3 @@
     def size(self) -> float:
         """Weighted token count that determines a request's value within its rank."""
         return self.prompt_tokens + OUTPUT_TOKEN_SIZE * self.output_tokens
-
-    @property
-    def rank_weight(self) -> float:
-        """Value of a mean request of its rank, relative to one of the highest rank."""
-        workspace, route = self.rank
-        return WORKSPACE_STEP**-workspace * PRIORITY_STEP**-route
--- a/cornelpin/scheduling/request_classes.py
+++ b/cornelpin/scheduling/request_classes.py
@@ -20,10 +20,15 @@
 """Half-life of the counts from which the served shares are computed, seconds: about as
 long as a burst."""
 RELATIVE_FLOOR = 0.6
-"""Part of the best served class's share below which a class is boosted. The platform
-requires 0.3."""
+"""Part of the best served rank's share below which a rank is boosted: the urgent goes
+first, but no kind of caller is left without service."""
+BAND_FLOOR = 0.9
+"""Part of a rank's share below which one of its size bands is boosted, so that the
+shortest requests do not take the place of all long ones."""
 MAX_BOOST = 8.0
-"""Largest boost of a class under its floor: more than one step of route priorities."""
+"""Largest boost of a rank under its floor: more than one step of route priorities."""
+MAX_BAND_BOOST = 8.0
+"""Largest boost of a size band under its floor, in addition to that of its rank."""
 BOOST_POWER = 2.0
 """Exponent that turns the ratio of a class's floor to its share into its boost, so that
 a class just under its floor does not set back all others."""
@@ -31,6 +36,8 @@
 """Lower bound of a share in the boost, against division by zero."""
 SIZES_SUFFIX = ".sizes"
 """Suffix of a rank's name under which its sizes are exported besides class counts."""
+GRANTED_SUFFIX = ".granted"
+"""Suffix of a class's name under which its count of granted slots is exported."""
 TINY_WEIGHT = 1e-6
 """Lower bound of a sum of weights, against division by zero."""
 MIN_OFFERED = 3.0
@@ -60,11 +67,13 @@
         offered: Decayed number of requests.
         served: Decayed number of granted slots, late ones counted in part.
         at: Monotonic time up to which the counts are decayed.
+        granted: Decayed number of granted slots, each counted in full.
     """
 
     offered: float = 0.0
     served: float = 0.0
     at: float = 0.0
+    granted: float = 0.0
 
     def offer(self, now: float) -> None:
         """Counts a request."""
@@ -75,16 +84,18 @@
         """Counts a granted slot; ``part`` is below 1 if the response will be late."""
         self._decay(now)
         self.served += part
+        self.granted += 1
 
     def counts(self, now: float) -> list[float]:
-        """Returns the decayed numbers of requests and granted slots."""
+        """Returns the decayed ``offered``, ``served`` and ``granted``."""
         self._decay(now)
-        return [round(self.offered, 2), round(self.served, 2)]
+        return [round(n, 2) for n in (self.offered, self.served, self.granted)]
 
     def _decay(self, now: float) -> None:
         factor = 0.5 ** (max(0.0, now - self.at) / SHARE_HALF_LIFE_S)
         self.offered *= factor
         self.served *= factor
+        self.granted *= factor
         self.at = now
 
 
@@ -156,7 +167,8 @@
         self._peers: dict[str, dict[str, DecayedCounts]] = {}
         self._peer_sizes: dict[str, dict[str, list[float]]] = {}
         self._merged_sizes: dict[tuple[int, int], _Sizes] = {}
-        self._shares: dict[str, float] = {}
+        self._rank_shares: dict[str, float] = {}
+        self._band_shares: dict[str, float] = {}
         self._shares_at = float("-inf")
 
     def offer(self, job: Job, now: float) -> None:
@@ -173,13 +185,16 @@
     def export(self, now: float) -> dict[str, list[float]]:
         """Returns this entry's figures for its peers, by name.
 
-        A class's name has its counts of requests and granted slots; a rank's name with
-        ``SIZES_SUFFIX`` has its weighted sizes.
+        A class's name has its ``offered`` and ``served`` counts, and with
+        ``GRANTED_SUFFIX`` its ``granted`` count and a zero, because entries of earlier
+        builds expect two counts; a rank's name with ``SIZES_SUFFIX`` has its weighted
+        sizes.
         """
-        exported = {
-            name: request_class.counts(now)
-            for name, request_class in self._classes.items()
-        }
+        exported: dict[str, list[float]] = {}
+        for name, request_class in self._classes.items():
+            offered, served, granted = request_class.counts(now)
+            exported[name] = [offered, served]
+            exported[name + GRANTED_SUFFIX] = [granted, 0.0]
         for rank, sizes in self._sizes.items():
             exported[_sizes_name(rank)] = sizes.export(now)
         return exported
@@ -188,33 +203,44 @@
         self, entry: str, exported: Mapping[str, Sequence[float]], now: float
     ) -> None:
         """Stores the latest figures exported by another entry."""
-        self._peers[entry] = {
-            name: DecayedCounts(float(figures[0]), float(figures[1]), now)
-            for name, figures in exported.items()
-            if not name.endswith(SIZES_SUFFIX)
-        }
+        counts: dict[str, DecayedCounts] = {}
+        for name, figures in exported.items():
+            if name.endswith((SIZES_SUFFIX, GRANTED_SUFFIX)):
+                continue
+            offered, served = float(figures[0]), float(figures[1])
+            granted = exported.get(name + GRANTED_SUFFIX, [served])[0]
+            counts[name] = DecayedCounts(offered, served, now, float(granted))
+        self._peers[entry] = counts
         self._peer_sizes[entry] = {
             name: [float(figure) for figure in figures]
             for name, figures in exported.items()
             if name.endswith(SIZES_SUFFIX)
         }
 
+    def own_share(self, now: float) -> float:
+        """Returns the part of all entries' recent requests that arrived at this one."""
+        own = sum(c.counts(now)[0] for c in self._classes.values())
+        peers = sum(
+            c.counts(now)[0] for table in self._peers.values() for c in table.values()
+        )
+        return own / (own + peers) if own else 1.0
+
     def boost(self, job: Job, now: float) -> float:
         """Returns the factor on a job's score if its class is underserved."""
         self._refresh(now)
-        share = self._shares.get(self._name(job))
-        if share is None:
-            return 1.0
-        floor = RELATIVE_FLOOR * max(self._shares.values())
-        if share >= floor:
-            return 1.0
-        return min(MAX_BOOST, (floor / max(share, MIN_SHARE)) ** BOOST_POWER)
+        rank, band = _rank_name(job.rank), self._name(job)
+        best_rank = max(self._rank_shares.values(), default=0.0)
+        rank_boost = _boost(self._rank_shares.get(rank), RELATIVE_FLOOR * best_rank)
+        band_boost = _boost(
+            self._band_shares.get(band), BAND_FLOOR * self._band_shares.get(rank, 0.0)
+        )
+        return min(MAX_BOOST, rank_boost) * min(MAX_BAND_BOOST, band_boost)
 
     def _refresh(self, now: float) -> None:
         """Recomputes shares and sizes from the figures of all entries, once per TTL."""
         if now - self._shares_at <= SHARES_TTL_S:
             return
-        self._shares, self._shares_at = self._all_shares(now), now
+        self._update_shares(now)
         for rank, own in self._sizes.items():
             sums = own.export(now)
             for received in self._peer_sizes.values():
@@ -228,20 +254,19 @@
         """Returns the sizes of a job's rank, merged over all entries if available."""
         return self._merged_sizes.get(job.rank) or self._sizes.get(job.rank)
 
-    def _all_shares(self, now: float) -> dict[str, float]:
-        """Returns the served share of each class that has enough requests."""
-        sums: dict[str, list[float]] = {}
+    def _update_shares(self, now: float) -> None:
+        """Recomputes the shares of ranks and bands that have enough requests."""
+        ranks: dict[str, list[float]] = {}
+        bands: dict[str, list[float]] = {}
         for classes in (self._classes, *self._peers.values()):
             for name, request_class in classes.items():
-                total = sums.setdefault(name, [0.0, 0.0])
-                offered, served = request_class.counts(now)
-                total[0] += offered
-                total[1] += served
-        return {
-            name: min(1.0, served / offered)
-            for name, (offered, served) in sums.items()
-            if offered >= MIN_OFFERED
-        }
+                offered, served, granted = request_class.counts(now)
+                rank = name.rsplit(".", 1)[0]
+                _add(ranks, rank, offered, served)
+                _add(bands, rank, offered, granted)
+                _add(bands, name, offered, granted)
+        self._rank_shares, self._band_shares = _shares(ranks), _shares(bands)
+        self._shares_at = now
 
     def relative_value(self, job: Job) -> float:
         """Returns a job's value relative to a mean job of its rank.
@@ -266,4 +291,29 @@
 
 
 def _sizes_name(rank: tuple[int, int]) -> str:
-    return f"{rank[0]}.{rank[1]}{SIZES_SUFFIX}"
+    return _rank_name(rank) + SIZES_SUFFIX
+
+
+def _rank_name(rank: tuple[int, int]) -> str:
+    return f"{rank[0]}.{rank[1]}"
+
+
+def _add(sums: dict[str, list[float]], name: str, offered: float, got: float) -> None:
+    total = sums.setdefault(name, [0.0, 0.0])
+    total[0] += offered
+    total[1] += got
+
+
+def _shares(sums: Mapping[str, Sequence[float]]) -> dict[str, float]:
+    return {
+        name: min(1.0, got / offered)
+        for name, (offered, got) in sums.items()
+        if offered >= MIN_OFFERED
+    }
+
+
+def _boost(share: float | None, floor: float) -> float:
+    """Returns the factor on the scores of a class with a share, given its floor."""
+    if share is None or share >= floor:
+        return 1.0
+    return (floor / max(share, MIN_SHARE)) ** BOOST_POWER
--- a/cornelpin/scheduling/request_queue.py
+++ b/cornelpin/scheduling/request_queue.py
@@ -1,80 +1,49 @@
-"""Priority queue of one service at an entry, with admission control.
+"""Priority queue of one service at an entry.
 
 Under overload up to twice as many requests arrive as the servers can run. The queue
-serves those of most value per cost, starves no class, and refuses early what could not
-be served in time.
+serves those of most value per cost and starves no class.
 """
 
 from __future__ import annotations
 
 import bisect
-import random
 from typing import TYPE_CHECKING
 
-import attrs
-
-from cornelpin.scheduling.jobs import LATE_RETRY_VALUE, LATE_VALUE, Job
 from cornelpin.scheduling.request_classes import RequestClasses
+from cornelpin.scheduling.valuation import Valuation
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Iterator, Sequence
+
+    from cornelpin.scheduling.jobs import Job
 
 SCORE_SCALE = 1e4
 """Factor that keeps scores near one, because messages carry them rounded."""
-MIN_VALUE_PER_COST = 0.5
-MAX_VALUE_PER_COST = 2.0
+MIN_VALUE_PER_COST = 0.25
+MAX_VALUE_PER_COST = 8.0
 """Bounds of a job's value per cost, relative to a mean job of its rank: requests of
 high cost are served later but not starved."""
-MAX_QUEUED_SHARE = 0.15
-"""Longest wait in the queue, as a part of the time from queueing to the deadline. Then
-the request is refused, so that its client has time left to retry."""
-RETRY_SHARES = (0.15, 0.32)
-"""Range of the random Retry-After, as parts of the time to the deadline: long enough
-for a burst of several seconds to end, and below a third, the longest that clients
-wait."""
-MIN_RETRY_S = 0.2
-"""Shortest Retry-After of a refused request, seconds."""
-
-
-@attrs.frozen
-class ServiceLoad:
-    """Load of a service when a request arrives or slots are granted.
-
-    Attributes:
-        slots: Slots of all usable servers.
-        free: Free slots among them.
-        hold_s: Mean time for which a request holds a slot, seconds.
-        first_s: Expected response time, seconds: from a send to the first event of a
-            stream, or to the whole response if it is not streamed.
-    """
-
-    slots: int
-    free: int
-    hold_s: float
-    first_s: float
-
-    def wait_s(self, ahead: int) -> float:
-        """Returns the expected wait for a slot behind other requests, seconds.
-
-        Without any server it is zero, because one may become usable at any moment.
-        """
-        if ahead < self.free or not self.slots:
-            return 0.0
-        return (ahead - self.free + 1) * self.hold_s / max(1, self.slots)
 
 
 class RequestQueue:
-    """Requests of one service that wait at this entry for a slot."""
+    """Requests of one service that wait at this entry for a slot.
 
-    def __init__(self, rng: Callable[[], float] = random.random) -> None:
+    Args:
+        valuation: Relative values of responses.
+    """
+
+    def __init__(self, valuation: Valuation | None = None) -> None:
+        self._valuation = valuation or Valuation()
         # Score of each queued job as of the last ``ordered``; 0.0 if queued since then.
         self._scores: dict[Job, float] = {}
         self.classes = RequestClasses()
-        self._rng = rng
 
     def __len__(self) -> int:
         return len(self._scores)
 
+    def __iter__(self) -> Iterator[Job]:
+        return iter(list(self._scores))
+
     def __contains__(self, job: Job) -> bool:
         return job in self._scores
 
@@ -91,7 +60,7 @@
         """Removes a job that is granted a slot."""
         del self._scores[job]
         late = now + first_s > job.objective
-        self.classes.serve(job, now, LATE_VALUE if late else 1.0)
+        self.classes.serve(job, now, self._valuation.late if late else 1.0)
 
     def remove(self, job: Job) -> None:
         """Removes a job that ends without a slot."""
@@ -122,69 +91,28 @@
         # Adjusts the cost so that ``value * mean_cost / cost`` is within the bounds.
         cost = max(value * mean_cost / MAX_VALUE_PER_COST, job.cost)
         cost = min(value * mean_cost / MIN_VALUE_PER_COST, cost)
-        score = SCORE_SCALE * job.rank_weight * value / cost
+        score = SCORE_SCALE * self._valuation.rank_weight(job.rank) * value / cost
         if now + first_s > job.objective:
             if not job.is_client_retry:
-                return score * LATE_VALUE
-            score *= LATE_RETRY_VALUE
+                return score * self._valuation.late
+            score *= self._valuation.late_retry
         return score * self.classes.boost(job, now)
 
-    def unservable(self, now: float, first_s: float) -> list[Job]:
-        """Returns the jobs past their queue deadline (``queue_deadline``)."""
-        return [job for job in self._scores if now >= queue_deadline(job, first_s)]
-
     def ahead(
-        self, job: Job, load: ServiceLoad, peer_scores: Sequence[float], now: float
+        self, score: float, peer_scores: Sequence[float], without: Job | None = None
     ) -> int:
-        """Returns how many requests at all entries are served before a new job.
+        """Returns how many requests at all entries are served before one of a score.
 
         Jobs added here since the last ``ordered`` have no score yet and do not count.
 
         Args:
-            job: Job that has not been added yet.
-            load: Load of the service.
+            score: The score.
             peer_scores: Scores of jobs queued at other entries, ascending.
-            now: Monotonic time in seconds.
+            without: A job queued here that is left out.
         """
-        score = self.score(job, now, load.first_s)
-        here = sum(1 for other in self._scores.values() if other >= score)
+        here = sum(
+            1
+            for job, other in self._scores.items()
+            if other >= score and job is not without
+        )
         return here + len(peer_scores) - bisect.bisect_left(peer_scores, score)
-
-    def retry_after_if_refused(
-        self, job: Job, load: ServiceLoad, ahead: int, now: float
-    ) -> float | None:
-        """Decides whether a new job is admitted behind a number of others.
-
-        Args:
-            job: Job that has not been added yet.
-            load: Load of the service.
-            ahead: Number of requests to be served before it, at all entries.
-            now: Monotonic time in seconds.
-
-        Returns:
-            None if it is admitted, else the Retry-After in seconds.
-        """
-        wait_s = load.wait_s(ahead)
-        if now + wait_s < queue_deadline(job, load.first_s):
-            return None
-        return max(wait_s, self.retry_after(job, now))
-
-    def retry_after(self, job: Job, now: float) -> float:
-        """Returns a randomised Retry-After for a refused client, seconds."""
-        least, most = RETRY_SHARES
-        share = least + (most - least) * self._rng()
-        return max(MIN_RETRY_S, share * (job.deadline - now))
-
-
-def queue_deadline(job: Job, first_s: float) -> float:
-    """Returns the monotonic time at which a queued job is refused.
-
-    That is when it has waited for ``MAX_QUEUED_SHARE`` of the time to its deadline, or,
-    if earlier, two expected response times before its client disconnects.
-
-    Args:
-        job: The queued job.
-        first_s: Expected response time, seconds.
-    """
-    max_queued_s = MAX_QUEUED_SHARE * (job.deadline - job.queued_since)
-    return min(job.queued_since + max_queued_s, job.abandoned_at - 2 * first_s)
--- a/cornelpin/scheduling/server_selection.py
+++ b/cornelpin/scheduling/server_selection.py
@@ -50,6 +50,10 @@
 FAILURE_TOLERANCE = 0.15
 """Failure rate that is not attributed to a server: some routes fail a seventh of their
 requests everywhere, and a single failure has this weight in the moving average."""
+MIN_FINISH_PROBABILITY = 0.25
+"""Probability of an end before the deadline below which a stream is not started while
+others wait for the slot: its caller would probably get a broken answer after a long
+wait."""
 STREAM_DELAY_COST_PER_S = 2.0
 """Cost, as a part of a request's value, per second by which its prefill delays other
 streams on the server beyond the event gap objective. The objective of the request's own
@@ -170,18 +174,37 @@
     return risk - best > MIN_RISK_DECREASE
 
 
+def can_finish(job: Job, candidates: Sequence[Candidate], now: float) -> bool:
+    """Returns whether a stream would probably end in time on one of some servers.
+
+    Also true without any server, because one may become usable at any moment.
+    """
+    return not candidates or any(
+        finish_probability(job, c, now) >= MIN_FINISH_PROBABILITY for c in candidates
+    )
+
+
 def rank_candidates(
-    job: Job, candidates: Sequence[Candidate], now: float
+    job: Job, candidates: Sequence[Candidate], now: float, *, contested: bool = False
 ) -> list[Candidate]:
     """Returns the servers that may receive a job now, the best first.
 
     Ejected servers and servers already tried are included only if there are no others,
     so that the last remaining server is still used.
+
+    Args:
+        job: The job.
+        candidates: The servers.
+        now: Monotonic time in seconds.
+        contested: Whether other jobs wait for the slots. Servers on which the job would
+            not end in time are then left to them.
     """
     usable = [c for c in candidates if not c.server.leaving]
     untried = [c for c in usable if c.server.id not in job.avoid] or usable
     healthy = [c for c in untried if not c.health.is_ejected(now)] or untried
     free = [c for c in healthy if c.free > 0]
+    if contested:
+        free = [c for c in free if can_finish(job, [c], now)]
     return sorted(
         free,
         key=lambda c: (penalty(job, c, now), expected_response_s(job, c), c.server.id),
--- a/cornelpin/tests/test_gateway_path.py
+++ b/cornelpin/tests/test_gateway_path.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cornelpin.scheduling.dispatcher import Placement, Refused
+from cornelpin.scheduling.decisions import Placement, Refused
 from cornelpin.scheduling.jobs import Job
 from cornelpin.tests.fleet_client import connect, fetch, request
 from cornelpin.tests.gateway_harness import Harness, config, run_harness, until
--- a/cornelpin/tests/test_replay.py
+++ b/cornelpin/tests/test_replay.py
@@ -24,6 +24,7 @@
     ("crash_in_burst", 0.80, 0.03, 0.55),
     ("servers_lost", 0.65, 0.10, 0.50),
     ("long_overload", 0.50, 0.15, 0.35),
+    ("long_answers", 0.75, 0.20, 0.25),
 ]
 
 
@@ -50,6 +51,17 @@
     assert sum(r.false_refusals for r in served) == 0
 
 
+def test_overloaded_callers_know_at_once_that_they_are_not_served() -> None:
+    """Nine of ten refusals come within a quarter of the objective.
+
+    Before requests were refused by a forecast, one of twenty did, and 0.81 of the
+    requests were served.
+    """
+    served = [play(PATTERNS["long_answers"](), "gateway", seed) for seed in range(3)]
+    assert mean([r.refused_early for r in served]) >= 0.9
+    assert mean([r.served for r in served]) >= 0.81
+
+
 def test_replay_is_deterministic_for_a_seed() -> None:
     pattern = attrs.evolve(PATTERNS["burst"](), duration_s=8.0)
     assert play(pattern, "gateway", 3) == play(pattern, "gateway", 3)
