--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import time
 from typing import TYPE_CHECKING, Any
@@ -37,7 +38,7 @@
 from cornelpin.scheduling.valuation import Valuation
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from cornelpin.platform import HostSettings
 
@@ -61,6 +62,9 @@
 STOP_MARGIN_S = 0.4
 """Time before the end of the platform's grace period at which requests still in
 flight are aborted."""
+REGISTRATION_SPREAD_S = 1.0
+"""Time over which the entries check their registrations after a restore of the store,
+so that a hundred of them stay within its rate of calls."""
 BACKLOG = 512
 """Pending connections of each listening socket."""
 
@@ -148,7 +152,7 @@
             self._start(watch_task)
         self._start(self._tick())
         self._start(self._housekeeping())
-        self._start(self._register())
+        self._start(self._keep_registered())
         await self._stop.wait()
         await self._drain()
 
@@ -222,6 +226,7 @@
         updates = {
             "refused": self.state.client_retries.take_unsent(time.monotonic()),
             "broken": self.state.poison_detector.take_unsent(),
+            "leaving": self.state.take_unsent_leaving(),
         }
         return {name: items for name, items in updates.items() if items}
 
@@ -243,6 +248,8 @@
             self.state.client_retries.merge_from(message["refused"], time.monotonic())
         if "broken" in message:
             self.state.poison_detector.merge_from(message["broken"], time.monotonic())
+        if "leaving" in message:
+            self.state.merge_leaving(message["leaving"])
         if "rollouts" in message:
             self.rollout_controller.merge_from(
                 (sender, incarnation), message["rollouts"]
@@ -256,22 +263,40 @@
         if "in_flight" in message or "keys" in message:
             self.scheduler.dispatch_soon()
 
-    async def _register(self) -> None:
-        """Registers this entry in the store and discovers the others."""
-        spec = {"ip": self._settings.ip}
+    async def _keep_registered(self) -> None:
+        """Registers this entry, and again if a restored store has lost it."""
+        await self._call_store(self._register)
+        while True:
+            era = self._view.era
+            while self._view.era == era:
+                await asyncio.sleep(HOUSEKEEPING_S)
+            await asyncio.sleep(REGISTRATION_SPREAD_S * random.random())
+            await self._call_store(self._register_if_lost)
+
+    async def _call_store(self, call: Callable[[], Awaitable[None]]) -> None:
+        """Repeats some calls to the store until they succeed."""
         while True:
             try:
-                if not await self.store.create(ENTRY_KIND, self._settings.host, spec):
-                    await self.store.replace(ENTRY_KIND, self._settings.host, spec)
-                listing = await self.store.list(ENTRY_KIND)
+                return await call()
             except StoreUnavailable:
                 await asyncio.sleep(HOUSEKEEPING_S)
                 await self._view.until_reachable()
-                continue
-            ips = [c.spec["ip"] for c in listing.objects if isinstance(c.spec, dict)]
-            self.peers.add_addresses(ip for ip in ips if isinstance(ip, str))
-            self.peers.send_full_state()
-            return
+
+    async def _register(self) -> None:
+        """Registers this entry in the store and discovers the others."""
+        spec = {"ip": self._settings.ip}
+        if not await self.store.create(ENTRY_KIND, self._settings.host, spec):
+            await self.store.replace(ENTRY_KIND, self._settings.host, spec)
+        listing = await self.store.list(ENTRY_KIND)
+        ips = [c.spec["ip"] for c in listing.objects if isinstance(c.spec, dict)]
+        self.peers.add_addresses(ip for ip in ips if isinstance(ip, str))
+        self.peers.send_full_state()
+
+    async def _register_if_lost(self) -> None:
+        listing = await self.store.list(ENTRY_KIND)
+        if all(c.name != self._settings.host for c in listing.objects):
+            logs.event("entry.registered_again", era=self._view.era)
+            await self._register()
 
     # Background tasks.
 
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -35,6 +35,7 @@
     from cornelpin.gateway.state import GatewayState
     from cornelpin.http1.client import Headers
     from cornelpin.http1.server import ClientRequest, Responder
+    from cornelpin.platform import ResponseInfo
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.routing import Workspace
 
@@ -266,6 +267,15 @@
             self.progress.may_have_run = ran_before
         return outcome
 
+    def on_response_head(self, info: ResponseInfo) -> None:
+        """Takes note of a server that leaves, or wants a pause from this host."""
+        assert self.placement is not None
+        server = self.placement.server
+        if info.leaving:
+            self.state.mark_leaving(server)
+        if info.pause_s is not None or info.bad_pause:
+            self.scheduler.pause(server, info.pause_s, info.bad_pause)
+
     def _idle_timeouts(self, placement: Placement) -> IdleTimeouts | None:
         """Returns the time-outs of a send, or None if it has only its deadline."""
         route = self.job.route
@@ -284,6 +294,8 @@
     def _record_outcome(self, placement: Placement, outcome: Outcome) -> None:
         self.state.count_send(placement.server, type(outcome).__name__)
         health = self.scheduler.dispatcher.health(placement.server)
+        # A server that asks for a pause is out of capacity; it has not failed.
+        paused = health.is_paused(time.monotonic())
         if not isinstance(outcome, NotRun):
             failed = isinstance(outcome, Broken) or outcome.response.status >= 500
             self.rollout_controller.record_run(
@@ -294,10 +306,10 @@
             )
         match outcome:
             case Answered(response=response):
-                if response.status >= 500:
-                    health.failed()
-                else:
+                if response.status < 500:
                     health.succeeded()
+                elif not paused:
+                    health.failed()
             case Broken(reason=reason):
                 self.state.record_broken_run(self.job, placement.server)
                 self.scheduler.eject(placement.server, reason)
@@ -305,7 +317,7 @@
                 self.scheduler.eject(placement.server, reason)
             case NotRun(replaced=True):
                 self.state.drop_replaced(placement.server)
-            case NotRun():
+            case NotRun() if not paused:
                 health.failed()
 
     def _relative_time(self) -> float:
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -113,6 +113,9 @@
         forwarded only when complete.
         """
 
+    def on_response_head(self, info: ResponseInfo) -> None:
+        """Receives what a response of the addressed server says about the server."""
+
     def on_event_gap(self, took_s: float) -> None:
         """Receives the seconds between two events."""
 
@@ -227,6 +230,8 @@
             if not isinstance(part, h11.Response):
                 raise ConnectionBroken("closed without an answer")
             info = read_response(part.status_code, list(part.headers))
+            if not info.misdirected:
+                self._sink.on_response_head(info)
             if not info.request_id and not info.not_run:
                 raise ConnectionBroken("an answer without a request id")
             # Only a not-run response may lack the id; it is taken as this request's.
--- a/cornelpin/gateway/peer.py
+++ b/cornelpin/gateway/peer.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from cornelpin.core.revision import Revision
+
 
 @attrs.define
 class Peer:
@@ -22,7 +24,8 @@
             server id.
         queue_scores: Scores of its queued requests by service, ascending; the highest
             is served first (``RequestQueue.score``).
-        revisions: Revisions of the store's objects that it has in force, by kind.
+        revisions: Revisions of the store's objects that it has in force, by kind, as
+            received (``Revision.export``).
         store_seen_at: Monotonic time of the store's last response to it, by kind.
         used: Quota amounts used since its start, by workspace.
         rollouts: Its view of running roll-out orders as of ``Rollouts.export``, by
@@ -41,9 +44,13 @@
     received_at: float = 0.0
     in_flight: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     queue_scores: dict[str, list[float]] = attrs.field(factory=dict)
-    revisions: dict[str, int] = attrs.field(factory=dict)
+    revisions: dict[str, Any] = attrs.field(factory=dict)
     store_seen_at: dict[str, float] = attrs.field(factory=dict)
     used: dict[str, int] = attrs.field(factory=dict)
     rollouts: dict[str, list[Any]] = attrs.field(factory=dict)
     class_counts: dict[str, dict[str, list[float]]] = attrs.field(factory=dict)
     speeds: dict[str, list[float]] = attrs.field(factory=dict)
+
+    def revision(self, kind: str) -> Revision:
+        """Returns the revision that it has of a kind."""
+        return Revision.decode(self.revisions.get(kind))
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -12,7 +12,7 @@
 * ``shares``: counts of offered and served requests by request class
 * ``paces``: estimates of server speeds
 * ``digest``: a relay's reports on the entries of its data centre
-* ``refused``, ``broken``: see ONE_TIME_UPDATES
+* ``refused``, ``broken``, ``leaving``: see ONE_TIME_UPDATES
 """
 
 from __future__ import annotations
@@ -60,9 +60,12 @@
 """A message due within this time is sent now instead of by another timer."""
 PEER_EXPIRY_S = 15.0
 """Time without a message after which a peer is removed: longer than a restart."""
-ONE_TIME_UPDATES = ("refused", "broken")
-"""Fields that are sent once and not repeated in full-state messages: refused requests
-and runs with an incomplete response (``exchange.Broken``)."""
+ONE_TIME_UPDATES = ("refused", "broken", "leaving")
+"""Fields that are sent once and not repeated in full-state messages: refused requests,
+runs with an incomplete response (``exchange.Broken``), and servers that said that they
+leave."""
+URGENT_UPDATES = ("broken", "leaving")
+"""Those of them that ``flush`` sends to all entries."""
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -277,8 +280,9 @@
         self._send_local(updates=updates)
         state = self._state()
         urgent = {name: state[name] for name in ("versions", "rollouts")}
-        if "broken" in updates:
-            urgent["broken"] = updates["broken"]
+        for name in URGENT_UPDATES:
+            if name in updates:
+                urgent[name] = updates[name]
         self._send(urgent, self._remote_or_unknown)
 
     def send_full_state(self) -> None:
--- a/cornelpin/gateway/rollouts.py
+++ b/cornelpin/gateway/rollouts.py
@@ -88,7 +88,7 @@
             version=order.version,
             outcome=order.state.value,
             duration_s=order.duration_s,
-            revision=order.revision,
+            revision=order.revision.number,
         )
 
     def record_run(
@@ -153,6 +153,6 @@
             version=order.version,
             outcome=state.value,
             reason=reason,
-            revision=order.revision,
+            revision=order.revision.number,
             first=accepted,
         )
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -154,6 +155,24 @@
             failure_rate=round(health.failure_rate, 3),
         )
 
+    def pause(
+        self, server: BackendServer, pause_s: float | None, bad_value: str
+    ) -> None:
+        """Sends a server nothing for a time that it asked for.
+
+        Args:
+            server: The server.
+            pause_s: The time in seconds; None if the value is not valid.
+            bad_value: The value if it is not valid; the first one is logged.
+        """
+        health = self.dispatcher.health(server)
+        now = time.monotonic()
+        if bad_value and not health.bad_pause:
+            health.bad_pause = True
+            logs.warning("server.bad_pause", server=server.id, value=bad_value[:40])
+        if pause_s is not None and health.pause(now, pause_s, random.random()):
+            logs.event("server.paused", server=server.id, for_s=round(pause_s, 2))
+
     def _usable_servers(self, service: str, now: float) -> list[BackendServer]:
         servers = self._subsets.of_service(service, self._servers.all(now))
         return self._rollouts.usable(service, servers, now)
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -15,7 +15,7 @@
 from cornelpin.scheduling.servers import ServerList
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from cornelpin.gateway.metrics import Metrics
     from cornelpin.platform import HostSettings
@@ -73,6 +73,7 @@
         self.draining = False
         self.refusing = False
         self.fleet_view = fleet_view
+        self._unsent_leaving: list[tuple[str, int]] = []
         self._on_change = on_change
         self._flush = flush
         self._budgets: dict[str, RetryBudget] = {}
@@ -120,6 +121,28 @@
             self._on_change()
         return wait_s
 
+    def mark_leaving(self, server: BackendServer) -> None:
+        """Sends a server nothing more after it said that it leaves; tells the peers."""
+        if self._mark_leaving(server.incarnation, "its response"):
+            self._unsent_leaving.append(server.incarnation)
+            self._flush()
+
+    def merge_leaving(self, received: Iterable[tuple[str, int]]) -> None:
+        """Merges the incarnations of servers that leave, as other entries report."""
+        for server_id, started_ms in received:
+            self._mark_leaving((server_id, started_ms), "a peer")
+
+    def _mark_leaving(self, incarnation: tuple[str, int], source: str) -> bool:
+        new = self.servers.mark_leaving(incarnation)
+        if new:
+            logs.event("server.leaving", server=incarnation[0], source=source)
+        return new
+
+    def take_unsent_leaving(self) -> list[tuple[str, int]]:
+        """Returns and clears the leaving servers not yet sent to peers."""
+        unsent, self._unsent_leaving = self._unsent_leaving, []
+        return unsent
+
     def drop_replaced(self, server: BackendServer) -> None:
         """Drops a server after another one responded at its address."""
         self.servers.mark_replaced(server)
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from cornelpin.core.revision import NO_REVISION, Revision
 from cornelpin.gateway import logs
 from cornelpin.gateway.snapshots import fetch_snapshot
 from cornelpin.gateway.watch_cache import POLL_S, WatchCache
@@ -43,6 +44,9 @@
 PEER_REPORT_DELAY_S = 0.2
 """Allowance for network delay: a peer's contact with the store may be older than its
 reported age by this much."""
+IN_FORCE = "config.in_force"
+"""Name under which messages and snapshots carry the configuration in force, in addition
+to the store's objects: a restored store may hold an older one for some seconds."""
 WATCH_LAG_S = 0.3
 """Time for which this entry's own watch may lag behind a peer before it copies from the
 peer."""
@@ -73,6 +77,8 @@
         self._dispatch = dispatch
         # Monotonic time since which a peer has had a newer revision, by kind.
         self._behind_since: dict[str, float] = {}
+        # The configuration in force as it was stored.
+        self._config_spec: Any = None
         # Names of malformed servers; each is logged once.
         self._malformed: set[str] = set()
         self._caches = {
@@ -95,6 +101,7 @@
                 on_recovery=lambda: None,
             ),
         }
+        store.on_new_era = self._on_new_era
         state.get_servers_confirmed_at = lambda: self._caches[SERVER_KIND].confirmed_at
 
     def _make_cache(self, kind: str, **callbacks: Callable[..., None]) -> WatchCache:
@@ -108,6 +115,12 @@
             **callbacks,
         )
 
+    def _on_new_era(self, before: int, after: int) -> None:
+        """Lists all kinds again, of which the watches may still wait for changes."""
+        logs.event("store.new_era", era=after, before=before)
+        for cache in self._caches.values():
+            cache.refresh_now()
+
     def watch_tasks(self) -> Iterator[Coroutine[Any, Any, None]]:
         """Returns the coroutines that keep the caches current, to be run as tasks."""
         return (cache.run() for cache in self._caches.values())
@@ -121,9 +134,24 @@
         while not any(cache.reachable for cache in self._caches.values()):
             await asyncio.sleep(POLL_S)
 
-    def revisions(self) -> dict[str, int]:
-        """Returns the revision of each kind."""
-        return {kind: cache.revision for kind, cache in self._caches.items()}
+    def revisions(self) -> dict[str, list[int]]:
+        """Returns the revision of each kind, for messages.
+
+        Under ``IN_FORCE`` the number is the version of the configuration in force.
+        """
+        revisions = {kind: cache.revision for kind, cache in self._caches.items()}
+        revisions[IN_FORCE] = Revision(0, self._version_in_force())
+        return {kind: revision.export() for kind, revision in revisions.items()}
+
+    @property
+    def era(self) -> int:
+        """Latest era of the store that this entry knows, from the store or a peer."""
+        eras = (cache.revision.era for cache in self._caches.values())
+        return max(self._store.era, *eras)
+
+    def _version_in_force(self) -> int:
+        cfg = self._state.config
+        return cfg.version if cfg is not None else -1
 
     def ages(self) -> dict[str, float]:
         """Returns the seconds since the store last responded to this entry, by kind.
@@ -138,15 +166,26 @@
         }
 
     def snapshot(self) -> dict[str, Any]:
-        """Returns revision and objects of each kind, for another entry."""
-        return {kind: cache.snapshot() for kind, cache in self._caches.items()}
+        """Returns revision and objects of each kind, for another entry.
+
+        Under ``IN_FORCE`` the configuration in force is added unless it is among them.
+        """
+        snapshot: dict[str, Any] = {
+            kind: cache.snapshot() for kind, cache in self._caches.items()
+        }
+        stored = self._caches[CONFIG_KIND].objects.get(CONFIG_NAME)
+        if self._config_spec is not None and (
+            stored is None or stored.spec != self._config_spec
+        ):
+            snapshot[IN_FORCE] = self._config_spec
+        return snapshot
 
     async def catch_up(self) -> None:
         """Copies the objects of a peer that has a newer revision of any kind."""
         now = time.monotonic()
         live = self._peers.live_peers().values()
         for kind, cache in self._caches.items():
-            ahead = [p for p in live if p.revisions.get(kind, -1) > cache.revision]
+            ahead = [p for p in live if p.revision(kind) > cache.revision]
             if not ahead:
                 self._behind_since.pop(kind, None)
                 # No live peer has a newer revision, so the cache was current when the
@@ -159,15 +198,34 @@
             if self._watch_wait_s(kind) is not None and now - since < WATCH_LAG_S:
                 continue
             await self._copy_from(random.choice(ahead))
+        await self._catch_up_config(list(live), now)
+
+    async def _catch_up_config(self, live: list[Peer], now: float) -> None:
+        """Copies the configuration of a peer that has a newer one in force.
+
+        That is so for a moment after each change, and for longer if this entry started
+        while a restored store held an older configuration.
+        """
+        version = self._version_in_force()
+        ahead = [p for p in live if p.revision(IN_FORCE).number > version]
+        if not ahead:
+            self._behind_since.pop(IN_FORCE, None)
+        elif now - self._behind_since.setdefault(IN_FORCE, now) >= WATCH_LAG_S:
+            await self._copy_from(random.choice(ahead))
 
     async def _copy_from(self, peer: Peer) -> None:
         snapshot = await fetch_snapshot(peer.ip, self._state.settings.peer_port)
         if snapshot is None:
             return
+        if IN_FORCE in snapshot:
+            self._apply_config(snapshot[IN_FORCE], f"in force at {peer.ip}")
         for kind, cache in self._caches.items():
-            revision, objects = snapshot.get(kind, (-1, {}))
+            exported, objects = snapshot.get(kind, (NO_REVISION.export(), {}))
+            revision = Revision.decode(exported)
             if cache.load_snapshot(revision, objects):
-                logs.event("store.copied", kind=kind, revision=revision, peer=peer.ip)
+                logs.event(
+                    "store.copied", kind=kind, revision=revision.number, peer=peer.ip
+                )
 
     def _peers_reach_store(self, since: float) -> bool:
         """Returns whether a live peer has reached the store since this entry lost it.
@@ -199,12 +257,17 @@
     def _on_config(self, change: StoreObject) -> None:
         if change.name != CONFIG_NAME or change.removed:
             return
+        self._apply_config(change.spec, f"revision {change.revision.number}")
+
+    def _apply_config(self, spec: Any, source: str) -> None:
         try:
-            config = decode_config(change.spec)
+            config = decode_config(spec)
         except BadValue as exc:
-            logs.warning("config.malformed", revision=change.revision, reason=str(exc))
+            logs.warning("config.malformed", source=source, reason=str(exc))
             return
-        self._state.apply_config(config, f"revision {change.revision}")
+        if config.version > self._version_in_force():
+            self._config_spec = spec
+        self._state.apply_config(config, source)
 
     def _on_server_list(self, objects: list[StoreObject]) -> None:
         servers = [s for o in objects if (s := self._decode_server(o)) is not None]
@@ -216,7 +279,9 @@
     def _on_server(self, change: StoreObject) -> None:
         if change.removed:
             self._state.servers.remove(change.name, time.monotonic())
-            logs.event("server.removed", server=change.name, revision=change.revision)
+            logs.event(
+                "server.removed", server=change.name, revision=change.revision.number
+            )
             self._dispatch()
             return
         server = self._decode_server(change)
@@ -228,7 +293,7 @@
             server=server.id,
             service=server.service,
             leaving=server.leaving,
-            revision=change.revision,
+            revision=change.revision.number,
         )
         self._dispatch()
 
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from cornelpin.core.revision import NO_REVISION, Revision
 from cornelpin.gateway import logs
 from cornelpin.platform import Store, StoreObject, StoreUnavailable
 
@@ -40,7 +41,8 @@
         kind: Kind of the objects.
         on_list: Called with all objects after a list call or a peer's snapshot.
         on_change: Called with each change.
-        on_recovery: Called when the store responds again after an outage.
+        on_recovery: Called when the store responds again after an outage, and before
+            its objects are replaced by those of a restored store.
         on_revision: Called when a watch has returned changes.
         on_contact: Called after each response of the store.
         watch_wait_s: Returns the long-poll time of a watch in seconds; None if other
@@ -50,7 +52,7 @@
 
     Attributes:
         kind: Kind of the objects.
-        revision: Revision of the cache; -1 before the first listing.
+        revision: Revision of the cache.
         objects: Objects by name.
         confirmed_at: Monotonic time at which the cache was last known to be current,
             from the store or from a peer.
@@ -72,7 +74,7 @@
         peers_reach_store: Callable[[float], bool] = lambda since: False,
     ) -> None:
         self.kind = kind
-        self.revision = -1
+        self.revision = NO_REVISION
         self.objects: dict[str, StoreObject] = {}
         self.confirmed_at = float("-inf")
         self.contacted_at = float("-inf")
@@ -95,7 +97,7 @@
         while True:
             self._refresh.clear()
             try:
-                if stale or self.revision < 0:
+                if stale or self.revision == NO_REVISION:
                     await self._list()
                     stale = False
                 elif (watch_wait_s := self._watch_wait_s()) is not None:
@@ -111,19 +113,21 @@
         """Interrupts a running watch, so that the objects are listed at once."""
         self._refresh.set()
 
-    def load_snapshot(self, revision: int, objects: dict[str, list[Any]]) -> bool:
+    def load_snapshot(self, revision: Revision, objects: dict[str, list[Any]]) -> bool:
         """Loads a peer's snapshot if it is newer; returns whether it was.
 
         A running watch is interrupted, to be started again from the new revision.
 
         Args:
             revision: Revision of the snapshot.
-            objects: Revision, spec and status of each object by name.
+            objects: Revision, spec and status of each object by name, as in
+                ``snapshot``.
         """
         if revision <= self.revision:
             return False
         loaded = [
-            StoreObject(n, rev, spec, st) for n, (rev, spec, st) in objects.items()
+            StoreObject(name, Revision.decode(rev), spec, status)
+            for name, (rev, spec, status) in objects.items()
         ]
         self._replace(loaded, revision)
         self._refresh.set()
@@ -132,9 +136,10 @@
     def snapshot(self) -> list[Any]:
         """Returns the revision and objects, for a peer."""
         objects = {
-            c.name: [c.revision, c.spec, c.status] for c in self.objects.values()
+            c.name: [c.revision.export(), c.spec, c.status]
+            for c in self.objects.values()
         }
-        return [self.revision, objects]
+        return [self.revision.export(), objects]
 
     async def _list(self) -> None:
         listing = await self._store.list(self.kind)
@@ -142,7 +147,16 @@
         if listing.revision >= self.revision:
             self._replace(list(listing.objects), listing.revision)
 
-    def _replace(self, objects: list[StoreObject], revision: int) -> None:
+    def _replace(self, objects: list[StoreObject], revision: Revision) -> None:
+        if self.revision != NO_REVISION and revision.era > self.revision.era:
+            logs.event(
+                "store.restored",
+                kind=self.kind,
+                era=revision.era,
+                revision=revision.number,
+                before=self.revision.export(),
+            )
+            self._on_recovery()
         self.revision = revision
         self.objects = {o.name: o for o in objects}
         self._on_list(objects)
@@ -168,7 +182,9 @@
             watch.cancel()
             refresh_wait.cancel()
         if watched.history_lost:
-            logs.event("store.history_lost", kind=self.kind, revision=from_revision)
+            logs.event(
+                "store.history_lost", kind=self.kind, revision=from_revision.number
+            )
             return True
         for change in watched.changes:
             self._apply(change)
@@ -198,7 +214,7 @@
         self._on_contact()
         if not self.reachable:
             self.reachable = True
-            logs.event("store.regained", kind=self.kind, revision=self.revision)
+            logs.event("store.regained", kind=self.kind, revision=self.revision.number)
             self._on_recovery()
 
     async def _back_off(self, exc: StoreUnavailable) -> None:
--- a/cornelpin/platform/_headers.py
+++ b/cornelpin/platform/_headers.py
@@ -30,6 +30,8 @@
 SERVER_LOAD = b"server-load"
 INSTANCE_ID = b"instance-id"
 RETRY_AFTER = b"retry-after"
+SERVER_LEAVING = b"server-leaving"
+"""Header of a response of a server that leaves and wants no further requests."""
 
 PROTECTED_HEADERS = {b"model", TOKEN_USAGE, b"prompt-prefix", REQUEST_ID}
 """Headers that are forwarded even if a client names them in ``Connection``."""
@@ -67,6 +69,9 @@
 INTERNAL_RESPONSE_HEADERS = {SERVER_LOAD, INSTANCE_ID}
 """Headers of a response that are not for the client: state and id of the server."""
 MISDIRECTED_REQUEST = 421
+UNAVAILABLE = 503
+MAX_PAUSE_S = 300.0
+"""Bound on the pause that a server may ask for; no value over it is plausible."""
 MS = 1e-3
 """Seconds per millisecond."""
 MAX_DEADLINE_S = 86_400.0
@@ -115,6 +120,10 @@
             so something on the way altered the response.
         keep_alive_s: Time that the server keeps an idle connection; None if not given.
         closes_connection: Whether the server closes the connection after the response.
+        leaving: Whether the server leaves and wants no further requests.
+        pause_s: Seconds for which it wants no requests from this host; None if it asks
+            for no pause.
+        bad_pause: A value in place of ``pause_s`` that is not a valid one.
     """
 
     request_id: str
@@ -124,6 +133,9 @@
     encoded: bool
     keep_alive_s: float | None
     closes_connection: bool
+    leaving: bool = False
+    pause_s: float | None = None
+    bad_pause: str = ""
 
 
 def read_request(headers: Headers) -> RequestInfo:
@@ -146,6 +158,9 @@
 def read_response(status: int, headers: Headers) -> ResponseInfo:
     """Decodes the headers of a server's response."""
     fields = _fields(headers)
+    pause_s, bad_pause = None, ""
+    if status == UNAVAILABLE and RETRY_AFTER in fields:
+        pause_s, bad_pause = _pause_s(_text(fields[RETRY_AFTER]))
     return ResponseInfo(
         request_id=_text(fields.get(REQUEST_ID, b"")),
         sealed=SEAL in fields,
@@ -154,9 +169,26 @@
         encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
         keep_alive_s=_keep_alive_s(fields.get(b"keep-alive", b"")),
         closes_connection=b"close" in fields.get(b"connection", b"").lower(),
+        leaving=fields.get(SERVER_LEAVING) == b"1",
+        pause_s=pause_s,
+        bad_pause=bad_pause,
     )
 
 
+def _pause_s(text: str) -> tuple[float | None, str]:
+    """Returns a server's Retry-After in seconds, and the text if it is not valid.
+
+    A value over the bound is cut to it; one that is no number of seconds is ignored.
+    """
+    try:
+        pause_s = float(text)
+    except ValueError:
+        return None, text
+    if not 0.0 <= pause_s < math.inf:
+        return None, text
+    return min(pause_s, MAX_PAUSE_S), text if pause_s > MAX_PAUSE_S else ""
+
+
 def backend_headers(
     headers: Headers, *, server_id: str, deadline_s: float, workspace: str | None
 ) -> list[tuple[bytes, bytes]]:
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -8,18 +8,22 @@
 
 import asyncio
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 import attrs
 import h11
 
+from cornelpin.core.revision import EraTracker, FormerEra, Revision
 from cornelpin.http1.client import (
     ConnectionBroken,
     ConnectionFailed,
     HttpConnection,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 BASE = "/-/objects/"
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call other than a watch. A degraded store responds in 0.2 s instead of
@@ -28,6 +32,8 @@
 """Time that a watch may take beyond the requested wait, seconds."""
 MS = 1e-3
 """Seconds per millisecond."""
+ERA_HEADER = b"store-era"
+"""Header with the number of the store's era, which rises with each restore."""
 GONE = 410
 CONFLICT = 409
 NOT_FOUND = 404
@@ -47,14 +53,14 @@
 
     Attributes:
         name: Name of the object.
-        revision: Store revision of its last change, for conditional writes.
+        revision: Revision of its last change, for conditional writes.
         spec: Content set by its author.
         status: Content set by this system.
         removed: Whether the object was deleted.
     """
 
     name: str
-    revision: int
+    revision: Revision
     spec: Any
     status: Any = None
     removed: bool = False
@@ -65,7 +71,7 @@
     """All objects of a kind at a store revision."""
 
     objects: tuple[StoreObject, ...]
-    revision: int
+    revision: Revision
 
 
 @attrs.frozen
@@ -74,13 +80,13 @@
 
     Attributes:
         changes: Changed and deleted objects, in order.
-        revision: Store revision up to which they are complete.
+        revision: Revision up to which they are complete.
         history_lost: Whether the store no longer holds the changes since the requested
-            revision; the caller must list all objects again.
+            revision, or was restored since; the caller must list all objects again.
     """
 
     changes: tuple[StoreObject, ...]
-    revision: int
+    revision: Revision
     history_lost: bool = False
 
 
@@ -92,32 +98,46 @@
 
     Attributes:
         calls: Number of calls made; each call of ``watch`` counts as one.
+        on_new_era: Called when a response shows that the store was restored, with the
+            eras before and after.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
         self._address = address
+        self._eras = EraTracker()
+        self.on_new_era: Callable[[int, int], None] = lambda before, after: None
         self._call_connection: HttpConnection | None = None
         self._watch_connections: dict[str, HttpConnection] = {}
         self._lock = asyncio.Lock()
         self.calls = 0
 
+    @property
+    def era(self) -> int:
+        """Latest era of the store; zero if it names none."""
+        return self._eras.era
+
     async def list(self, kind: str) -> Listing:
         """Returns all objects of a kind.
 
         Raises:
-            StoreUnavailable: If the store does not respond or rejects the call.
+            StoreUnavailable: If the store does not respond or rejects the call, or is
+                restored between two pages.
         """
         objects: list[StoreObject] = []
         after = ""
+        era = None
         while True:
             path = f"{BASE}{kind}" + (
                 f"?after={quote(after, safe='')}" if after else ""
             )
             status, body = await self._call("GET", path)
             _expect(status, body, 200)
-            page = [_decode_object(item) for item in body.get("items", [])]
+            if era is not None and era != self.era:
+                raise StoreUnavailable(f"restored while {kind} were listed")
+            era = self.era
+            page = [_decode_object(item, era) for item in body.get("items", [])]
             objects += [stored for stored in page if stored is not None]
-            revision = body.get("current_rev", 0)
+            revision = Revision(era, body.get("current_rev", 0))
             # The next page is requested by the name of the last object; if that is
             # malformed, the listing ends here, although it may be incomplete.
             if not body.get("has_more") or not page or page[-1] is None:
@@ -130,9 +150,9 @@
         if status == NOT_FOUND:
             return None
         _expect(status, body, 200)
-        return _decode_object(body)
+        return _decode_object(body, self.era)
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> WatchResult:
+    async def watch(self, kind: str, revision: Revision, wait_s: float) -> WatchResult:
         """Waits for changes of a kind.
 
         Args:
@@ -144,24 +164,25 @@
         Raises:
             StoreUnavailable: If the store does not respond or rejects the call.
         """
-        path = f"{BASE}{kind}?watch={revision}&wait_ms={int(wait_s / MS)}"
+        path = f"{BASE}{kind}?watch={revision.number}&wait_ms={int(wait_s / MS)}"
         conn = self._watch_connections.pop(kind, None)
         status, body, conn = await self._exchange(
             conn, "GET", path, None, wait_s + WATCH_SLACK_S
         )
         if conn.reusable:
             self._watch_connections[kind] = conn
-        if status == GONE:
+        if status == GONE or self.era != revision.era:
             return WatchResult((), revision, history_lost=True)
         _expect(status, body, 200)
         changes = []
         for event in body.get("events", []):
             change = _decode_object(
-                event.get("object"), removed=bool(event.get("removed"))
+                event.get("object"), self.era, removed=bool(event.get("removed"))
             )
             if change is not None:
                 changes.append(change)
-        return WatchResult(tuple(changes), body.get("current_rev", revision))
+        number = body.get("current_rev", revision.number)
+        return WatchResult(tuple(changes), Revision(self.era, number))
 
     def end_watch(self, kind: str) -> None:
         """Closes the connection kept for the next watch of a kind.
@@ -192,21 +213,34 @@
         return True
 
     async def set_status(
-        self, kind: str, name: str, revision: int, status: Any
+        self, kind: str, name: str, revision: Revision, status: Any
     ) -> bool:
         """Sets an object's status if the object is still at the given revision.
 
         Returns:
             Whether the object existed at that revision.
+
+        Raises:
+            StoreUnavailable: If the store does not respond or rejects the call, or was
+                restored since the object was read: a restored store gives the same
+                revision to other objects.
         """
-        body = {"metadata": {"name": name, "rev": revision}, "status": status}
+        self._check_era(revision)
+        body = {"metadata": {"name": name, "rev": revision.number}, "status": status}
         path = f"{BASE}{kind}/{quote(name, safe='')}/status"
         code, response = await self._call("PUT", path, body)
+        self._check_era(revision)
         if code in {CONFLICT, NOT_FOUND}:
             return False
         _expect(code, response, 200)
         return True
 
+    def _check_era(self, revision: Revision) -> None:
+        if revision.era != self.era:
+            raise StoreUnavailable(
+                f"an object of era {revision.era}, the store's is {self.era}"
+            )
+
     async def _call(
         self, method: str, path: str, body: Any = None
     ) -> tuple[int, dict[str, Any]]:
@@ -233,7 +267,13 @@
                 if conn is None or not conn.reusable:
                     conn = await HttpConnection.open(self._address)
                 status, response = await self._request(conn, method, path, body)
-        except (ConnectionFailed, ConnectionBroken, TimeoutError, ValueError) as exc:
+        except (
+            ConnectionFailed,
+            ConnectionBroken,
+            FormerEra,
+            TimeoutError,
+            ValueError,
+        ) as exc:
             if conn is not None:
                 conn.abort()
             reason = str(exc) or f"no response within {timeout_s:.1f} s"
@@ -255,11 +295,13 @@
             data = json.dumps(body).encode()
         conn.send(method.encode(), path.encode(), headers, data)
         status = 0
+        era: int | None = None
         parts = []
         while True:
             event = await conn.next_event()
             if isinstance(event, h11.Response):
                 status = event.status_code
+                era = _decode_era(dict(event.headers).get(ERA_HEADER))
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -267,11 +309,24 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionBroken("closed by the store")
         conn.finish()
+        self._observe_era(era, status)
         text = b"".join(parts)
         # No caller expects 429 or 5xx, and bodies of such responses may not be JSON.
         response = json.loads(text) if text and status < 500 and status != 429 else {}
         return status, response if isinstance(response, dict) else {}
 
+    def _observe_era(self, era: int | None, status: int) -> None:
+        # An error may come from something in front of the store.
+        if era is None and status >= 400:
+            return
+        before = self.era
+        if self._eras.observe(era):
+            self.on_new_era(before, self.era)
+
+
+def _decode_era(text: bytes | None) -> int | None:
+    return int(text) if text is not None and text.isdigit() else None
+
 
 def _expect(status: int, body: Any, *valid: int) -> None:
     """Raises StoreUnavailable for a status that is not valid; ``body`` is unused."""
@@ -279,15 +334,15 @@
         raise StoreUnavailable(f"unexpected status {status} from the object store")
 
 
-def _decode_object(item: Any, *, removed: bool = False) -> StoreObject | None:
+def _decode_object(item: Any, era: int, *, removed: bool = False) -> StoreObject | None:
     """Decodes an object; returns None for one without a name."""
     meta = item.get("metadata") if isinstance(item, dict) else None
     if not isinstance(meta, dict) or not isinstance(meta.get("name"), str):
         return None
-    revision = meta.get("rev")
+    number = meta.get("rev")
     return StoreObject(
         name=meta["name"],
-        revision=revision if isinstance(revision, int) else 0,
+        revision=Revision(era, number if isinstance(number, int) else 0),
         spec=item.get("spec"),
         status=item.get("status"),
         removed=removed,
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -515,6 +515,7 @@
             ),
             connected=self._connected(server),
             needs_traffic=self._needs_traffic(server),
+            paused=self.health(server).is_paused(now),
         )
 
     def _load(
@@ -525,7 +526,7 @@
         ``dispatch`` sets the share again after granting slots.
         """
         healthy = [c for c in candidates if not c.health.is_ejected(now)] or candidates
-        slots = sum(c.server.slots for c in healthy)
+        slots = sum(c.server.slots for c in healthy if not c.paused)
         free = sum(c.free for c in healthy)
         service.free_share = free / max(1, slots)
         return ServiceLoad(
--- a/cornelpin/scheduling/rollouts.py
+++ b/cornelpin/scheduling/rollouts.py
@@ -14,6 +14,7 @@
 import attrs
 
 from cornelpin.core.canary_analysis import failure_ratio
+from cornelpin.core.revision import NO_REVISION, Revision
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -89,7 +90,7 @@
     duration_s: float
     state: OrderState = OrderState.RUNNING
     has_status: bool = False
-    revision: int = 0
+    revision: Revision = NO_REVISION
 
 
 @attrs.define
@@ -173,15 +174,34 @@
         fault: Reason why the new version was found bad; empty if it was not.
         own: Counts of this entry.
         others: Counts of other entries, by name and incarnation.
+        lost_outcome: Outcome that the store held and lost in a restore, until it is
+            written again.
     """
 
     order: Order
     seen_at: float
     fault: str = ""
+    lost_outcome: OrderState | None = None
     own: Counts = attrs.field(factory=Counts)
     others: dict[tuple[str, str], Counts] = attrs.field(factory=dict)
     _tests: dict[str, _ChangeTest] = attrs.field(factory=dict)
 
+    @property
+    def state(self) -> OrderState:
+        """State of the order; an outcome lost in a restore of the store still holds."""
+        return self.lost_outcome or self.order.state
+
+    def update(self, order: Order) -> None:
+        """Takes over the order as read from the store again."""
+        if order.state is not OrderState.RUNNING:
+            self.lost_outcome = None
+        elif (
+            self.state is not OrderState.RUNNING
+            and order.revision.era > self.order.revision.era
+        ):
+            self.lost_outcome = self.state
+        self.order = order
+
     def totals(self) -> Counts:
         """Returns the summed counts of all entries."""
         total = Counts()
@@ -266,7 +286,7 @@
         """Stores an order as read from the store; returns whether it is new."""
         known = self._rollouts.get(order.service)
         if known is not None and known.order.version == order.version:
-            known.order = order
+            known.update(order)
             return False
         self._rollouts[order.service] = Rollout(order, now)
         return True
@@ -284,9 +304,9 @@
             return list(servers)
         old = [s for s in servers if s.version != rollout.order.version]
         new = [s for s in servers if s.version == rollout.order.version]
-        if rollout.order.state is OrderState.DONE:
+        if rollout.state is OrderState.DONE:
             return new or old
-        if rollout.order.state is OrderState.ROLLED_BACK or rollout.fault:
+        if rollout.state is OrderState.ROLLED_BACK or rollout.fault:
             return old
         if rollout.switching(now):
             return new or old
@@ -303,7 +323,7 @@
     def needs_traffic(self, server: BackendServer) -> bool:
         """Returns whether a server's version is below its share of the traffic."""
         rollout = self._rollouts.get(server.service)
-        if rollout is None or rollout.order.state is not OrderState.RUNNING:
+        if rollout is None or rollout.state is not OrderState.RUNNING:
             return False
         if rollout.fault or server.version != rollout.order.version:
             return False
@@ -313,7 +333,7 @@
     def record_send(self, server: BackendServer) -> None:
         """Counts a request sent to a server."""
         rollout = self._rollouts.get(server.service)
-        if rollout is None or rollout.order.state is not OrderState.RUNNING:
+        if rollout is None or rollout.state is not OrderState.RUNNING:
             return
         rollout.own.sent += 1
         rollout.own.sent_new += server.version == rollout.order.version
@@ -332,7 +352,7 @@
                 seconds per unit of ``Job.actual_cost``. None if not measured.
         """
         rollout = self._rollouts.get(server.service)
-        if rollout is None or rollout.order.state is not OrderState.RUNNING:
+        if rollout is None or rollout.state is not OrderState.RUNNING:
             return False
         new = server.version == rollout.order.version
         slow = took_s is not None and rollout.record_time(route, took_s, new=new)
@@ -343,7 +363,11 @@
         """Returns states that are to be written to orders in the store, and reasons."""
         writes = []
         for rollout in self._rollouts.values():
-            if rollout.order.state is not OrderState.RUNNING:
+            if rollout.lost_outcome is not None:
+                reason = "lost in a restore of the store"
+                writes.append((rollout.order, rollout.lost_outcome, reason))
+                continue
+            if rollout.state is not OrderState.RUNNING:
                 continue
             late = now >= rollout.ends_at() - STATE_MARGIN_S
             if rollout.fault:
@@ -367,7 +391,7 @@
                 *rollout.own.export(),
             ]
             for service, rollout in self._rollouts.items()
-            if rollout.order.state is OrderState.RUNNING
+            if rollout.state is OrderState.RUNNING
         }
 
     def merge_from(
--- a/cornelpin/scheduling/server_health.py
+++ b/cornelpin/scheduling/server_health.py
@@ -16,6 +16,9 @@
 """Longest ejection time, seconds: a crashed server is back after some seconds."""
 FAILURE_RATE_DECAY = 0.85
 """Weight of the old failure rate in its moving average."""
+PAUSE_SPREAD = 0.1
+"""Part of a pause by which it is prolonged at random, so that the entries that heard
+the same do not all come back at one moment."""
 SILENCE_FACTOR = 4.0
 """Multiple of the expected response time after which a server counts as silent. The
 response time is that to the first event of a stream, or to the whole response."""
@@ -30,12 +33,17 @@
     Attributes:
         failure_rate: Moving average of the share of failed sends, 0 to 1.
         ejected_until: Monotonic time until which it receives no requests.
+        paused_until: Monotonic time until which it asked this host for no requests. It
+            is out of capacity then, not failed.
+        bad_pause: Whether it has asked for a pause without a valid time.
         last_received_at: Monotonic time at which a first event or a whole response last
             arrived.
     """
 
     failure_rate: float = 0.0
     ejected_until: float = float("-inf")
+    paused_until: float = float("-inf")
+    bad_pause: bool = False
     last_received_at: float = float("-inf")
     _ejection_s: float = BASE_EJECTION_S
     _awaiting_response: dict[str, tuple[float, float]] = attrs.field(factory=dict)
@@ -75,6 +83,23 @@
         self.ejected_until = now + self._ejection_s
         self._ejection_s = min(MAX_EJECTION_S, 2 * self._ejection_s)
 
+    def pause(self, now: float, pause_s: float, spread: float) -> bool:
+        """Records that the server wants no requests; returns whether none was on.
+
+        Args:
+            now: Monotonic time in seconds.
+            pause_s: Length of the pause in seconds.
+            spread: Random number from 0 to 1.
+        """
+        was_paused = self.is_paused(now)
+        until = now + pause_s * (1.0 + PAUSE_SPREAD * spread)
+        self.paused_until = max(self.paused_until, until)
+        return not was_paused
+
+    def is_paused(self, now: float) -> bool:
+        """Returns whether the server has asked for no requests."""
+        return now < self.paused_until
+
     def is_ejected(self, now: float) -> bool:
         """Returns whether the server is ejected or silent."""
         return now < self.ejected_until or self.silent(now)
--- a/cornelpin/scheduling/server_selection.py
+++ b/cornelpin/scheduling/server_selection.py
@@ -75,6 +75,7 @@
             have taken them since their last report.
         connected: Whether an idle connection to it is open.
         needs_traffic: Whether its version is below its traffic share.
+        paused: Whether it has asked this host for no requests.
     """
 
     server: BackendServer
@@ -86,10 +87,13 @@
     margin: int = 0
     connected: bool = True
     needs_traffic: bool = False
+    paused: bool = False
 
     @property
     def free(self) -> int:
         """Free slots."""
+        if self.paused:
+            return 0
         return max(0, self.server.slots - self.running - self.margin)
 
 
@@ -169,7 +173,7 @@
     if risk < MIN_RISK_DECREASE or now > job.objective:
         return False
     later = now + NEXT_FREE_SLOT_S
-    healthy = [c for c in candidates if not c.health.is_ejected(now)]
+    healthy = [c for c in candidates if not (c.paused or c.health.is_ejected(now))]
     best = min((late_risk(job, c, later) for c in healthy), default=1.0)
     return risk - best > MIN_RISK_DECREASE
 
--- a/cornelpin/scheduling/servers.py
+++ b/cornelpin/scheduling/servers.py
@@ -28,6 +28,8 @@
 their registrations."""
 EXPIRY_WINDOW_S = 1.0
 """Time within which the registrations that expire in an outage are removed."""
+MAX_LEAVING = 10_000
+"""Leaving incarnations remembered: twice the servers of the largest deployment."""
 
 
 @attrs.frozen
@@ -86,6 +88,8 @@
         self._listed: dict[str, BackendServer] = {}
         self._removed: dict[str, _Removed] = {}
         self._replaced: dict[str, BackendServer] = {}
+        # Incarnations that said themselves that they leave, the oldest first.
+        self._leaving: dict[tuple[str, int], None] = {}
         self._outage_ended = float("-inf")
 
     def outage_ended(self, now: float) -> None:
@@ -101,7 +105,15 @@
             self.put(server)
 
     def put(self, server: BackendServer) -> None:
-        """Adds or updates a server."""
+        """Adds or updates a server.
+
+        An incarnation that is known to leave does not come back, although a stale or
+        restored store may list it as ready.
+        """
+        if server.leaving:
+            self._remember_leaving(server.incarnation)
+        elif server.incarnation in self._leaving:
+            server = attrs.evolve(server, leaving=True)
         self._listed[server.id] = server
         self._removed.pop(server.id, None)
 
@@ -135,6 +147,27 @@
         for removed in together:
             removed.used_until = max(removed.used_until, first + REREGISTER_S)
 
+    def mark_leaving(self, incarnation: tuple[str, int]) -> bool:
+        """Records that an incarnation leaves; returns whether that is new.
+
+        The server, or an entry that it told, knows it before the store does.
+        """
+        if incarnation in self._leaving:
+            return False
+        self._remember_leaving(incarnation)
+        listed = self._listed.get(incarnation[0])
+        if listed is not None and listed.incarnation == incarnation:
+            self._listed[listed.id] = attrs.evolve(listed, leaving=True)
+        removed = self._removed.get(incarnation[0])
+        if removed is not None and removed.server.incarnation == incarnation:
+            del self._removed[incarnation[0]]
+        return True
+
+    def _remember_leaving(self, incarnation: tuple[str, int]) -> None:
+        self._leaving[incarnation] = None
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+
     def mark_replaced(self, server: BackendServer) -> None:
         """Drops an incarnation because the server at its address reported another one.
 
--- a/cornelpin/tests/test_platform.py
+++ b/cornelpin/tests/test_platform.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import copy
 import json
 from typing import TYPE_CHECKING, Any
 
 import pytest
 
+from cornelpin.core.revision import Revision
 from cornelpin.platform import (
     BadValue,
     Store,
@@ -312,7 +314,80 @@
         timed_out = await store.watch("things", result.revision, 0.05)
         assert timed_out.changes == ()
         stand_in.compact_history()
-        assert (await store.watch("things", 1, 0.05)).history_lost
+        assert (await store.watch("things", Revision(0, 1), 0.05)).history_lost
+
+    run_with_store(check)
+
+
+def test_watch_ends_when_the_store_is_restored() -> None:
+    async def check(stand_in: FleetStore, store: Store) -> None:
+        stand_in.put("things", "a", 1)
+        stand_in.keep_copy()
+        known = (await store.list("things")).revision
+        stand_in.put("things", "b", 1)
+        lost = (await store.list("things")).revision
+        stand_in.restore()
+        for revision in (known, lost):
+            assert (await store.watch("things", revision, 0.05)).history_lost
+        listing = await store.list("things")
+        assert [c.name for c in listing.objects] == ["a"]
+        assert listing.revision > lost
+
+    run_with_store(check)
+
+
+def test_status_of_a_lost_object_is_not_written_to_its_successor() -> None:
+    """Guards against conditional writes under a revision that was given out again."""
+
+    async def check(stand_in: FleetStore, store: Store) -> None:
+        stand_in.keep_copy()
+        stand_in.put("things", "a", "lost")
+        lost = (await store.list("things")).objects[0]
+        stand_in.restore()
+        assert stand_in.put("things", "a", "other") == lost.revision.number
+        with contextlib.suppress(StoreUnavailable):
+            # Its kept connection was reset.
+            await store.list("things")
+        await store.list("things")
+        with pytest.raises(StoreUnavailable):
+            await store.set_status("things", "a", lost.revision, "done")
+        assert stand_in.status("things", "a") is None
+
+    run_with_store(check)
+
+
+def test_status_written_as_the_store_is_restored_has_an_unknown_outcome() -> None:
+    async def check(stand_in: FleetStore, store: Store) -> None:
+        stand_in.keep_copy()
+        stand_in.put("things", "a", "lost")
+        lost = (await store.list("things")).objects[0]
+        stand_in.restore()
+        with pytest.raises(StoreUnavailable):
+            await store.set_status("things", "a", lost.revision, "done")
+
+    run_with_store(check)
+
+
+@pytest.mark.parametrize("era", [None, 0])
+def test_response_of_a_former_era_is_rejected(era: int | None) -> None:
+    async def check(stand_in: FleetStore, store: Store) -> None:
+        await store.list("things")
+        stand_in.era = era
+        with pytest.raises(StoreUnavailable):
+            await store.list("things")
+        stand_in.era = 2
+        assert (await store.list("things")).revision.era == 2
+
+    run_with_store(check)
+
+
+def test_store_without_eras_is_used() -> None:
+    async def check(stand_in: FleetStore, store: Store) -> None:
+        stand_in.era = None
+        revision = (await store.list("things")).revision
+        assert revision.era == 0
+        stand_in.put("things", "a", 1)
+        assert len((await store.watch("things", revision, 1.0)).changes) == 1
 
     run_with_store(check)
 
--- a/cornelpin/tests/test_rollouts.py
+++ b/cornelpin/tests/test_rollouts.py
@@ -9,6 +9,7 @@
 import attrs
 import pytest
 
+from cornelpin.core.revision import Revision
 from cornelpin.scheduling.rollouts import (
     MIN_RUNS,
     STATE_MARGIN_S,
@@ -126,7 +127,7 @@
             if outcome is OrderState.RUNNING:
                 continue
             self.result.outcome, self.result.written_at = outcome, now
-            stored = attrs.evolve(order, state=outcome, has_status=True, revision=9)
+            stored = attrs.evolve(order, state=outcome, has_status=True)
             for rollouts in self._fleet:
                 rollouts.set_order(stored, now)
 
@@ -264,3 +265,37 @@
 def test_min_runs_probably_include_a_bad_run() -> None:
     """At a bad-run rate of 0.15 one of MIN_RUNS runs is bad with probability 0.9."""
     assert 1 - (1 - 0.15) ** MIN_RUNS > 0.9
+
+
+@pytest.mark.parametrize("outcome", [OrderState.DONE, OrderState.ROLLED_BACK])
+def test_outcome_lost_in_a_restore_holds_and_is_written_again(
+    outcome: OrderState,
+) -> None:
+    """Guards against a bad version that gets requests again.
+
+    The store has been restored from a copy in which the order still runs, and no entry
+    has counts of its runs.
+    """
+    rollouts = Rollouts(share=SHARE, extra=EXTRA)
+    stated = attrs.evolve(ORDER, state=outcome, has_status=True)
+    rollouts.set_order(attrs.evolve(stated, revision=Revision(1, 70)), 100.0)
+    assert not rollouts.pending_writes(101.0)
+    restored = attrs.evolve(ORDER, has_status=True, revision=Revision(2, 40))
+    rollouts.set_order(restored, 102.0)
+    versions = {s.version for s in rollouts.usable("app", OLD + NEW, 103.0)}
+    assert versions == {"v2" if outcome is OrderState.DONE else "v1"}
+    ((order, state, _),) = rollouts.pending_writes(103.0)
+    assert (order.revision, state) == (Revision(2, 40), outcome)
+    rollouts.set_order(attrs.evolve(stated, revision=Revision(2, 41)), 104.0)
+    assert not rollouts.pending_writes(105.0)
+
+
+def test_running_order_keeps_its_counts_over_a_restore() -> None:
+    rollouts = Rollouts(share=SHARE, extra=EXTRA)
+    rollouts.set_order(attrs.evolve(ORDER, revision=Revision(1, 70)), 100.0)
+    for _ in range(MIN_RUNS):
+        rollouts.record_send(NEW[0])
+        rollouts.record_end(NEW[0], "a", failed=False, took_s=None)
+    rollouts.set_order(attrs.evolve(ORDER, revision=Revision(2, 40)), 104.0)
+    ((order, state, _),) = rollouts.pending_writes(100.0 + ORDER.duration_s)
+    assert (order.revision, state) == (Revision(2, 40), OrderState.DONE)
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -31,6 +31,8 @@
             ``late_extra`` (a second response while the connection is idle),
             ``no_length`` (a body that ends with the connection).
         status: Status of plain responses.
+        leaving: Whether all responses say that the server leaves.
+        pause: Retry-After of a ``full`` server; none if empty.
     """
 
     answer_s: float = 0.0
@@ -38,6 +40,8 @@
     gap_s: float = 0.0
     fault: str = ""
     status: int = 200
+    leaving: bool = False
+    pause: str = ""
 
 
 class FleetServer:
@@ -56,6 +60,7 @@
         cancelled: Ids of requests whose caller disconnected during the run.
         misdirected: Number of requests rejected because they were addressed to
             another server.
+        arrivals: Loop times at which requests arrived, rejected ones included.
         running: Number of requests in flight.
         max_running: Highest number of requests in flight at once.
     """
@@ -78,6 +83,7 @@
         self.requests: list[RawRequest] = []
         self.cancelled: list[str] = []
         self.misdirected = 0
+        self.arrivals: list[float] = []
         self.running = 0
         self.max_running = 0
         self.server = RawServer(self._handle)
@@ -105,8 +111,12 @@
             self.misdirected += 1
             writer.write(format_response(421, {"Instance-Id": self.id}, b""))
             return True
+        self.arrivals.append(asyncio.get_running_loop().time())
         if self.behaviour.fault == "full":
-            writer.write(format_response(503, {"Not-Executed": "1"}, b""))
+            headers = {"Not-Executed": "1"} | self._state_headers()
+            if self.behaviour.pause:
+                headers["Retry-After"] = self.behaviour.pause
+            writer.write(format_response(503, headers, b""))
             return True
         request_id = req.headers.get("request-id", "")
         self.runs[request_id] += 1
@@ -121,6 +131,9 @@
         finally:
             self.running -= 1
 
+    def _state_headers(self) -> dict[str, str]:
+        return {"Server-Leaving": "1"} if self.behaviour.leaving else {}
+
     async def _run(
         self, req: RawRequest, request_id: str, writer: asyncio.StreamWriter
     ) -> bool:
@@ -131,6 +144,7 @@
             writer.transport.abort()
             return False
         headers = {"Request-Id": request_id, "Response-Seal": f"{self.id}.1"}
+        headers |= self._state_headers()
         if fault == "unsealed":
             del headers["Response-Seal"]
         if req.target.startswith("/stream/"):
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -31,12 +32,15 @@
             reset).
         rejected_ips: IP addresses of callers that get 503.
         calls: Number of calls received.
+        era: Number of the era, sent with each response; None to send none.
     """
 
     def __init__(self) -> None:
         self.mode = "up"
         self.rejected_ips: set[str] = set()
         self.calls = 0
+        self.era: int | None = 1
+        self._copies: list[tuple[int, dict[str, dict[str, dict[str, Any]]]]] = []
         self._silence_epoch = 0
         # Not 0: a store that is in use has a revision before the first write of a test.
         self._revision = 5
@@ -96,6 +100,24 @@
         self._history.clear()
         self._notify_watches()
 
+    def keep_copy(self) -> int:
+        """Keeps a copy of all objects; returns its revision."""
+        self._copies.append((self._revision, copy.deepcopy(self._objects)))
+        return self._revision
+
+    def restore(self) -> None:
+        """Goes back to the last copy, as a new era; watches and connections end.
+
+        The history after the copy is lost, and its revisions are given out again.
+        """
+        self._revision, objects = self._copies[-1]
+        self._objects = copy.deepcopy(objects)
+        self._history = [e for e in self._history if e.revision <= self._revision]
+        assert self.era is not None
+        self.era += 1
+        self._notify_watches()
+        self.reset_connections()
+
     def _append_event(self, event: _Event) -> None:
         self._history.append(event)
         self._notify_watches()
@@ -110,16 +132,20 @@
         if self.mode == "silent":
             await asyncio.sleep(60)
         if self.mode == "busy" or caller in self.rejected_ips:
-            writer.write(format_response(503, {}, b""))
+            writer.write(format_response(503, self._headers(), b""))
             return True
         status, body = await self._dispatch(req)
         if self.mode == "lost" and req.method != "GET":
             writer.transport.abort()
             return False
-        writer.write(format_response(status, {}, json.dumps(body).encode()))
+        data = json.dumps(body).encode()
+        writer.write(format_response(status, self._headers(), data))
         await writer.drain()
         return True
 
+    def _headers(self) -> dict[str, str]:
+        return {} if self.era is None else {"Store-Era": str(self.era)}
+
     async def _dispatch(self, req: RawRequest) -> tuple[int, Any]:
         parts = urlsplit(req.target)
         path = [unquote(p) for p in parts.path.removeprefix(BASE).split("/")]
@@ -170,7 +196,7 @@
         while True:
             if silence_epoch != self._silence_epoch:
                 await asyncio.sleep(60)
-            if since < self._compacted_revision:
+            if since < self._compacted_revision or since > self._revision:
                 return 410, {}
             events = [
                 {"removed": e.removed, "object": e.item}
