Soak restores of the store, servers that leave and servers that want a pause

Cause: the new rules were shown by single tests only. Change: faults leave and restore are planned operations, pauses are one of a server's faults; a drained server comes back as another incarnation, as on the platform. Checked: 0.5 s after an entry was told, it sends the server nothing until its restart or the end of the pause.

--- a/benchmarks/fault_soak/clients.py
+++ b/benchmarks/fault_soak/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from benchmarks.fault_soak.fleet import EntryProcess, Fleet
+    from standins.fleet.server import FleetServer
 
 KEYS = {"key-blue": "blue", "key-small": "small"}
 """Workspace by API key; the small one soon exceeds its limit."""
@@ -28,6 +30,10 @@
 """The entry may close a connection while a request is on its way. Such a request counts
 as lost only if a server ran it or the connection ended later than this after sending. A
 bound of the platform."""
+NOTICE_SLACK_S = 0.5
+"""Time after a response that says that a server leaves, or wants a pause, in which its
+entry may still send it requests. A bound of the platform for pauses; for servers that
+leave the platform allows more."""
 RECONNECT_DELAY_S = 0.5
 """Delay before a client connects again after a refused connection."""
 
@@ -39,6 +45,8 @@
     Attributes:
         target: Request target.
         key: API key of the client.
+        entry: The entry that received it.
+        sent_at: Loop time at which it was sent.
         response: The response, NO_RESPONSE if none came.
         excused: Whether it may be lost: its client disconnected early or its entry was
             under a fault.
@@ -48,6 +56,8 @@
 
     target: str
     key: str
+    entry: EntryProcess
+    sent_at: float
     response: Response = NO_RESPONSE
     excused: bool = False
     duration_s: float = 0.0
@@ -101,7 +111,10 @@
             target = f"{self._rng.choice(TARGETS)}{request_id}"
             small = self._rng.random() < SMALL_SHARE
             key = "key-small" if small else "key-blue"
-            record = self.requests[request_id] = SentRequest(target, key)
+            loop = asyncio.get_running_loop()
+            sent_at = loop.time()
+            record = SentRequest(target, key, entry, sent_at)
+            self.requests[request_id] = record
             data = request(
                 target,
                 method="POST",
@@ -111,8 +124,6 @@
             )
             disconnects = not self._planned_only and self._rng.random() < 0.03
             timeout_s = 0.05 if disconnects else RESPONSE_TIMEOUT_S
-            loop = asyncio.get_running_loop()
-            sent_at = loop.time()
             try:
                 async with asyncio.timeout(timeout_s):
                     record.response = await client.send(data)
@@ -169,6 +180,7 @@
             runs.update(server.runs)
             for seen in server.requests:
                 self._check_headers(seen.headers)
+            self._check_notices(server)
         if self._planned_only:
             self._check_lost(runs)
         for request_id, count in runs.items():
@@ -189,6 +201,37 @@
                     f"status {record.response.status}, but it ran",
                 )
 
+    def _check_notices(self, server: FleetServer) -> None:
+        """Checks that a server that leaves, or wants a pause, is left alone.
+
+        Excused are entries that started or met a fault since they were told, and
+        responses that a faulty link may have withheld.
+        """
+        for notice in server.notices:
+            told = self.requests.get(notice.request_id)
+            if (
+                told is None
+                or told.excused
+                or told.entry.started_at > notice.at
+                or self._fleet.link_faulty(server, notice.at)
+            ):
+                continue
+            restarts = [at for at in server.restarts if at > notice.at]
+            until = min([notice.at + (notice.pause_s or math.inf), *restarts])
+            for at, request_id in server.arrivals:
+                record = self.requests.get(request_id)
+                if (
+                    notice.at + NOTICE_SLACK_S < at < until
+                    and record is not None
+                    and record.entry is told.entry
+                    and record.sent_at > notice.at
+                    and not record.excused
+                ):
+                    what = "pause" if notice.pause_s else "leave"
+                    self._add_violation(
+                        "DRAIN", request_id, f"sent to {server.id}, told to {what}"
+                    )
+
     def _check_lost(self, runs: Counter[str]) -> None:
         """Checks that no request was lost.
 
--- a/benchmarks/fault_soak/faults.py
+++ b/benchmarks/fault_soak/faults.py
@@ -129,8 +129,10 @@
 @register()
 async def link(fleet: Fleet, rng: random.Random) -> None:
     """Delays, resets, refuses or drops one direction of the connections to a server."""
-    proxy = fleet.proxies[rng.choice(fleet.servers).id]
+    server_id = rng.choice(fleet.servers).id
+    proxy = fleet.proxies[server_id]
     fault = proxy.fault
+    begin = asyncio.get_running_loop().time()
     match rng.choice(["delay", "reset", "to", "back", "refused"]):
         case "delay":
             fault.delay_s = rng.uniform(0.01, 0.3)
@@ -146,6 +148,8 @@
     await asyncio.sleep(rng.uniform(0.2, 2.0))
     fault.delay_s = 0.0
     fault.drop_to_server = fault.drop_from_server = fault.refuse_connections = False
+    end = asyncio.get_running_loop().time()
+    fleet.link_faults.append((server_id, begin, end))
     # After a gap in the byte stream the peers would read a message from its middle.
     proxy.reset()
 
@@ -157,8 +161,10 @@
     behaviour.fault = rng.choice(
         ["full", "error", "crash", "cut", "mute", "unsealed", "extra", "late_extra"]
     )
+    if behaviour.fault == "full" and rng.random() < 0.5:
+        behaviour.pause = rng.choice(["1", "2.5", "0.3", "-1", "soon", "1e12"])
     await asyncio.sleep(rng.uniform(0.2, 2.0))
-    behaviour.fault = ""
+    behaviour.fault = behaviour.pause = ""
 
 
 @register()
@@ -183,8 +189,37 @@
 
 @register(planned=True)
 async def drain(fleet: Fleet, rng: random.Random) -> None:
-    """Drains a server and makes it ready again."""
+    """Drains a server and starts it again as another incarnation."""
     drained = rng.choice(fleet.servers)
     fleet.register_server(drained, "draining")
     await asyncio.sleep(rng.uniform(0.5, 2.0))
+    drained.restart()
     fleet.register_server(drained)
+
+
+@register(planned=True)
+async def leave(fleet: Fleet, rng: random.Random) -> None:
+    """Lets a server say that it leaves; the store may say so later, or never."""
+    leaving = rng.choice(fleet.servers)
+    leaving.behaviour.leaving = True
+    await asyncio.sleep(rng.uniform(0.2, 1.5))
+    if rng.random() < 0.5:
+        fleet.register_server(leaving, "draining")
+    await asyncio.sleep(rng.uniform(0.5, 1.5))
+    leaving.restart()
+    fleet.register_server(leaving)
+
+
+@register(planned=True)
+async def restore(fleet: Fleet, rng: random.Random) -> None:
+    """Restores the store from a copy; what others wrote since is written again."""
+    fleet.store.keep_copy()
+    fleet.configure()
+    await asyncio.sleep(rng.uniform(0.2, 2.0))
+    if rng.random() < 0.5:
+        fleet.store.go_silent()
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        fleet.store.mode = "up"
+    fleet.store.restore()
+    await asyncio.sleep(rng.uniform(0.0, 1.5))
+    fleet.write_again()
--- a/benchmarks/fault_soak/fleet.py
+++ b/benchmarks/fault_soak/fleet.py
@@ -26,6 +26,8 @@
 """Grace period between SIGTERM and SIGKILL, as on the platform."""
 READY_TIMEOUT_S = 1.0
 """Time limit of a readiness probe: the platform probes once a second."""
+LINK_SLACK_S = 0.5
+"""Time around the fault of a link in which responses may be lost or late."""
 DATA_CENTRES = ("north", "south")
 
 
@@ -38,6 +40,7 @@
         settings: Path of the settings file.
         log: Path of the file with stdout and stderr.
         process: The last process started, None before the first start.
+        started_at: Loop time of its last start.
         paused: Whether the process is stopped by SIGSTOP.
         faulty_until: Monotonic time until which a fault may fail its requests.
     """
@@ -46,6 +49,7 @@
     settings: Path
     log: Path
     process: subprocess.Popen[bytes] | None = None
+    started_at: float = 0.0
     paused: bool = False
     faulty_until: float = 0.0
 
@@ -69,6 +73,7 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
+        self.started_at = asyncio.get_running_loop().time()
         self.paused = False
 
     def signal(self, number: int) -> None:
@@ -100,6 +105,10 @@
         self.store_proxies: list[Proxy] = []
         self.entries: list[EntryProcess] = []
         self.version = 1
+        # Server id, begin and end of each fault of a link, in loop time.
+        self.link_faults: list[tuple[str, float, float]] = []
+        # What the operator and the servers wrote last, by kind and name.
+        self._written: dict[tuple[str, str], Any] = {}
         self.never_ready: list[str] = []
         self._count = entries
         self._port = port
@@ -151,13 +160,30 @@
             route("/stream/", "stream", max_attempts=1, allow_anonymous=False),
             route("/stream/resumable/", "stream", resumable=True),
         ]
-        self.store.put("config", "main", config(self.version, routes=routes, **fields))
+        self._put("config", "main", config(self.version, routes=routes, **fields))
+
+    def _put(self, kind: str, name: str, spec: Any) -> None:
+        self._written[kind, name] = spec
+        self.store.put(kind, name, spec)
+
+    def write_again(self) -> None:
+        """Writes what a restore of the store may have lost, as its authors do."""
+        for (kind, name), spec in self._written.items():
+            if self.store.objects(kind).get(name) != spec:
+                self.store.put(kind, name, spec)
+
+    def link_faulty(self, server: FleetServer, at: float) -> bool:
+        """Returns whether the link to a server had a fault around a loop time."""
+        return any(
+            server.id == server_id and begin - LINK_SLACK_S < at < end + LINK_SLACK_S
+            for server_id, begin, end in self.link_faults
+        )
 
     def register_server(self, server: FleetServer, state: str = "ready") -> None:
         """Writes a server to the store, with the address of its proxy."""
         ip, port = self.proxies[server.id].address
         spec = server.store_spec(state) | {"address": f"{ip}:{port}"}
-        self.store.put("servers", server.id, spec)
+        self._put("servers", server.id, spec)
 
     def write_settings(self, entry: EntryProcess, **fields: Any) -> None:
         """Writes an entry's settings file."""
--- a/cornelpin/tests/test_fault_soak.py
+++ b/cornelpin/tests/test_fault_soak.py
@@ -42,5 +42,12 @@
 def test_seeds_of_planned_operations_inject_only_these() -> None:
     planned = run_soak(0)
     assert planned.planned
-    assert planned.faults.keys() <= {"restart", "reload", "configure", "drain"}
+    assert planned.faults.keys() <= {
+        "restart",
+        "reload",
+        "configure",
+        "drain",
+        "leave",
+        "restore",
+    }
     assert planned.violations == [], f"logs in {planned.logs}"
--- a/cornelpin/tests/test_server_notices.py
+++ b/cornelpin/tests/test_server_notices.py
@@ -119,13 +119,13 @@
             while not paused.arrivals:
                 # The request itself is sent to the other server.
                 assert await ask(entry, 1) == [200]
-            at = paused.arrivals[0]
+            at, _ = paused.arrivals[0]
             paused.behaviour.fault = ""
             assert not health(entry, paused.id).failure_rate
             while loop.time() < at + 1.5 * (1 + PAUSE_SPREAD) + 0.1:
                 assert await ask(entry, 1) == [200]
                 await asyncio.sleep(0.01)
-            assert not [t for t in paused.arrivals if at < t < at + 1.5]
+            assert not [t for t, _ in paused.arrivals if at < t < at + 1.5]
             # More requests at once than the other server has slots.
             other.behaviour.answer_s = 0.2
             at_once = await asyncio.gather(*(ask(entry, 1) for _ in range(6)))
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from collections import Counter
 from typing import Any
@@ -44,6 +45,21 @@
     pause: str = ""
 
 
+@attrs.frozen
+class Notice:
+    """A response that told its caller something about the server.
+
+    Attributes:
+        at: Loop time of the response.
+        request_id: Id of the request.
+        pause_s: Pause that it asked for; None if it said that the server leaves.
+    """
+
+    at: float
+    request_id: str
+    pause_s: float | None = None
+
+
 class FleetServer:
     """A backend server that records what it runs.
 
@@ -60,7 +76,10 @@
         cancelled: Ids of requests whose caller disconnected during the run.
         misdirected: Number of requests rejected because they were addressed to
             another server.
-        arrivals: Loop times at which requests arrived, rejected ones included.
+        born: Number of its incarnation (the platform's field of that name).
+        restarts: Loop times of the restarts.
+        arrivals: Loop time and id of each request, rejected ones included.
+        notices: Responses that said that the server leaves or wants a pause.
         running: Number of requests in flight.
         max_running: Highest number of requests in flight at once.
     """
@@ -83,7 +102,10 @@
         self.requests: list[RawRequest] = []
         self.cancelled: list[str] = []
         self.misdirected = 0
-        self.arrivals: list[float] = []
+        self.born = 0
+        self.restarts: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
+        self.notices: list[Notice] = []
         self.running = 0
         self.max_running = 0
         self.server = RawServer(self._handle)
@@ -102,23 +124,36 @@
             "version": self.version,
             "slots": self.slots,
             "state": state,
+            "born": self.born,
             "cold_left_ms": 0,
             "seq": 1,
         }
 
+    def restart(self) -> None:
+        """Becomes another incarnation under the same id and address."""
+        self.born += 1
+        self.restarts.append(asyncio.get_running_loop().time())
+        self.behaviour = Behaviour()
+
     async def _handle(self, req: RawRequest, writer: asyncio.StreamWriter) -> bool:
         if req.headers.get("target-instance") not in {None, self.id}:
             self.misdirected += 1
             writer.write(format_response(421, {"Instance-Id": self.id}, b""))
             return True
-        self.arrivals.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        request_id = req.headers.get("request-id", "")
+        self.arrivals.append((now, request_id))
+        if self.behaviour.leaving:
+            self.notices.append(Notice(now, request_id))
         if self.behaviour.fault == "full":
             headers = {"Not-Executed": "1"} | self._state_headers()
             if self.behaviour.pause:
                 headers["Retry-After"] = self.behaviour.pause
+                with contextlib.suppress(ValueError):
+                    pause_s = float(self.behaviour.pause)
+                    self.notices.append(Notice(now, request_id, pause_s))
             writer.write(format_response(503, headers, b""))
             return True
-        request_id = req.headers.get("request-id", "")
         self.runs[request_id] += 1
         self.requests.append(req)
         self.running += 1
