--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -320,7 +320,7 @@
         if era is None and status >= 400:
             return
         before = self.era
-        if self._eras.observe(era):
+        if self._eras.observe(era) and before:
             self.on_new_era(before, self.era)
 
 
