--- a/cornelpin/core/revision.py
+++ b/cornelpin/core/revision.py
@@ -6,10 +6,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+ERA_SUFFIX = ".era"
+"""Suffix of the name under which messages carry the era of a revision. The revision
+itself stays a plain number, as entries of earlier builds expect it."""
+
 
 class FormerEra(Exception):
     """A response is from an era of the store that has ended."""
@@ -27,21 +34,20 @@
     era: int = 0
     number: int = -1
 
-    def export(self) -> list[int]:
-        """Returns the form for messages."""
-        return [self.era, self.number]
+    def export(self, name: str) -> dict[str, int]:
+        """Returns the fields of a message that carry it under a name."""
+        fields = {name: self.number}
+        return fields | {name + ERA_SUFFIX: self.era} if self.era else fields
 
     @classmethod
-    def decode(cls, received: Any) -> Revision:
-        """Returns the revision of a message, the lowest one if it is malformed.
+    def decode(cls, fields: Mapping[str, Any], name: str) -> Revision:
+        """Returns the revision that ``export`` put in a message.
 
-        A plain number, as earlier builds send it, is of era zero.
+        It is the lowest one if the message has none or it is malformed.
         """
-        match received:
-            case int():
-                return cls(0, received)
-            case [int() as era, int() as number]:
-                return cls(era, number)
+        era, number = fields.get(name + ERA_SUFFIX, 0), fields.get(name)
+        if isinstance(era, int) and isinstance(number, int):
+            return cls(era, number)
         return NO_REVISION
 
 
--- a/cornelpin/gateway/peer.py
+++ b/cornelpin/gateway/peer.py
@@ -53,4 +53,4 @@
 
     def revision(self, kind: str) -> Revision:
         """Returns the revision that it has of a kind."""
-        return Revision.decode(self.revisions.get(kind))
+        return Revision.decode(self.revisions, kind)
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -47,6 +47,8 @@
 IN_FORCE = "config.in_force"
 """Name under which messages and snapshots carry the configuration in force, in addition
 to the store's objects: a restored store may hold an older one for some seconds."""
+ERAS = "eras"
+"""Name of the revisions in a snapshot."""
 WATCH_LAG_S = 0.3
 """Time for which this entry's own watch may lag behind a peer before it copies from the
 peer."""
@@ -134,14 +136,15 @@
         while not any(cache.reachable for cache in self._caches.values()):
             await asyncio.sleep(POLL_S)
 
-    def revisions(self) -> dict[str, list[int]]:
+    def revisions(self) -> dict[str, int]:
         """Returns the revision of each kind, for messages.
 
         Under ``IN_FORCE`` the number is the version of the configuration in force.
         """
-        revisions = {kind: cache.revision for kind, cache in self._caches.items()}
-        revisions[IN_FORCE] = Revision(0, self._version_in_force())
-        return {kind: revision.export() for kind, revision in revisions.items()}
+        fields = {IN_FORCE: self._version_in_force()}
+        for kind, cache in self._caches.items():
+            fields |= cache.revision.export(kind)
+        return fields
 
     @property
     def era(self) -> int:
@@ -168,11 +171,13 @@
     def snapshot(self) -> dict[str, Any]:
         """Returns revision and objects of each kind, for another entry.
 
-        Under ``IN_FORCE`` the configuration in force is added unless it is among them.
+        Under ``IN_FORCE`` the configuration in force is added unless it is among them,
+        under ``ERAS`` the fields with the revisions and their eras.
         """
         snapshot: dict[str, Any] = {
             kind: cache.snapshot() for kind, cache in self._caches.items()
         }
+        snapshot[ERAS] = self.revisions()
         stored = self._caches[CONFIG_KIND].objects.get(CONFIG_NAME)
         if self._config_spec is not None and (
             stored is None or stored.spec != self._config_spec
@@ -220,8 +225,10 @@
         if IN_FORCE in snapshot:
             self._apply_config(snapshot[IN_FORCE], f"in force at {peer.ip}")
         for kind, cache in self._caches.items():
-            exported, objects = snapshot.get(kind, (NO_REVISION.export(), {}))
-            revision = Revision.decode(exported)
+            number, objects = snapshot.get(kind, (NO_REVISION.number, {}))
+            # A snapshot of an earlier build names no eras.
+            fields = snapshot.get(ERAS, {}) | {kind: number}
+            revision = Revision.decode(fields, kind)
             if cache.load_snapshot(revision, objects):
                 logs.event(
                     "store.copied", kind=kind, revision=revision.number, peer=peer.ip
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -120,26 +120,28 @@
 
         Args:
             revision: Revision of the snapshot.
-            objects: Revision, spec and status of each object by name, as in
+            objects: Revision number, spec and status of each object by name, as in
                 ``snapshot``.
         """
         if revision <= self.revision:
             return False
         loaded = [
-            StoreObject(name, Revision.decode(rev), spec, status)
-            for name, (rev, spec, status) in objects.items()
+            StoreObject(name, Revision(revision.era, number), spec, status)
+            for name, (number, spec, status) in objects.items()
         ]
         self._replace(loaded, revision)
         self._refresh.set()
         return True
 
     def snapshot(self) -> list[Any]:
-        """Returns the revision and objects, for a peer."""
+        """Returns the revision number and the objects, for a peer.
+
+        All of them are of the era of ``revision``.
+        """
         objects = {
-            c.name: [c.revision.export(), c.spec, c.status]
-            for c in self.objects.values()
+            c.name: [c.revision.number, c.spec, c.status] for c in self.objects.values()
         }
-        return [self.revision.export(), objects]
+        return [self.revision.number, objects]
 
     async def _list(self) -> None:
         listing = await self._store.list(self.kind)
@@ -154,7 +156,8 @@
                 kind=self.kind,
                 era=revision.era,
                 revision=revision.number,
-                before=self.revision.export(),
+                era_before=self.revision.era,
+                revision_before=self.revision.number,
             )
             self._on_recovery()
         self.revision = revision
--- a/cornelpin/tests/test_gateway_fleet.py
+++ b/cornelpin/tests/test_gateway_fleet.py
@@ -15,7 +15,7 @@
 from cornelpin.gateway.peer import Peer
 from cornelpin.gateway.watcher_selection import watch_wait_s
 from cornelpin.platform import Store, StoreUnavailable
-from cornelpin.tests.fleet_client import connect, fetch, request
+from cornelpin.tests.fleet_client import Client, connect, fetch, request
 from cornelpin.tests.gateway_harness import Harness, config, route, run_harness, until
 
 if TYPE_CHECKING:
@@ -515,15 +515,18 @@
             starting = asyncio.create_task(harness.add_entry())
             await until(lambda: len(harness.entries) == 1)
             address = caller_address(harness.entries[0])
-            while harness.entries[0].state.config is None:
+            while True:
                 try:
-                    sent = asyncio.create_task(fetch(address, "/safe/x"))
-                    await asyncio.sleep(outage_s)
-                    harness.store.mode = "up"
-                    assert (await sent).status == status
+                    reader, writer = await asyncio.open_connection(*address)
                     break
                 except ConnectionRefusedError:
                     await asyncio.sleep(0)
+            client = Client(reader, writer)
+            sent = asyncio.create_task(client.fetch("/safe/x"))
+            await asyncio.sleep(outage_s)
+            harness.store.mode = "up"
+            assert (await sent).status == status
+            client.close()
             await starting
 
     asyncio.run(scenario())
--- a/cornelpin/tests/test_revision.py
+++ b/cornelpin/tests/test_revision.py
@@ -25,17 +25,24 @@
 @pytest.mark.parametrize(
     ("received", "expected"),
     [
-        ([2, 9], Revision(2, 9)),
-        (9, Revision(0, 9)),
-        (None, NO_REVISION),
-        ([], NO_REVISION),
-        ([1, "9"], NO_REVISION),
-        ({"era": 1}, NO_REVISION),
+        ({"config": 9, "config.era": 2, "servers": 4}, Revision(2, 9)),
+        ({"config": 9}, Revision(0, 9)),
+        ({}, NO_REVISION),
+        ({"config.era": 2}, NO_REVISION),
+        ({"config": "9", "config.era": 2}, NO_REVISION),
+        ({"config": [2, 9]}, NO_REVISION),
     ],
 )
-def test_revision_of_a_message_is_decoded(received: Any, expected: Revision) -> None:
-    assert Revision.decode(received) == expected
-    assert Revision.decode(expected.export()) == expected
+def test_revision_of_a_message_is_decoded(
+    received: dict[str, Any], expected: Revision
+) -> None:
+    assert Revision.decode(received, "config") == expected
+    assert Revision.decode(expected.export("config"), "config") == expected
+
+
+def test_earlier_builds_find_a_plain_number() -> None:
+    assert Revision(2, 9).export("config")["config"] == 9
+    assert Revision(0, 9).export("config") == {"config": 9}
 
 
 ERAS = [
--- a/properties/test_store_eras.py
+++ b/properties/test_store_eras.py
@@ -145,8 +145,9 @@
 
     @rule(source=entries, into=entries)
     def copy_from_peer(self, source: int, into: int) -> None:
-        exported, objects = self.caches[source].snapshot()
-        self.caches[into].load_snapshot(Revision.decode(exported), objects)
+        number, objects = self.caches[source].snapshot()
+        era = self.caches[source].revision.era
+        self.caches[into].load_snapshot(Revision(era, number), objects)
 
     @rule(number=entries)
     def restart(self, number: int) -> None:
