Reach both servers in the tests of notices, whatever their ids

Of two idle servers the one whose id sorts first gets all sequential requests, and ids of stand-ins count up over a worker's tests (i-9 sorts after i-10). Change: the tests send more requests at once than one server has slots until both are reached; checks as before, counted from there.

--- a/cornelpin/tests/test_server_notices.py
+++ b/cornelpin/tests/test_server_notices.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import pytest
 
@@ -13,6 +13,9 @@
 from cornelpin.tests.fleet_client import fetch
 from cornelpin.tests.gateway_harness import Harness, run_harness, until
 
+if TYPE_CHECKING:
+    from standins.fleet.server import FleetServer
+
 
 def caller_address(entry: Entry) -> tuple[str, int]:
     return entry._settings.callers
@@ -27,6 +30,16 @@
     return [(await fetch(caller_address(entry), path)).status for _ in range(times)]
 
 
+async def reach(entry: Entry, server: FleetServer, path: str = "/safe/x") -> None:
+    """Sends more requests at once than one server has slots, until one reaches it.
+
+    Which of two idle servers gets a request depends on their ids.
+    """
+    while not server.arrivals:
+        at_once = await asyncio.gather(*(ask(entry, 1, path) for _ in range(6)))
+        assert at_once == [[200]] * 6
+
+
 async def wait_until_connected(harness: Harness) -> None:
     await until(
         lambda: all(e.peers.count == len(harness.entries) for e in harness.entries)
@@ -39,10 +52,10 @@
         async with run_harness(entries=2, servers=2) as harness:
             await wait_until_connected(harness)
             leaving, stays = harness.servers
+            leaving.behaviour.answer_s = stays.behaviour.answer_s = 0.02
             leaving.behaviour.leaving = True
             entry, other = harness.entries
-            while not leaving.requests:
-                assert await ask(entry, 1, path) == [200]
+            await reach(entry, leaving, path)
             # The other entry learns it from this one.
             await until(
                 lambda: any(
@@ -68,12 +81,15 @@
 def test_rejection_of_a_leaving_server_counts_as_a_notice() -> None:
     async def scenario() -> None:
         async with run_harness(servers=2) as harness:
-            leaving, _ = harness.servers
+            leaving, other = harness.servers
+            other.behaviour.answer_s = 0.02
             leaving.behaviour.leaving = True
             leaving.behaviour.fault = "full"
             entry = harness.entries[0]
+            await reach(entry, leaving)
+            before = len(leaving.arrivals)
             assert await ask(entry, 20) == [200] * 20
-            assert len(leaving.arrivals) == 1
+            assert len(leaving.arrivals) == before
 
     asyncio.run(scenario())
 
@@ -113,19 +129,19 @@
     async def scenario() -> None:
         async with run_harness(servers=2) as harness:
             paused, other = harness.servers
+            other.behaviour.answer_s = 0.02
             paused.behaviour.fault, paused.behaviour.pause = "full", "1.5"
             entry = harness.entries[0]
             loop = asyncio.get_running_loop()
-            while not paused.arrivals:
-                # The request itself is sent to the other server.
-                assert await ask(entry, 1) == [200]
-            at, _ = paused.arrivals[0]
+            # The requests themselves are sent to the other server.
+            await reach(entry, paused)
+            (first, _), (last, _) = paused.arrivals[0], paused.arrivals[-1]
             paused.behaviour.fault = ""
             assert not health(entry, paused.id).failure_rate
-            while loop.time() < at + 1.5 * (1 + PAUSE_SPREAD) + 0.1:
+            while loop.time() < last + 1.5 * (1 + PAUSE_SPREAD) + 0.1:
                 assert await ask(entry, 1) == [200]
                 await asyncio.sleep(0.01)
-            assert not [t for t, _ in paused.arrivals if at < t < at + 1.5]
+            assert not [t for t, _ in paused.arrivals if last < t < first + 1.5]
             # More requests at once than the other server has slots.
             other.behaviour.answer_s = 0.2
             at_once = await asyncio.gather(*(ask(entry, 1) for _ in range(6)))
@@ -188,8 +204,10 @@
 
     async def scenario() -> None:
         async with run_harness(servers=2) as harness:
-            paused, _ = harness.servers
+            paused, other = harness.servers
+            other.behaviour.answer_s = 0.02
             paused.behaviour.fault, paused.behaviour.pause = "full", value
+            await reach(harness.entries[0], paused)
             assert await ask(harness.entries[0], 20) == [200] * 20
 
     asyncio.run(scenario())
