Log the size and the duration of copies between entries

Cause: logs could not tell a large transfer from a slow processor or a silent store: a copy that failed left no line, one that succeeded no size, and a watch cut off within its response read 'no response'. Change: store.copied and store.copy_failed with bytes and duration, the metric copied_bytes, the bytes received in store.lost, the number of routes in config.in_force.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -325,6 +325,11 @@
         self.state.metrics.gauge(
             "store_calls", "Calls to the store", lambda: self.store.calls
         )
+        self.state.metrics.gauge(
+            "copied_bytes",
+            "Bytes of snapshots copied from other entries",
+            lambda: self._view.copied_bytes,
+        )
         self.state.metrics.gauge(
             "connections_opened",
             "Connections to servers",
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -97,7 +97,11 @@
         self.config = config
         self._configured.set()
         logs.event(
-            "config.in_force", version=config.version, before=before, source=source
+            "config.in_force",
+            version=config.version,
+            before=before,
+            routes=len(config.routes),
+            source=source,
         )
         self._on_change()
 
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -63,6 +63,9 @@
         peers: The other entries.
         rollout_controller: Receives the operator's roll-out orders.
         dispatch: Called when the servers have changed.
+
+    Attributes:
+        copied_bytes: Bytes received from peers in copies of their snapshots.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self._state = state
         self._peers = peers
         self._dispatch = dispatch
+        self.copied_bytes = 0
         # Monotonic time since which a peer has had a newer revision, by kind.
         self._behind_since: dict[str, float] = {}
         # The configuration in force as it was stored.
@@ -219,8 +223,16 @@
             await self._copy_from(random.choice(ahead))
 
     async def _copy_from(self, peer: Peer) -> None:
-        snapshot = await fetch_snapshot(peer.ip, self._state.settings.peer_port)
+        fetched = await fetch_snapshot(peer.ip, self._state.settings.peer_port)
+        self.copied_bytes += fetched.size
+        transfer = {
+            "peer": peer.ip,
+            "bytes": fetched.size,
+            "took_ms": round(1e3 * fetched.took_s),
+        }
+        snapshot = fetched.snapshot
         if snapshot is None:
+            logs.warning("store.copy_failed", reason=fetched.reason, **transfer)
             return
         if IN_FORCE in snapshot:
             self._apply_config(snapshot[IN_FORCE], f"in force at {peer.ip}")
@@ -231,7 +243,7 @@
             revision = Revision.decode(fields, kind)
             if cache.load_snapshot(revision, objects):
                 logs.event(
-                    "store.copied", kind=kind, revision=revision.number, peer=peer.ip
+                    "store.copied", kind=kind, revision=revision.number, **transfer
                 )
 
     def _peers_reach_store(self, since: float) -> bool:
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -59,6 +59,7 @@
 
     Attributes:
         exchanges: Number of exchanges (request and response) begun on it.
+        received_bytes: Number of bytes received.
     """
 
     def __init__(self) -> None:
@@ -75,6 +76,7 @@
         self._pending_bytes = 0
         self._request: tuple[bytes, bytes, Headers] | None = None
         self.exchanges = 0
+        self.received_bytes = 0
 
     @classmethod
     async def open(
@@ -221,6 +223,7 @@
             self.abort()
             return
         self._http.receive_data(data)
+        self.received_bytes += len(data)
         self._pending_bytes += len(data)
         if self._pending_bytes > MAX_PENDING_BYTES and self._transport is not None:
             self._transport.pause_reading()
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -262,10 +262,12 @@
         timeout_s: float,
     ) -> tuple[int, dict[str, Any], HttpConnection]:
         self.calls += 1
+        received_before = 0
         try:
             async with asyncio.timeout(timeout_s):
                 if conn is None or not conn.reusable:
                     conn = await HttpConnection.open(self._address)
+                received_before = conn.received_bytes
                 status, response = await self._request(conn, method, path, body)
         except (
             ConnectionFailed,
@@ -274,9 +276,13 @@
             TimeoutError,
             ValueError,
         ) as exc:
+            received = 0
             if conn is not None:
                 conn.abort()
-            reason = str(exc) or f"no response within {timeout_s:.1f} s"
+                received = conn.received_bytes - received_before
+            reason = str(exc) or (
+                f"no whole response within {timeout_s:.1f} s, {received} bytes of it"
+            )
             raise StoreUnavailable(f"{method} {path}: {reason}") from exc
         except asyncio.CancelledError:
             if conn is not None:
