Copy only what changed between entries, and end no transfer that makes progress

Cause: the revision of a cache was that of the whole store, so each change of any object made every entry copy everything, the configuration included. A watch of the store ended by the same kind of limit. Class: a fixed time limit on work whose size the operator sets, and a repeat that starts from nothing. Fix: peers compare the revision of the last change of a kind; a copy returns only the kinds that changed, compressed; hosts with wide links watch; time limits apply to silence, not to duration; copies no longer delay the tick; a configuration that is not newer is not decoded.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -47,8 +47,8 @@
 TICK_S = 0.05
 """Interval at which queued requests are dispatched and refused even if nothing changes.
 A request is refused at most this long after the time at which it can no longer be
-served, unless a store call or a copy of a peer's store objects delays the tick. The
-interval is a tenth of the shortest latency objective."""
+served, unless a store call delays the tick. The interval is a tenth of the shortest
+latency objective."""
 HOUSEKEEPING_S = 0.5
 """Interval at which idle connections are closed, the state of removed servers is
 dropped and the settings file is checked for changes, and at which a failed
@@ -132,7 +132,9 @@
             self.rollout_controller,
             dispatch=self.scheduler.dispatch_all,
         )
-        self._snapshots = SnapshotServer(self._view.snapshot)
+        self._snapshots = SnapshotServer(
+            self._view.snapshot_source.changes, self._view.snapshot_source.whole
+        )
         self._connections: set[ClientConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -148,8 +150,8 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._listen()
         logs.event("entry.started", incarnation=self.peers.incarnation)
-        for watch_task in self._view.watch_tasks():
-            self._start(watch_task)
+        for task in self._view.tasks():
+            self._start(task)
         self._start(self._tick())
         self._start(self._housekeeping())
         self._start(self._keep_registered())
@@ -306,7 +308,6 @@
             self.peers.slots_scarce = self.scheduler.dispatcher.slots_scarce
             self.scheduler.dispatch_all()
             self.peers.tick()
-            await self._view.catch_up()
             await self.rollout_controller.write_statuses()
 
     async def _housekeeping(self) -> None:
--- a/cornelpin/gateway/snapshots.py
+++ b/cornelpin/gateway/snapshots.py
@@ -1,37 +1,80 @@
-"""Snapshots of an entry's watch caches, copied by entries whose caches are behind."""
+"""Snapshots of an entry's watch caches, copied by entries whose caches are behind.
+
+The copying entry sends its revisions and gets only the kinds of objects that have
+changed since, compressed. An entry of an earlier build sends nothing and gets a whole
+snapshot, and one that answers with a whole snapshot is understood.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import struct
 import time
+import zlib
 from typing import TYPE_CHECKING, Any
 
 import attrs
 import msgpack
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-FETCH_TIMEOUT_S = 1.0
-"""Time limit of a transfer of some kilobytes over one connection."""
+    from collections.abc import Callable, Mapping
+
+IDLE_TIMEOUT_S = 1.0
+"""Longest time without a byte of a transfer: several round trips on a full link."""
+TRANSFER_TIMEOUT_S = 10.0
+"""Longest duration of a transfer. A whole configuration takes about 2 s uncompressed on
+the narrowest link."""
+REQUEST_WAIT_S = 0.25
+"""Time for which the request of a connected entry is awaited."""
 MAX_SNAPSHOT_BYTES = 8_388_608
-"""Size limit of a snapshot; a transfer that announces more fails."""
+"""Size limit of a snapshot, compressed or not; a larger one is not read."""
+MAX_REQUEST_BYTES = 65_536
 READ_BYTES = 65_536
 """Most bytes read at once."""
+COMPRESSION_LEVEL = 1
+"""Fastest level of zlib; a configuration of many routes shrinks to a tenth."""
+KINDS = "kinds"
+"""Field of a response with the changed kinds; whole snapshots do not have it."""
 LENGTH = struct.Struct(">I")
-"""Prefix of a snapshot: its length in bytes."""
+"""Prefix of a request and of a response: its length in bytes."""
+
+
+def pack(content: Any) -> bytes:
+    """Returns a part of a snapshot in compressed form."""
+    return zlib.compress(msgpack.packb(content), COMPRESSION_LEVEL)
+
+
+def unpack(data: bytes) -> Any:
+    """Returns the content of ``pack``.
+
+    Raises:
+        ValueError: If the data is malformed or larger than MAX_SNAPSHOT_BYTES.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(data, MAX_SNAPSHOT_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f"not compressed: {exc}") from exc
+    if not decompressor.eof:
+        raise ValueError(f"truncated, or over {MAX_SNAPSHOT_BYTES} bytes")
+    return msgpack.unpackb(content)
 
 
 class SnapshotServer:
-    """Sends a snapshot to each entry that connects.
+    """Sends each entry that connects what has changed since its revisions.
 
     Args:
-        snapshot: Returns the current snapshot.
+        changes: Returns the response to a request.
+        whole: Returns a whole snapshot, for entries of earlier builds.
     """
 
-    def __init__(self, snapshot: Callable[[], dict[str, Any]]) -> None:
-        self._snapshot = snapshot
+    def __init__(
+        self,
+        changes: Callable[[Mapping[str, Any]], dict[str, Any]],
+        whole: Callable[[], dict[str, Any]],
+    ) -> None:
+        self._changes = changes
+        self._whole = whole
         self._server: asyncio.Server | None = None
 
     async def start(self, ip: str, port: int) -> None:
@@ -47,44 +90,66 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            data = msgpack.packb(self._snapshot())
+            data = msgpack.packb(await self._response(reader))
             writer.write(LENGTH.pack(len(data)) + data)
-            async with asyncio.timeout(FETCH_TIMEOUT_S):
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S):
                 await writer.drain()
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
             writer.transport.abort()
         finally:
             writer.close()
 
+    async def _response(self, reader: asyncio.StreamReader) -> dict[str, Any]:
+        try:
+            async with asyncio.timeout(REQUEST_WAIT_S):
+                (size,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+                if size > MAX_REQUEST_BYTES:
+                    raise ValueError(f"a request of {size} bytes")
+                request = msgpack.unpackb(await reader.readexactly(size))
+        except TimeoutError:
+            return self._whole()
+        return self._changes(request if isinstance(request, dict) else {})
+
 
 @attrs.define
 class Fetched:
-    """A snapshot fetched from another entry, or a failed transfer.
+    """A response fetched from another entry, or a failed transfer.
 
     Attributes:
-        snapshot: The snapshot; None if the transfer failed.
+        response: The response; None if the transfer failed.
         size: Bytes received.
         took_s: Duration of the transfer in seconds.
         reason: Why it failed; empty if it did not.
     """
 
-    snapshot: dict[str, Any] | None = None
+    response: dict[str, Any] | None = None
     size: int = 0
     took_s: float = 0.0
     reason: str = ""
 
 
-async def fetch_snapshot(ip: str, port: int) -> Fetched:
-    """Fetches another entry's snapshot."""
+async def fetch_changes(ip: str, port: int, revisions: Mapping[str, Any]) -> Fetched:
+    """Fetches what another entry's caches have beyond some revisions.
+
+    Args:
+        ip: Address of the other entry.
+        port: Port of its SnapshotServer.
+        revisions: Revisions of this entry's caches (``Revision.export``).
+    """
     fetched = Fetched()
     began = time.monotonic()
     writer = None
+    request = msgpack.packb(dict(revisions))
     try:
-        async with asyncio.timeout(FETCH_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(ip, port)
-            snapshot = msgpack.unpackb(await _read_frame(reader, fetched))
-            fetched.snapshot = snapshot if isinstance(snapshot, dict) else None
-    except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError) as exc:
+        async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+            async with asyncio.timeout(IDLE_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(ip, port)
+            writer.write(LENGTH.pack(len(request)) + request)
+            response = msgpack.unpackb(await _read_frame(reader, fetched))
+            if not isinstance(response, dict):
+                raise ValueError(f"not a snapshot but {type(response).__name__}")
+            fetched.response = response
+    except (OSError, TimeoutError, ValueError) as exc:
         fetched.reason = str(exc) or type(exc).__name__
     finally:
         fetched.took_s = time.monotonic() - began
@@ -95,14 +160,24 @@
 
 async def _read_frame(reader: asyncio.StreamReader, fetched: Fetched) -> bytes:
     """Returns the content of a frame; counts the bytes as they arrive."""
-    (size,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+    prefix = await _read_part(reader, LENGTH.size)
+    while len(prefix) < LENGTH.size:
+        prefix += await _read_part(reader, LENGTH.size - len(prefix))
+    (size,) = LENGTH.unpack(prefix)
     if size > MAX_SNAPSHOT_BYTES:
         raise ValueError(f"a snapshot of {size} bytes")
     parts = []
     while fetched.size < size:
-        part = await reader.read(min(READ_BYTES, size - fetched.size))
-        if not part:
-            raise ValueError(f"closed after {fetched.size} of {size} bytes")
+        part = await _read_part(reader, min(READ_BYTES, size - fetched.size))
         parts.append(part)
         fetched.size += len(part)
     return b"".join(parts)
+
+
+async def _read_part(reader: asyncio.StreamReader, size: int) -> bytes:
+    """Returns up to ``size`` bytes as soon as there are any."""
+    async with asyncio.timeout(IDLE_TIMEOUT_S):
+        part = await reader.read(size)
+    if not part:
+        raise ValueError("closed within a transfer")
+    return part
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 from typing import TYPE_CHECKING, Any
 
-from cornelpin.core.revision import NO_REVISION, Revision
 from cornelpin.gateway import logs
-from cornelpin.gateway.snapshots import fetch_snapshot
+from cornelpin.gateway.catch_up import CatchUp
+from cornelpin.gateway.snapshot_source import IN_FORCE, SnapshotSource
 from cornelpin.gateway.watch_cache import POLL_S, WatchCache
 from cornelpin.gateway.watcher_selection import (
     DEFAULT_TIMING,
@@ -25,6 +24,7 @@
     BadValue,
     Store,
     StoreObject,
+    config_version,
     decode_config,
     decode_server,
 )
@@ -32,7 +32,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterator
 
-    from cornelpin.gateway.peer import Peer
     from cornelpin.gateway.peers import Peers
     from cornelpin.gateway.rollouts import RolloutController
     from cornelpin.gateway.state import GatewayState
@@ -44,14 +43,6 @@
 PEER_REPORT_DELAY_S = 0.2
 """Allowance for network delay: a peer's contact with the store may be older than its
 reported age by this much."""
-IN_FORCE = "config.in_force"
-"""Name under which messages and snapshots carry the configuration in force, in addition
-to the store's objects: a restored store may hold an older one for some seconds."""
-ERAS = "eras"
-"""Name of the revisions in a snapshot."""
-WATCH_LAG_S = 0.3
-"""Time for which this entry's own watch may lag behind a peer before it copies from the
-peer."""
 
 
 class StoreView:
@@ -65,7 +56,7 @@
         dispatch: Called when the servers have changed.
 
     Attributes:
-        copied_bytes: Bytes received from peers in copies of their snapshots.
+        snapshot_source: Builds the responses to peers that copy from this entry.
     """
 
     def __init__(
@@ -80,9 +71,6 @@
         self._state = state
         self._peers = peers
         self._dispatch = dispatch
-        self.copied_bytes = 0
-        # Monotonic time since which a peer has had a newer revision, by kind.
-        self._behind_since: dict[str, float] = {}
         # The configuration in force as it was stored.
         self._config_spec: Any = None
         # Names of malformed servers; each is logged once.
@@ -107,6 +95,17 @@
                 on_recovery=lambda: None,
             ),
         }
+        self.snapshot_source = SnapshotSource(
+            self._caches, lambda: (self._version_in_force(), self._config_spec)
+        )
+        self._catch_up = CatchUp(
+            self._caches,
+            peers,
+            state.settings.peer_port,
+            watches=lambda kind: self._watch_wait_s(kind) is not None,
+            version_in_force=self._version_in_force,
+            apply_config=self._apply_config,
+        )
         store.on_new_era = self._on_new_era
         state.get_servers_confirmed_at = lambda: self._caches[SERVER_KIND].confirmed_at
 
@@ -127,9 +126,15 @@
         for cache in self._caches.values():
             cache.refresh_now()
 
-    def watch_tasks(self) -> Iterator[Coroutine[Any, Any, None]]:
+    def tasks(self) -> Iterator[Coroutine[Any, Any, None]]:
         """Returns the coroutines that keep the caches current, to be run as tasks."""
-        return (cache.run() for cache in self._caches.values())
+        yield from (cache.run() for cache in self._caches.values())
+        yield self._catch_up.run()
+
+    @property
+    def copied_bytes(self) -> int:
+        """Bytes received from peers in copies of their caches."""
+        return self._catch_up.copied_bytes
 
     async def until_reachable(self) -> None:
         """Waits until the last call of a cache succeeded.
@@ -141,13 +146,13 @@
             await asyncio.sleep(POLL_S)
 
     def revisions(self) -> dict[str, int]:
-        """Returns the revision of each kind, for messages.
+        """Returns the revision of the last change of each kind, for messages.
 
         Under ``IN_FORCE`` the number is the version of the configuration in force.
         """
         fields = {IN_FORCE: self._version_in_force()}
         for kind, cache in self._caches.items():
-            fields |= cache.revision.export(kind)
+            fields |= cache.changed.export(kind)
         return fields
 
     @property
@@ -172,80 +177,6 @@
             if cache.reachable
         }
 
-    def snapshot(self) -> dict[str, Any]:
-        """Returns revision and objects of each kind, for another entry.
-
-        Under ``IN_FORCE`` the configuration in force is added unless it is among them,
-        under ``ERAS`` the fields with the revisions and their eras.
-        """
-        snapshot: dict[str, Any] = {
-            kind: cache.snapshot() for kind, cache in self._caches.items()
-        }
-        snapshot[ERAS] = self.revisions()
-        stored = self._caches[CONFIG_KIND].objects.get(CONFIG_NAME)
-        if self._config_spec is not None and (
-            stored is None or stored.spec != self._config_spec
-        ):
-            snapshot[IN_FORCE] = self._config_spec
-        return snapshot
-
-    async def catch_up(self) -> None:
-        """Copies the objects of a peer that has a newer revision of any kind."""
-        now = time.monotonic()
-        live = self._peers.live_peers().values()
-        for kind, cache in self._caches.items():
-            ahead = [p for p in live if p.revision(kind) > cache.revision]
-            if not ahead:
-                self._behind_since.pop(kind, None)
-                # No live peer has a newer revision, so the cache was current when the
-                # store last responded to any of them.
-                cache.confirm(
-                    max((p.store_seen_at.get(kind, 0.0) for p in live), default=0.0)
-                )
-                continue
-            since = self._behind_since.setdefault(kind, now)
-            if self._watch_wait_s(kind) is not None and now - since < WATCH_LAG_S:
-                continue
-            await self._copy_from(random.choice(ahead))
-        await self._catch_up_config(list(live), now)
-
-    async def _catch_up_config(self, live: list[Peer], now: float) -> None:
-        """Copies the configuration of a peer that has a newer one in force.
-
-        That is so for a moment after each change, and for longer if this entry started
-        while a restored store held an older configuration.
-        """
-        version = self._version_in_force()
-        ahead = [p for p in live if p.revision(IN_FORCE).number > version]
-        if not ahead:
-            self._behind_since.pop(IN_FORCE, None)
-        elif now - self._behind_since.setdefault(IN_FORCE, now) >= WATCH_LAG_S:
-            await self._copy_from(random.choice(ahead))
-
-    async def _copy_from(self, peer: Peer) -> None:
-        fetched = await fetch_snapshot(peer.ip, self._state.settings.peer_port)
-        self.copied_bytes += fetched.size
-        transfer = {
-            "peer": peer.ip,
-            "bytes": fetched.size,
-            "took_ms": round(1e3 * fetched.took_s),
-        }
-        snapshot = fetched.snapshot
-        if snapshot is None:
-            logs.warning("store.copy_failed", reason=fetched.reason, **transfer)
-            return
-        if IN_FORCE in snapshot:
-            self._apply_config(snapshot[IN_FORCE], f"in force at {peer.ip}")
-        for kind, cache in self._caches.items():
-            number, objects = snapshot.get(kind, (NO_REVISION.number, {}))
-            # A snapshot of an earlier build names no eras.
-            fields = snapshot.get(ERAS, {}) | {kind: number}
-            revision = Revision.decode(fields, kind)
-            if cache.load_snapshot(revision, objects):
-                logs.event(
-                    "store.copied", kind=kind, revision=revision.number, **transfer
-                )
-
     def _peers_reach_store(self, since: float) -> bool:
         """Returns whether a live peer has reached the store since this entry lost it.
 
@@ -266,7 +197,12 @@
         host = self._state.settings.host
         timing = ROLLOUT_TIMING if kind == ROLLOUT_KIND else DEFAULT_TIMING
         return watch_wait_s(
-            host, kind, self._peers.live_peers(), time.monotonic(), timing
+            host,
+            kind,
+            self._peers.live_peers(),
+            time.monotonic(),
+            timing,
+            link_mbps=self._state.settings.link_mbps,
         )
 
     def _on_config_list(self, objects: list[StoreObject]) -> None:
@@ -279,13 +215,15 @@
         self._apply_config(change.spec, f"revision {change.revision.number}")
 
     def _apply_config(self, spec: Any, source: str) -> None:
+        version = config_version(spec)
+        if version is not None and version <= self._version_in_force():
+            return
         try:
             config = decode_config(spec)
         except BadValue as exc:
             logs.warning("config.malformed", source=source, reason=str(exc))
             return
-        if config.version > self._version_in_force():
-            self._config_spec = spec
+        self._config_spec = spec
         self._state.apply_config(config, source)
 
     def _on_server_list(self, objects: list[StoreObject]) -> None:
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -9,7 +9,7 @@
 
 from cornelpin.core.revision import NO_REVISION, Revision
 from cornelpin.gateway import logs
-from cornelpin.platform import Store, StoreObject, StoreUnavailable
+from cornelpin.platform import Listing, Store, StoreObject, StoreUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,7 +52,9 @@
 
     Attributes:
         kind: Kind of the objects.
-        revision: Revision of the cache.
+        revision: Revision of the store up to which the cache is complete.
+        changed: Revision of the last change of an object of this kind. The store counts
+            changes of all kinds, so ``revision`` may be much higher.
         objects: Objects by name.
         confirmed_at: Monotonic time at which the cache was last known to be current,
             from the store or from a peer.
@@ -75,6 +77,7 @@
     ) -> None:
         self.kind = kind
         self.revision = NO_REVISION
+        self.changed = NO_REVISION
         self.objects: dict[str, StoreObject] = {}
         self.confirmed_at = float("-inf")
         self.contacted_at = float("-inf")
@@ -113,13 +116,16 @@
         """Interrupts a running watch, so that the objects are listed at once."""
         self._refresh.set()
 
-    def load_snapshot(self, revision: Revision, objects: dict[str, list[Any]]) -> bool:
+    def load_snapshot(
+        self, revision: Revision, changed: Revision, objects: dict[str, list[Any]]
+    ) -> bool:
         """Loads a peer's snapshot if it is newer; returns whether it was.
 
         A running watch is interrupted, to be started again from the new revision.
 
         Args:
             revision: Revision of the snapshot.
+            changed: Revision of the last change in it.
             objects: Revision number, spec and status of each object by name, as in
                 ``snapshot``.
         """
@@ -129,27 +135,40 @@
             StoreObject(name, Revision(revision.era, number), spec, status)
             for name, (number, spec, status) in objects.items()
         ]
-        self._replace(loaded, revision)
+        self._replace(loaded, revision, changed)
         self._refresh.set()
         return True
 
-    def snapshot(self) -> list[Any]:
-        """Returns the revision number and the objects, for a peer.
+    def snapshot(self) -> dict[str, list[Any]]:
+        """Returns the objects for a peer, as ``load_snapshot`` takes them.
 
         All of them are of the era of ``revision``.
         """
-        objects = {
+        return {
             c.name: [c.revision.number, c.spec, c.status] for c in self.objects.values()
         }
-        return [self.revision.number, objects]
 
     async def _list(self) -> None:
         listing = await self._store.list(self.kind)
         self._contacted()
         if listing.revision >= self.revision:
-            self._replace(list(listing.objects), listing.revision)
+            objects = list(listing.objects)
+            self._replace(objects, listing.revision, self._last_change(listing))
 
-    def _replace(self, objects: list[StoreObject], revision: Revision) -> None:
+    def _last_change(self, listing: Listing) -> Revision:
+        """Returns the revision of the last change in a listing, or a higher one.
+
+        A listing does not tell the revisions of deletions.
+        """
+        listed = {o.name: o.revision for o in listing.objects}
+        if self.objects.keys() - listed.keys():
+            return listing.revision
+        first = Revision(listing.revision.era, 0)
+        return max(self.changed, first, *listed.values())
+
+    def _replace(
+        self, objects: list[StoreObject], revision: Revision, changed: Revision
+    ) -> None:
         if self.revision != NO_REVISION and revision.era > self.revision.era:
             logs.event(
                 "store.restored",
@@ -161,6 +180,7 @@
             )
             self._on_recovery()
         self.revision = revision
+        self.changed = changed
         self.objects = {o.name: o for o in objects}
         self._on_list(objects)
 
@@ -205,6 +225,7 @@
             self.objects.pop(change.name, None)
         else:
             self.objects[change.name] = change
+        self.changed = max(self.changed, change.revision)
         self._on_change(change)
 
     def confirm(self, at: float) -> None:
--- a/cornelpin/gateway/watcher_selection.py
+++ b/cornelpin/gateway/watcher_selection.py
@@ -1,7 +1,8 @@
 """Selects the entries that watch the store.
 
 Dozens of entries would each send the store the same watches. In a large fleet only a
-few watch, and the others copy new revisions from them.
+few watch, and the others copy new revisions from them. Hosts with the widest links come
+first: the store sends a configuration whole and uncompressed, a peer only what changed.
 """
 
 from __future__ import annotations
@@ -56,6 +57,8 @@
     peers: Mapping[str, Peer],
     now: float,
     timing: WatchTiming = DEFAULT_TIMING,
+    *,
+    link_mbps: float = 0.0,
 ) -> float | None:
     """Returns the long-poll time of this entry's watch; None if others watch.
 
@@ -65,13 +68,15 @@
         peers: The live peers, by host.
         now: Monotonic time in seconds.
         timing: Timing of the watches of this kind.
+        link_mbps: Bandwidth of this entry's link, Mbit/s.
     """
     if len(peers) < ALL_WATCH:
         return timing.wait_s
+    own_rank = _rank(own, kind, link_mbps)
     higher_ranked = [
         host
         for host, peer in peers.items()
-        if _rank(host, kind) < _rank(own, kind)
+        if _rank(host, kind, peer.link_mbps) < own_rank
         and is_fresh(peer, kind, now, timing.fresh_s)
     ]
     return timing.short_wait_s if len(higher_ranked) < WATCHERS else None
@@ -82,5 +87,5 @@
     return now - peer.store_seen_at.get(kind, float("-inf")) < fresh_s
 
 
-def _rank(host: str, kind: str) -> int:
-    return zlib.crc32(f"{kind} {host}".encode())
+def _rank(host: str, kind: str, link_mbps: float) -> tuple[float, int]:
+    return -link_mbps, zlib.crc32(f"{kind} {host}".encode())
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -7,7 +7,12 @@
 from __future__ import annotations
 
 from cornelpin.platform._backend_server import SERVER_KIND, decode_server
-from cornelpin.platform._config import CONFIG_KIND, CONFIG_NAME, decode_config
+from cornelpin.platform._config import (
+    CONFIG_KIND,
+    CONFIG_NAME,
+    config_version,
+    decode_config,
+)
 from cornelpin.platform._decoding import BadValue
 from cornelpin.platform._headers import (
     RequestInfo,
@@ -52,6 +57,7 @@
     "WatchResult",
     "response_headers",
     "backend_headers",
+    "config_version",
     "decode_config",
     "decode_rollout",
     "decode_server",
--- a/cornelpin/platform/_config.py
+++ b/cornelpin/platform/_config.py
@@ -27,6 +27,12 @@
 """Seconds per millisecond."""
 
 
+def config_version(spec: Any) -> int | None:
+    """Returns the version of a configuration object; None if it has none."""
+    version = spec.get("version") if isinstance(spec, Mapping) else None
+    return version if type(version) is int else None
+
+
 def decode_config(spec: Mapping[str, Any]) -> RoutingConfig:
     """Decodes a configuration object of the store.
 
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -26,8 +26,9 @@
 
 BASE = "/-/objects/"
 CALL_TIMEOUT_S = 1.0
-"""Timeout of a call other than a watch. A degraded store responds in 0.2 s instead of
-the usual 4 ms; the timeout is five times the 0.2 s."""
+"""Timeout of the first byte of a response other than a watch's, and of each further
+part of any response. A degraded store responds in 0.2 s instead of the usual 4 ms; the
+timeout is five times the 0.2 s."""
 WATCH_SLACK_S = 1.0
 """Time that a watch may take beyond the requested wait, seconds."""
 MS = 1e-3
@@ -264,11 +265,13 @@
         self.calls += 1
         received_before = 0
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
                 if conn is None or not conn.reusable:
                     conn = await HttpConnection.open(self._address)
                 received_before = conn.received_bytes
-                status, response = await self._request(conn, method, path, body)
+                status, response = await self._request(
+                    conn, method, path, body, timeout
+                )
         except (
             ConnectionFailed,
             ConnectionBroken,
@@ -281,7 +284,9 @@
                 conn.abort()
                 received = conn.received_bytes - received_before
             reason = str(exc) or (
-                f"no whole response within {timeout_s:.1f} s, {received} bytes of it"
+                f"no response within {timeout_s:.1f} s"
+                if not received
+                else f"response stopped after {received} bytes"
             )
             raise StoreUnavailable(f"{method} {path}: {reason}") from exc
         except asyncio.CancelledError:
@@ -291,8 +296,14 @@
         return status, response, conn
 
     async def _request(
-        self, conn: HttpConnection, method: str, path: str, body: Any
+        self,
+        conn: HttpConnection,
+        method: str,
+        path: str,
+        body: Any,
+        timeout: asyncio.Timeout,
     ) -> tuple[int, dict[str, Any]]:
+        """Makes a call on a connection; extends the timeout while data arrives."""
         host = f"{self._address[0]}:{self._address[1]}".encode()
         headers = [(b"host", host)]
         data = b""
@@ -305,6 +316,7 @@
         parts = []
         while True:
             event = await conn.next_event()
+            timeout.reschedule(asyncio.get_running_loop().time() + CALL_TIMEOUT_S)
             if isinstance(event, h11.Response):
                 status = event.status_code
                 era = _decode_era(dict(event.headers).get(ERA_HEADER))
