Use no server past its drain time because several were removed together

Cause: servers that leave without notice are removed from the store. If half of a service's were removed within a second, the entry took it for an outage that it had not noticed and used them for 2.2 s, longer than the drain time of 2.0 s; servers of a release that are replaced at gaps of 0.9 s look alike. After a watch that had gone silent, the drain time began when that was noticed. Class: a constant of ours that exceeds a bound of the settings. Fix: without a known outage a removed server is used for its drain time less the time to notice it, counted from when the list was last current; after an outage only if most are missing.

--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -228,7 +228,8 @@
 
     def _on_server_list(self, objects: list[StoreObject]) -> None:
         servers = [s for o in objects if (s := self._decode_server(o)) is not None]
-        self._state.servers.replace(servers, time.monotonic())
+        current_at = self._caches[SERVER_KIND].replaced_from
+        self._state.servers.replace(servers, time.monotonic(), current_at)
         self._state.servers_listed = True
         logs.event("servers.listed", count=len(servers))
         self._dispatch()
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -59,6 +59,8 @@
         confirmed_at: Monotonic time at which the cache was last known to be current,
             from the store or from a peer.
         contacted_at: Monotonic time of the store's last response to this entry.
+        replaced_from: Monotonic time at which the objects were last known to be current
+            before they were last replaced.
         reachable: Whether the last call to the store succeeded.
     """
 
@@ -81,6 +83,7 @@
         self.objects: dict[str, StoreObject] = {}
         self.confirmed_at = float("-inf")
         self.contacted_at = float("-inf")
+        self.replaced_from = float("-inf")
         self.reachable = True
         self._store = store
         self._on_list = on_list
@@ -135,6 +138,7 @@
             StoreObject(name, Revision(revision.era, number), spec, status)
             for name, (number, spec, status) in objects.items()
         ]
+        self.replaced_from = self.confirmed_at
         self._replace(loaded, revision, changed)
         self._refresh.set()
         return True
@@ -150,6 +154,7 @@
 
     async def _list(self) -> None:
         listing = await self._store.list(self.kind)
+        self.replaced_from = self.confirmed_at
         self._contacted()
         if listing.revision >= self.revision:
             objects = list(listing.objects)
--- a/cornelpin/scheduling/servers.py
+++ b/cornelpin/scheduling/servers.py
@@ -17,15 +17,15 @@
 REREGISTER_S = 2.2
 """Time after a store outage within which a server whose registration expired registers
 again, seconds: about two, as specified by the platform."""
-OUTAGE_EFFECT_S = 5.0
-"""Time after an outage within which a registration may be removed because of the
-outage: three of the 1.2 s intervals at which servers renew theirs, and a margin."""
 KEEP_DRAIN_SHARE = 0.5
 """Part of the platform's drain time for which a removed server is still used: it serves
 for the whole drain time, and its registration may merely have expired."""
 EXPIRED_SHARE = 0.5
-"""Share of a service's servers whose simultaneous removal means that the store lost
-their registrations."""
+"""Share of a service's servers whose removal together may mean that the store lost
+their registrations. The others serve while fewer are missing."""
+NOTICE_S = 0.3
+"""Time that may pass from a removal until this entry has noticed it, and from its
+decision to use a server until the request arrives there."""
 EXPIRY_WINDOW_S = 1.0
 """Time within which the registrations that expire in an outage are removed."""
 MAX_LEAVING = 10_000
@@ -66,9 +66,17 @@
 
 @attrs.define
 class _Removed:
-    """A server whose registration was removed, with monotonic times."""
+    """A server whose registration was removed.
+
+    Attributes:
+        server: The server.
+        noticed_at: Monotonic time at which the registration was missing.
+        removed_at: Earliest monotonic time at which it may have been removed.
+        used_until: Monotonic time until which the server is used.
+    """
 
     server: BackendServer
+    noticed_at: float
     removed_at: float
     used_until: float
 
@@ -84,6 +92,7 @@
     """
 
     def __init__(self, drain_s: float = 2.0) -> None:
+        self._drain_s = drain_s
         self._keep_s = KEEP_DRAIN_SHARE * drain_s
         self._listed: dict[str, BackendServer] = {}
         self._removed: dict[str, _Removed] = {}
@@ -96,11 +105,24 @@
         """Records that the store responds again after an outage."""
         self._outage_ended = now
 
-    def replace(self, servers: Iterable[BackendServer], now: float) -> None:
-        """Replaces the whole list."""
+    def replace(
+        self,
+        servers: Iterable[BackendServer],
+        now: float,
+        current_at: float | None = None,
+    ) -> None:
+        """Replaces the whole list.
+
+        Args:
+            servers: The servers that are registered.
+            now: Monotonic time in seconds.
+            current_at: Monotonic time until which the list so far was current; None if
+                it was until now. Missing servers may have left since then.
+        """
         listed = {server.id: server for server in servers}
+        removed_at = now if current_at is None else min(now, current_at)
         for missing in self._listed.keys() - listed.keys():
-            self.remove(missing, now)
+            self._remove(missing, now, removed_at)
         for server in listed.values():
             self.put(server)
 
@@ -119,33 +141,40 @@
 
     def remove(self, server_id: str, now: float) -> None:
         """Handles a removed registration; the server is still used for a while."""
+        self._remove(server_id, now, now)
+
+    def _remove(self, server_id: str, now: float, removed_at: float) -> None:
         server = self._listed.pop(server_id, None)
         if server is None or server.leaving:
             return
-        until = now + self._keep_s
-        if now - self._outage_ended < OUTAGE_EFFECT_S:
-            until = max(until, self._outage_ended + REREGISTER_S)
-        self._removed[server_id] = _Removed(server, now, until)
+        self._removed[server_id] = _Removed(
+            server, now, removed_at, removed_at + self._keep_s
+        )
         self._keep_expired(server.service, now)
 
     def _keep_expired(self, service: str, now: float) -> None:
-        """Keeps servers whose registrations were removed together longer.
+        """Keeps most servers of a service longer if they were removed together.
 
-        The store has lost them, as in an outage that this entry did not notice.
+        The store may have lost their registrations. Without a known outage they may as
+        well have left, so they are used within their drain time only.
         """
         together = [
             v
             for v in self._removed.values()
-            if v.server.service == service and now - v.removed_at < EXPIRY_WINDOW_S
+            if v.server.service == service and now - v.noticed_at < EXPIRY_WINDOW_S
         ]
         listed = sum(1 for s in self._listed.values() if s.service == service)
-        if len(together) < 2 or len(together) < EXPIRED_SHARE * (
-            listed + len(together)
-        ):
+        if len(together) < EXPIRED_SHARE * (listed + len(together)):
+            return
+        if listed and len(together) < 2:
             return
-        first = min(v.removed_at for v in together)
+        after_outage = self._outage_ended + REREGISTER_S
         for removed in together:
-            removed.used_until = max(removed.used_until, first + REREGISTER_S)
+            drained = removed.removed_at + self._drain_s - NOTICE_S
+            again = removed.removed_at + REREGISTER_S
+            removed.used_until = max(
+                removed.used_until, after_outage, min(again, drained)
+            )
 
     def mark_leaving(self, incarnation: tuple[str, int]) -> bool:
         """Records that an incarnation leaves; returns whether that is new.
