Notice silent connections to the store within the contact time

Callers would see: requests to servers that have left, and an old configuration (DRAIN, CONFIG), when open connections go silent and new ones work. Cause: a silent watch ended after up to 3.5 s, and the list that followed went over another connection that was silent too, 1 s more; the platform counts entries as in touch after 3 s. A watch of another kind waited for its own time-out. Class: a constant of ours that exceeds a bound of the settings. Evidence: the new test fails without the change (version 3 in force 3 s after the silence) and passes with it, for contact times of 2 and 3 s. Fix: the long-poll time follows from the contact time; the first failed call closes the idle connections to the store and refreshes the other caches.

--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -11,8 +11,8 @@
 from cornelpin.gateway.snapshot_source import IN_FORCE, SnapshotSource
 from cornelpin.gateway.watch_cache import POLL_S, WatchCache
 from cornelpin.gateway.watcher_selection import (
-    DEFAULT_TIMING,
     ROLLOUT_TIMING,
+    default_timing,
     is_fresh,
     watch_wait_s,
 )
@@ -71,6 +71,7 @@
         self._state = state
         self._peers = peers
         self._dispatch = dispatch
+        self._timing = default_timing(state.settings.bounds.contact_s)
         # The configuration in force as it was stored.
         self._config_spec: Any = None
         # Names of malformed servers; each is logged once.
@@ -115,6 +116,7 @@
             kind,
             on_revision=self._peers.flush,
             on_contact=self._peers.schedule_update,
+            on_lost=self._refresh_all,
             watch_wait_s=lambda: self._watch_wait_s(kind),
             peers_reach_store=self._peers_reach_store,
             **callbacks,
@@ -123,6 +125,10 @@
     def _on_new_era(self, before: int, after: int) -> None:
         """Lists all kinds again, of which the watches may still wait for changes."""
         logs.event("store.new_era", era=after, before=before)
+        self._refresh_all()
+
+    def _refresh_all(self) -> None:
+        """Lists all kinds again: the connections of their watches may be silent."""
         for cache in self._caches.values():
             cache.refresh_now()
 
@@ -195,7 +201,7 @@
 
     def _watch_wait_s(self, kind: str) -> float | None:
         host = self._state.settings.host
-        timing = ROLLOUT_TIMING if kind == ROLLOUT_KIND else DEFAULT_TIMING
+        timing = ROLLOUT_TIMING if kind == ROLLOUT_KIND else self._timing
         return watch_wait_s(
             host,
             kind,
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -17,9 +17,8 @@
 POLL_S = 0.2
 """Interval at which an entry checks whether it has to watch the store itself."""
 WATCH_S = 2.5
-"""Long-poll time of a watch. It bounds how long a dead watch goes unnoticed, and must
-be shorter than the time within which the platform expects entries to reconnect after an
-outage."""
+"""Longest long-poll time of a watch. It bounds how long a dead watch goes unnoticed;
+``watcher_selection.default_timing`` shortens it where the platform expects more."""
 FIRST_BACKOFF_S = 0.1
 """First backoff while the store is unavailable; it doubles up to MAX_BACKOFF_S."""
 MAX_BACKOFF_S = 0.8
@@ -45,6 +44,7 @@
             its objects are replaced by those of a restored store.
         on_revision: Called when a watch has returned changes.
         on_contact: Called after each response of the store.
+        on_lost: Called when a call of the store fails for the first time.
         watch_wait_s: Returns the long-poll time of a watch in seconds; None if other
             entries watch.
         peers_reach_store: Returns whether another entry has reached the store recently
@@ -74,6 +74,7 @@
         on_recovery: Callable[[], None],
         on_revision: Callable[[], None] = lambda: None,
         on_contact: Callable[[], None] = lambda: None,
+        on_lost: Callable[[], None] = lambda: None,
         watch_wait_s: Callable[[], float | None] = lambda: WATCH_S,
         peers_reach_store: Callable[[float], bool] = lambda since: False,
     ) -> None:
@@ -91,6 +92,7 @@
         self._on_recovery = on_recovery
         self._on_revision = on_revision
         self._on_contact = on_contact
+        self._on_lost = on_lost
         self._watch_wait_s = watch_wait_s
         self._peers_reach_store = peers_reach_store
         self._down_since = 0.0
@@ -253,6 +255,7 @@
             self._down_since = time.monotonic()
             age_s = round(time.monotonic() - self.confirmed_at, 1)
             logs.warning("store.lost", kind=self.kind, reason=str(exc), age_s=age_s)
+            self._on_lost()
         pause_s = self._backoff_s * random.uniform(0.5, 1.0)
         self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
         until = time.monotonic() + PEER_COPY_BACKOFF_S * random.uniform(0.5, 1.0)
--- a/cornelpin/gateway/watcher_selection.py
+++ b/cornelpin/gateway/watcher_selection.py
@@ -13,6 +13,7 @@
 import attrs
 
 from cornelpin.gateway.watch_cache import WATCH_S
+from cornelpin.platform import WATCH_SLACK_S, Bounds
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -26,6 +27,10 @@
 """Number of watching entries in a larger fleet, so that two may fail at once."""
 
 
+MIN_WAIT_S = 0.2
+"""Lower bound of a long poll: a few calls a second."""
+
+
 @attrs.frozen
 class WatchTiming:
     """Timing of the watches of a kind, in seconds.
@@ -43,9 +48,27 @@
     fresh_s: float
 
 
-DEFAULT_TIMING = WatchTiming(wait_s=WATCH_S, short_wait_s=1.0, fresh_s=1.8)
-"""For kinds whose changes must be in force within the platform's bound on configuration
-delay."""
+RECONNECT_S = 0.4
+"""Time from the time-out of a watch to the list of current objects: pauses before the
+next watch and the next call, a connection, and a response of a degraded store."""
+
+
+def default_timing(contact_s: float) -> WatchTiming:
+    """Returns the timing for kinds whose changes must soon be in force.
+
+    Connections may go silent without an error. The platform allows entries a time to
+    notice that, and counts what they do by old objects afterwards as wrong.
+
+    Args:
+        contact_s: That time in seconds (``Bounds.contact_s``).
+    """
+    longest_s = max(MIN_WAIT_S, contact_s - WATCH_SLACK_S - RECONNECT_S)
+    return WatchTiming(
+        wait_s=min(WATCH_S, longest_s), short_wait_s=min(1.0, longest_s), fresh_s=1.8
+    )
+
+
+DEFAULT_TIMING = default_timing(Bounds().contact_s)
 ROLLOUT_TIMING = WatchTiming(wait_s=10.0, short_wait_s=10.0, fresh_s=12.0)
 """For roll-out orders: the platform charges for each call, roll-outs take longer than
 this, and an order received by one entry reaches the others at once."""
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -32,6 +32,7 @@
     load_host_settings,
 )
 from cornelpin.platform._store import (
+    WATCH_SLACK_S,
     Listing,
     Store,
     StoreObject,
@@ -45,6 +46,7 @@
     "ROLLOUT_KIND",
     "SERVER_KIND",
     "SETTINGS_VARIABLE",
+    "WATCH_SLACK_S",
     "BadValue",
     "Bounds",
     "StoreObject",
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -29,8 +29,9 @@
 """Timeout of the first byte of a response other than a watch's, and of each further
 part of any response. A degraded store responds in 0.2 s instead of the usual 4 ms; the
 timeout is five times the 0.2 s."""
-WATCH_SLACK_S = 1.0
-"""Time that a watch may take beyond the requested wait, seconds."""
+WATCH_SLACK_S = 0.5
+"""Time that a watch may take beyond the requested wait: twice what a degraded store
+adds."""
 MS = 1e-3
 """Seconds per millisecond."""
 ERA_HEADER = b"store-era"
@@ -194,6 +195,13 @@
         if conn is not None:
             conn.close()
 
+    def _close_idle_connections(self) -> None:
+        if self._call_connection is not None:
+            self._call_connection.close()
+            self._call_connection = None
+        for kind in list(self._watch_connections):
+            self.end_watch(kind)
+
     async def create(self, kind: str, name: str, spec: Any) -> bool:
         """Creates an object; returns False if one of that name exists."""
         body = {"metadata": {"name": name}, "spec": spec}
@@ -279,6 +287,8 @@
             TimeoutError,
             ValueError,
         ) as exc:
+            # The idle connections may be silent as well, which nothing shows.
+            self._close_idle_connections()
             received = 0
             if conn is not None:
                 conn.abort()
--- a/cornelpin/tests/test_gateway_fleet.py
+++ b/cornelpin/tests/test_gateway_fleet.py
@@ -6,6 +6,7 @@
 import json
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -17,6 +18,7 @@
 from cornelpin.platform import Store, StoreUnavailable
 from cornelpin.tests.fleet_client import Client, connect, fetch, request
 from cornelpin.tests.gateway_harness import Harness, config, route, run_harness, until
+from standins.slow_link import SlowLink
 
 if TYPE_CHECKING:
     from cornelpin.gateway.app import Entry
@@ -116,6 +118,41 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("contact_ms", [2000, 3000])
+def test_silent_connections_to_the_store_are_noticed_within_the_contact_time(
+    contact_ms: int,
+) -> None:
+    """Guards against requests to servers that have left while all watches were silent.
+
+    The connections stay open and carry nothing; new ones work.
+    """
+
+    async def scenario() -> None:
+        async with (
+            run_harness(entries=0, servers=2) as harness,
+            SlowLink(harness.store.server.address, 1e9) as link,
+        ):
+            address = f"{link.address[0]}:{link.address[1]}"
+            entry = await harness.add_entry(
+                provider={"address": address}, bounds={"contact_ms": contact_ms}
+            )
+            leaving = harness.servers[0]
+            # The first change ends the watches, so that they have just begun anew.
+            harness.store.put("config", "main", config(3))
+            spec = leaving.store_spec() | {"seq": 2}
+            harness.store.put("servers", leaving.id, spec)
+            await until(lambda: version(entry) == 3)
+            await asyncio.sleep(0.3)
+            link.silence()
+            harness.store.put("config", "main", config(4))
+            harness.store.put("servers", leaving.id, leaving.store_spec("draining"))
+            await asyncio.sleep(contact_ms / 1e3)
+            assert version(entry) == 4
+            assert entry.state.servers.all(time.monotonic())[leaving.id].leaving
+
+    asyncio.run(scenario())
+
+
 def test_lost_history_causes_a_new_listing() -> None:
     async def scenario() -> None:
         async with run_harness() as harness:
