Check that a server may still get requests right before a request is sent

Callers would see: a request at a server that has said that it leaves (DRAIN). Cause: servers were checked when a slot was assigned; a new connection takes up to 0.6 s, in which the server may leave. Class: a decision that is acted on later without another look. Evidence: test_request_is_not_sent_to_a_server_that_left_while_it_connected fails without the change (the server runs the request) and passes with it. Fix: the exchange asks once more when its connection is open; the outcome is 'not run', which holds, and counts neither as a failure of the server nor as a retry.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -253,7 +253,14 @@
         stream = job.route.kind is RouteKind.STREAM
         idle_timeouts = self._idle_timeouts(placement)
         exchange = Exchange(
-            self.state.pool, placement.server, outgoing, self, idle_timeouts
+            self.state.pool,
+            placement.server,
+            outgoing,
+            self,
+            idle_timeouts,
+            usable=lambda: self.state.servers.is_usable(
+                placement.server, time.monotonic()
+            ),
         )
         ran_before = self.progress.may_have_run
         self.progress.may_have_run = True
@@ -313,6 +320,8 @@
             case Broken(reason=reason):
                 self.state.record_broken_run(self.job, placement.server)
                 self.scheduler.eject(placement.server, reason)
+            case NotRun(withdrawn=True):
+                pass
             case NotRun(reason=reason, reached=False):
                 self.scheduler.eject(placement.server, reason)
             case NotRun(replaced=True):
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -14,6 +14,8 @@
 from cornelpin.platform import ResponseInfo, read_response, response_headers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornelpin.gateway.pool import ConnectionPool, Lease
     from cornelpin.http1.client import Event, Headers
     from cornelpin.scheduling.servers import BackendServer
@@ -59,11 +61,13 @@
         reason: Cause, for the client and the log.
         reached: Whether the server received the request.
         replaced: Whether another server responded at the address.
+        withdrawn: Whether the server left before the request was sent.
     """
 
     reason: str
     reached: bool
     replaced: bool = False
+    withdrawn: bool = False
 
 
 @attrs.frozen
@@ -129,6 +133,7 @@
         request: The request to send.
         sink: Receives a streamed response.
         timeouts: Limits on the time without data from the server; None for no limits.
+        usable: Returns whether the server may still get requests.
     """
 
     def __init__(
@@ -138,12 +143,15 @@
         request: OutgoingRequest,
         sink: ResponseSink,
         timeouts: IdleTimeouts | None = None,
+        *,
+        usable: Callable[[], bool] = lambda: True,
     ) -> None:
         self._pool = pool
         self._server = server
         self._request = request
         self._sink = sink
         self._timeouts = timeouts
+        self._usable = usable
         self._forwarding = False
         self._lease: Lease | None = None
         self._info: ResponseInfo | None = None
@@ -161,6 +169,10 @@
         except ConnectionFailed as exc:
             return NotRun(f"no connection: {exc}", reached=False)
         conn = self._lease.conn
+        # It may have left while the connection was opened.
+        if not self._usable():
+            conn.close()
+            return NotRun("the server leaves", reached=False, withdrawn=True)
         try:
             return await self._send_and_read(stream=stream)
         except (ConnectionBroken, EventTooLong) as exc:
--- a/cornelpin/scheduling/servers.py
+++ b/cornelpin/scheduling/servers.py
@@ -204,6 +204,20 @@
         """
         self._replaced[server.id] = server
 
+    def is_usable(self, server: BackendServer, now: float) -> bool:
+        """Returns whether an incarnation is believed to run and does not leave."""
+        if self._replaced.get(server.id) == server:
+            return False
+        listed = self._listed.get(server.id)
+        if listed is not None:
+            return listed.incarnation == server.incarnation and not listed.leaving
+        removed = self._removed.get(server.id)
+        return (
+            removed is not None
+            and removed.server.incarnation == server.incarnation
+            and now < removed.used_until
+        )
+
     def all(self, now: float) -> dict[str, BackendServer]:
         """Returns the servers believed to be running, draining ones included, by id."""
         for server_id, removed in list(self._removed.items()):
--- a/cornelpin/tests/test_server_notices.py
+++ b/cornelpin/tests/test_server_notices.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cornelpin.gateway.app import Entry
+from cornelpin.http1.client import HttpConnection
 from cornelpin.platform import read_response
 from cornelpin.scheduling.server_health import PAUSE_SPREAD, ServerHealth
 from cornelpin.tests.fleet_client import fetch
@@ -78,6 +79,35 @@
     asyncio.run(scenario())
 
 
+def test_request_is_not_sent_to_a_server_that_left_while_it_connected(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with run_harness(servers=2) as harness:
+            entry = harness.entries[0]
+            opened = HttpConnection.open
+            left: list[FleetServer] = []
+
+            async def open_slowly(address: tuple[str, int]) -> HttpConnection:
+                if not left:
+                    server = next(
+                        s for s in harness.servers if s.server.address == address
+                    )
+                    left.append(server)
+                    spec = server.store_spec("draining")
+                    harness.store.put("servers", server.id, spec)
+                    await asyncio.sleep(0.3)
+                return await opened(address)
+
+            monkeypatch.setattr(HttpConnection, "open", open_slowly)
+            status = (await fetch(caller_address(entry), "/unsafe/x")).status
+            assert status == 200
+            assert not left[0].runs
+            assert health(entry, left[0].id).failure_rate == 0.0
+
+    asyncio.run(scenario())
+
+
 def test_rejection_of_a_leaving_server_counts_as_a_notice() -> None:
     async def scenario() -> None:
         async with run_harness(servers=2) as harness:
