Log which parts of a prompt a server had in hand when it disconnected

Cause: no line tells what requests under which servers end have in common, nor whether their answers had begun, which is needed to tell the cause of a crash from a bystander. Change: shared parts of prompts are decoded; server.disconnected names them for each request whose connection the server ended.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -143,6 +143,7 @@
         progress: Progress so far.
         placement: The slot of the current send.
         sent_at: Monotonic time of that send in seconds.
+        run_begun: Whether that send got a part of an answer.
     """
 
     state: GatewayState
@@ -155,6 +156,7 @@
     progress: Progress
     placement: Placement | None = None
     sent_at: float = 0.0
+    run_begun: bool = False
 
     async def run(self) -> int:
         """Sends until there is a response; returns its status."""
@@ -265,6 +267,7 @@
         ran_before = self.progress.may_have_run
         self.progress.may_have_run = True
         self.sent_at = time.monotonic()
+        self.run_begun = False
         self.state.rollouts.record_send(placement.server)
         try:
             outcome = await exchange.run(stream=stream)
@@ -317,9 +320,8 @@
                     health.succeeded()
                 elif not paused:
                     health.failed()
-            case Broken(reason=reason):
-                self.state.record_broken_run(self.job, placement.server)
-                self.scheduler.eject(placement.server, reason)
+            case Broken():
+                self._record_broken(placement, outcome)
             case NotRun(withdrawn=True):
                 pass
             case NotRun(reason=reason, reached=False):
@@ -329,6 +331,21 @@
             case NotRun() if not paused:
                 health.failed()
 
+    def _record_broken(self, placement: Placement, broken: Broken) -> None:
+        """Records an incomplete response of a server, which may have crashed."""
+        if broken.disconnected:
+            logs.event(
+                "server.disconnected",
+                server=placement.server.id,
+                id=self.job.request_id,
+                route=self.job.route.name,
+                parts=self.job.shared_parts,
+                begun=self.run_begun,
+                reason=broken.reason,
+            )
+        self.state.record_broken_run(self.job, placement.server)
+        self.scheduler.eject(placement.server, broken.reason)
+
     def _relative_time(self) -> float:
         """Returns the run's time for the comparison of versions.
 
@@ -415,6 +432,7 @@
 
     async def on_stream_start(self, status: int, headers: Headers) -> None:
         """Forwards the head of a stream; a resumed stream keeps its first head."""
+        self.run_begun = True
         if not self.responder.started:
             self.responder.start(status, headers)
             self.progress.begun = True
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -79,9 +79,15 @@
 
 @attrs.frozen
 class Broken:
-    """The request may have run, but its response is incomplete."""
+    """The request may have run, but its response is incomplete.
+
+    Attributes:
+        reason: Cause, for the client and the log.
+        disconnected: Whether the server ended the connection.
+    """
 
     reason: str
+    disconnected: bool = False
 
 
 Outcome = NotRun | Answered | Broken
@@ -178,7 +184,9 @@
         except (ConnectionBroken, EventTooLong) as exc:
             if self._lease.reused and not self._response_started:
                 self._pool.record_stale(self._lease)
-            return Broken(str(exc) or type(exc).__name__)
+            return Broken(
+                str(exc) or type(exc).__name__, disconnected=conn.ended_by_peer
+            )
         finally:
             if not conn.reusable:
                 conn.abort()
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -131,6 +131,7 @@
             event_tokens=cfg.event_tokens(service),
             workspace=name,
             fingerprint=content_fingerprint,
+            shared_parts=info.shared_parts,
             first_attempt_at=req.received
             if first_attempt_at is None
             else min(first_attempt_at, req.received),
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -100,6 +100,11 @@
         """Whether another request may be sent now."""
         return not (self._busy or self._unusable or self._eof or self._error)
 
+    @property
+    def ended_by_peer(self) -> bool:
+        """Whether the peer closed or reset the connection."""
+        return self._eof or (self._error is not None and not self._unusable)
+
     @property
     def send_finished(self) -> bool:
         """Whether all bytes written so far were passed to the kernel."""
--- a/cornelpin/platform/_headers.py
+++ b/cornelpin/platform/_headers.py
@@ -18,6 +18,12 @@
 TOKEN_SCHEME = b"token "
 TOKEN_USAGE = b"token-usage"
 LENGTH_HINT = b"length-hint"
+PROMPT_PREFIX = b"prompt-prefix"
+"""Header with the parts of the prompt in order, as comma-separated ID:TOKENS entries.
+The last part belongs to the request or its session; others may share the parts before
+it."""
+MAX_PROMPT_PARTS = 64
+"""Parts of a prompt that are decoded; further ones are ignored."""
 LAST_EVENT_ID = b"last-event-id"
 TENANT = b"tenant"
 """Header with the name of the caller's workspace."""
@@ -33,7 +39,7 @@
 SERVER_LEAVING = b"server-leaving"
 """Header of a response of a server that leaves and wants no further requests."""
 
-PROTECTED_HEADERS = {b"model", TOKEN_USAGE, b"prompt-prefix", REQUEST_ID}
+PROTECTED_HEADERS = {b"model", TOKEN_USAGE, PROMPT_PREFIX, REQUEST_ID}
 """Headers that are forwarded even if a client names them in ``Connection``."""
 RESERVED_HEADERS = {
     TENANT,
@@ -93,6 +99,8 @@
         max_output_tokens: Maximum number of output tokens; zero if not given.
         hinted_tokens: The client's estimate of the output tokens; None if not given.
         has_token_counts: Whether the request gives prompt and output token counts.
+        shared_parts: Ids of the parts of its prompt that other requests may share, in
+            order.
     """
 
     request_id: str
@@ -103,6 +111,7 @@
     max_output_tokens: int = 0
     hinted_tokens: int | None = None
     has_token_counts: bool = False
+    shared_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -152,6 +161,7 @@
         max_output_tokens=token_counts[1] if token_counts else 0,
         hinted_tokens=_integer(fields.get(LENGTH_HINT, b"")),
         has_token_counts=token_counts is not None,
+        shared_parts=_shared_parts(_text(fields.get(PROMPT_PREFIX, b""))),
     )
 
 
@@ -284,6 +294,11 @@
     return prompt, output
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    entries = [entry.strip() for entry in text.split(",", MAX_PROMPT_PARTS)]
+    return tuple(entry.partition(":")[0] for entry in entries[:-1] if entry)
+
+
 def _keep_alive_s(raw: bytes) -> float | None:
     for part in raw.split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/cornelpin/scheduling/jobs.py
+++ b/cornelpin/scheduling/jobs.py
@@ -59,6 +59,7 @@
         typical_tokens: Mean output tokens of requests of its route.
         event_tokens: Tokens in one event of its stream.
         fingerprint: Digest by which a client retry of it is recognised.
+        shared_parts: Ids of the parts of its prompt that other requests may share.
         avoid: Ids of the servers to which it was already sent.
         workspace: Name of the caller's workspace; empty if there is none.
         first_attempt_at: Monotonic time of its first attempt; before its arrival if
@@ -81,6 +82,7 @@
     event_tokens: int = 1
     workspace: str = ""
     fingerprint: bytes = b""
+    shared_parts: tuple[str, ...] = ()
     avoid: set[str] = attrs.field(factory=set)
     first_attempt_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived, takes_self=True)
--- a/cornelpin/tests/test_platform.py
+++ b/cornelpin/tests/test_platform.py
@@ -210,6 +210,24 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("text", "shared"),
+    [
+        (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b" a:1 , b:2", ("a",)),
+        (b"own:250", ()),
+        (b"", ()),
+        (b",,own:3", ()),
+        (b"a,b", ("a",)),
+        (b",".join(b"%d:1" % n for n in range(200)), tuple(map(str, range(64)))),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_decoded(
+    text: bytes, shared: tuple[str, ...]
+) -> None:
+    assert read_request([(b"prompt-prefix", text)]).shared_parts == shared
+
+
 @pytest.mark.parametrize("deadline", [b"0", b"-5", b"nan", b"inf", b"1e99"])
 def test_invalid_deadline_counts_as_missing(deadline: bytes) -> None:
     assert read_request([(b"deadline-ms", deadline)]).deadline_s is None
