--- a/cornelpin/tests/gateway_harness.py
+++ b/cornelpin/tests/gateway_harness.py
@@ -106,7 +106,12 @@
         server = FleetServer("app", **fields)
         await server.start()
         self.servers.append(server)
-        self.store.put("servers", server.id, server.store_spec())
+
+        def register() -> None:
+            self.store.put("servers", server.id, server.store_spec())
+
+        register()
+        server.on_crash = register
         return server
 
     def settings(self, number: int, **fields: Any) -> dict[str, Any]:
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -6,12 +6,15 @@
 import contextlib
 import itertools
 from collections import Counter
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from standins.fleet.raw_http import RawRequest, RawServer, format_response
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _server_numbers = itertools.count(1)
 
 
@@ -34,6 +37,8 @@
         status: Status of plain responses.
         leaving: Whether all responses say that the server leaves.
         pause: Retry-After of a ``full`` server; none if empty.
+        crash_part: Shared part of a prompt at whose first event the server crashes: it
+            resets all connections and becomes another incarnation. None if empty.
     """
 
     answer_s: float = 0.0
@@ -43,6 +48,7 @@
     status: int = 200
     leaving: bool = False
     pause: str = ""
+    crash_part: str = ""
 
 
 @attrs.frozen
@@ -82,6 +88,8 @@
         notices: Responses that said that the server leaves or wants a pause.
         running: Number of requests in flight.
         max_running: Highest number of requests in flight at once.
+        crashes: Loop times of the crashes by ``Behaviour.crash_part``.
+        on_crash: Called after such a crash.
     """
 
     def __init__(
@@ -108,6 +116,8 @@
         self.notices: list[Notice] = []
         self.running = 0
         self.max_running = 0
+        self.crashes: list[float] = []
+        self.on_crash: Callable[[], None] = lambda: None
         self.server = RawServer(self._handle)
 
     async def start(self, ip: str = "127.0.0.1") -> None:
@@ -135,6 +145,17 @@
         self.restarts.append(asyncio.get_running_loop().time())
         self.behaviour = Behaviour()
 
+    def _crashes_on(self, req: RawRequest) -> bool:
+        parts = req.headers.get("prompt-prefix", "").split(",")[:-1]
+        crash_part = self.behaviour.crash_part
+        return crash_part in [part.partition(":")[0] for part in parts]
+
+    def _crash(self) -> None:
+        self.born += 1
+        self.crashes.append(asyncio.get_running_loop().time())
+        self.server.reset_connections()
+        self.on_crash()
+
     async def _handle(self, req: RawRequest, writer: asyncio.StreamWriter) -> bool:
         if req.headers.get("target-instance") not in {None, self.id}:
             self.misdirected += 1
@@ -227,6 +248,9 @@
         first = int(req.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.behaviour.events + 1):
             await asyncio.sleep(self.behaviour.gap_s)
+            if self._crashes_on(req):
+                self._crash()
+                return False
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             cut = self.behaviour.fault == "cut" and number == self.behaviour.events - 1
             if cut:
