Quarantine the part of prompts that explains the crashes of several servers

Cause: poison requests were recognised by their whole content (workspace, path, body), so each of these was new. Class: an identity narrower than the cause. Fix: crashes are compared by the shared parts of the requests whose answers had not begun; begun answers clear parts; the list is shared at once, and with entries that start later.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -44,6 +44,8 @@
 
 ENTRY_KIND = "cornelpin-entries"
 """Kind of the store objects with which entries register their IP addresses."""
+POISON_FIELDS = ("crashed", "sound", "poison")
+"""Fields of a message about parts of prompts that crash servers."""
 TICK_S = 0.05
 """Interval at which queued requests are dispatched and refused even if nothing changes.
 A request is refused at most this long after the time at which it can no longer be
@@ -221,6 +223,7 @@
             "used": {k: round(v) for k, v in self.state.quotas.used.items()},
             "versions": self._view.revisions(),
             "rollouts": self.state.rollouts.export(time.monotonic()),
+            "poison": self.state.poison_parts.export(time.monotonic()),
         }
 
     def _one_time_updates(self) -> dict[str, Any]:
@@ -228,6 +231,8 @@
         updates = {
             "refused": self.state.client_retries.take_unsent(time.monotonic()),
             "broken": self.state.poison_detector.take_unsent(),
+            "crashed": self.state.poison_parts.take_unsent_crashes(),
+            "sound": self.state.poison_parts.take_unsent_sound(),
             "leaving": self.state.take_unsent_leaving(),
         }
         return {name: items for name, items in updates.items() if items}
@@ -250,6 +255,8 @@
             self.state.client_retries.merge_from(message["refused"], time.monotonic())
         if "broken" in message:
             self.state.poison_detector.merge_from(message["broken"], time.monotonic())
+        if not message.keys().isdisjoint(POISON_FIELDS):
+            self.state.merge_poison_parts(message)
         if "leaving" in message:
             self.state.merge_leaving(message["leaving"])
         if "rollouts" in message:
@@ -331,6 +338,11 @@
             "Bytes of snapshots copied from other entries",
             lambda: self._view.copied_bytes,
         )
+        self.state.metrics.gauge(
+            "quarantined_parts",
+            "Quarantined parts of prompts",
+            lambda: len(self.state.poison_parts.quarantined),
+        )
         self.state.metrics.gauge(
             "connections_opened",
             "Connections to servers",
@@ -344,6 +356,7 @@
             alive = {server.incarnation for server in servers}
             self.state.pool.sweep(alive)
             self.scheduler.dispatcher.forget(alive, now)
+            self.state.expire_poison_parts()
 
     def _reload_if_changed(self) -> None:
         """Reloads the settings file if its modification time has changed."""
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -206,10 +206,10 @@
         raise Rejected(503, refused.reason, refused.retry_after_s)
 
     def _reject_quarantined(self, now: float) -> None:
-        """Rejects a poison request: one whose content is quarantined."""
-        if not self.state.poison_detector.is_quarantined(self.job.fingerprint, now):
+        """Rejects a poison request: its content or a part of it is quarantined."""
+        reason = self.state.quarantine_reason(self.job, now)
+        if not reason:
             return
-        reason = "its content has broken several servers"
         if self.progress.may_have_run:
             raise Rejected(502, reason)
         # The quarantine usually outlasts the deadline, and a retry before its end would
@@ -260,9 +260,7 @@
             outgoing,
             self,
             idle_timeouts,
-            usable=lambda: self.state.servers.is_usable(
-                placement.server, time.monotonic()
-            ),
+            may_send=lambda: self._may_send(placement),
         )
         ran_before = self.progress.may_have_run
         self.progress.may_have_run = True
@@ -277,6 +275,13 @@
             self.progress.may_have_run = ran_before
         return outcome
 
+    def _may_send(self, placement: Placement) -> bool:
+        """Returns whether what held when the slot was assigned still holds."""
+        now = time.monotonic()
+        return self.state.servers.is_usable(
+            placement.server, now
+        ) and not self.state.quarantine_reason(self.job, now)
+
     def on_response_head(self, info: ResponseInfo) -> None:
         """Takes note of a server that leaves, or wants a pause from this host."""
         assert self.placement is not None
@@ -318,6 +323,7 @@
             case Answered(response=response):
                 if response.status < 500:
                     health.succeeded()
+                    self._record_sound_parts()
                 elif not paused:
                     health.failed()
             case Broken():
@@ -343,9 +349,14 @@
                 begun=self.run_begun,
                 reason=broken.reason,
             )
+            if not self.run_begun:
+                self.state.record_crash(self.job, placement.server)
         self.state.record_broken_run(self.job, placement.server)
         self.scheduler.eject(placement.server, broken.reason)
 
+    def _record_sound_parts(self) -> None:
+        self.state.poison_parts.record_sound(self.job.shared_parts, time.monotonic())
+
     def _relative_time(self) -> float:
         """Returns the run's time for the comparison of versions.
 
@@ -433,6 +444,7 @@
     async def on_stream_start(self, status: int, headers: Headers) -> None:
         """Forwards the head of a stream; a resumed stream keeps its first head."""
         self.run_begun = True
+        self._record_sound_parts()
         if not self.responder.started:
             self.responder.start(status, headers)
             self.progress.begun = True
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -61,7 +61,7 @@
         reason: Cause, for the client and the log.
         reached: Whether the server received the request.
         replaced: Whether another server responded at the address.
-        withdrawn: Whether the server left before the request was sent.
+        withdrawn: Whether the decision to send was withdrawn in time.
     """
 
     reason: str
@@ -139,7 +139,7 @@
         request: The request to send.
         sink: Receives a streamed response.
         timeouts: Limits on the time without data from the server; None for no limits.
-        usable: Returns whether the server may still get requests.
+        may_send: Returns whether the request may still be sent to the server.
     """
 
     def __init__(
@@ -150,14 +150,14 @@
         sink: ResponseSink,
         timeouts: IdleTimeouts | None = None,
         *,
-        usable: Callable[[], bool] = lambda: True,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         self._pool = pool
         self._server = server
         self._request = request
         self._sink = sink
         self._timeouts = timeouts
-        self._usable = usable
+        self._may_send = may_send
         self._forwarding = False
         self._lease: Lease | None = None
         self._info: ResponseInfo | None = None
@@ -175,10 +175,10 @@
         except ConnectionFailed as exc:
             return NotRun(f"no connection: {exc}", reached=False)
         conn = self._lease.conn
-        # It may have left while the connection was opened.
-        if not self._usable():
+        # The decision to send may not hold any more: a connection takes time to open.
+        if not self._may_send():
             conn.close()
-            return NotRun("the server leaves", reached=False, withdrawn=True)
+            return NotRun("withdrawn unsent", reached=False, withdrawn=True)
         try:
             return await self._send_and_read(stream=stream)
         except (ConnectionBroken, EventTooLong) as exc:
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -12,7 +12,8 @@
 * ``shares``: counts of offered and served requests by request class
 * ``paces``: estimates of server speeds
 * ``digest``: a relay's reports on the entries of its data centre
-* ``refused``, ``broken``, ``leaving``: see ONE_TIME_UPDATES
+* ``poison``: quarantined parts of prompts
+* ``refused``, ``broken``, ``leaving``, ``crashed``, ``sound``: see ONE_TIME_UPDATES
 """
 
 from __future__ import annotations
@@ -60,11 +61,11 @@
 """A message due within this time is sent now instead of by another timer."""
 PEER_EXPIRY_S = 15.0
 """Time without a message after which a peer is removed: longer than a restart."""
-ONE_TIME_UPDATES = ("refused", "broken", "leaving")
+ONE_TIME_UPDATES = ("refused", "broken", "leaving", "crashed", "sound")
 """Fields that are sent once and not repeated in full-state messages: refused requests,
-runs with an incomplete response (``exchange.Broken``), and servers that said that they
-leave."""
-URGENT_UPDATES = ("broken", "leaving")
+runs with an incomplete response (``exchange.Broken``), servers that said that they
+leave, and parts of prompts in hand at crashes or shown to be sound."""
+URGENT_UPDATES = ("broken", "leaving", "crashed")
 """Those of them that ``flush`` sends to all entries."""
 
 
@@ -279,7 +280,7 @@
         updates = self._one_time_updates()
         self._send_local(updates=updates)
         state = self._state()
-        urgent = {name: state[name] for name in ("versions", "rollouts")}
+        urgent = {name: state[name] for name in ("versions", "rollouts", "poison")}
         for name in URGENT_UPDATES:
             if name in updates:
                 urgent[name] = updates[name]
@@ -297,9 +298,10 @@
         self._send_local(full_state)
 
     def _send_hello(self, addresses: Iterable[str]) -> None:
-        """Sends the revisions of the store's objects and all known addresses."""
-        revisions = self._state()["versions"]
-        self._send({"versions": revisions, "ips": sorted(self.addresses)}, addresses)
+        """Sends all known addresses and what an entry that starts must know."""
+        state = self._state()
+        hello = {name: state[name] for name in ("versions", "poison")}
+        self._send(hello | {"ips": sorted(self.addresses)}, addresses)
 
     def _send_due(self) -> None:
         self._timer = None
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -5,19 +5,20 @@
 import asyncio
 import contextlib
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.pool import ConnectionPool
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.client_retries import ClientRetries
+from cornelpin.scheduling.poison_parts import PoisonParts
 from cornelpin.scheduling.poison_requests import PoisonDetector
 from cornelpin.scheduling.quota import FleetView, Quotas, QuotaTolerance
 from cornelpin.scheduling.rollouts import Rollouts
 from cornelpin.scheduling.servers import ServerList
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from cornelpin.gateway.metrics import Metrics
     from cornelpin.platform import HostSettings
@@ -70,6 +71,7 @@
             share=bounds.new_version_share, extra=bounds.new_version_extra
         )
         self.poison_detector = PoisonDetector()
+        self.poison_parts = PoisonParts()
         self.metrics: Metrics | None = None
         self.servers_listed = False
         self.get_servers_confirmed_at: Callable[[], float] = lambda: 0.0
@@ -168,6 +170,52 @@
         self.client_retries.record_refusal(job.fingerprint, job.first_attempt_at)
         self._on_change()
 
+    def quarantine_reason(self, job: Job, now: float) -> str:
+        """Returns why a request is rejected as poison; empty if it is not."""
+        if self.poison_detector.is_quarantined(job.fingerprint, now):
+            return "its content has broken several servers"
+        if self.poison_parts.find(job.shared_parts) is not None:
+            return "a part of its prompt has broken several servers"
+        return ""
+
+    def record_crash(self, job: Job, server: BackendServer) -> None:
+        """Records a request whose answer had not begun when its server disconnected.
+
+        The peers get it with the broken run (``record_broken_run``).
+        """
+        server_id, started_ms = server.incarnation
+        now = time.monotonic()
+        with self._logged_quarantine():
+            self.poison_parts.record_crash(
+                f"{server_id}@{started_ms}", job.shared_parts, now
+            )
+
+    def merge_poison_parts(self, message: Mapping[str, Any]) -> None:
+        """Merges what another entry's message says about parts that crash servers."""
+        now = time.monotonic()
+        with self._logged_quarantine():
+            self.poison_parts.merge_crashes(message.get("crashed", ()), now)
+            self.poison_parts.merge_sound(message.get("sound", ()), now)
+            self.poison_parts.merge_from(message.get("poison", {}), now)
+
+    @contextlib.contextmanager
+    def _logged_quarantine(self) -> Iterator[None]:
+        """Logs the parts that are quarantined or released meanwhile."""
+        before = self.poison_parts.quarantined
+        yield
+        after = self.poison_parts.quarantined
+        for part in after.keys() - before.keys():
+            logs.warning(
+                "part.quarantined", part=part, together_with=sorted(after[part])
+            )
+        for part in before.keys() - after.keys():
+            logs.event("part.released", part=part)
+
+    def expire_poison_parts(self) -> None:
+        """Ends the suspicion and the quarantine of parts whose crashes are long ago."""
+        with self._logged_quarantine():
+            self.poison_parts.expire(time.monotonic())
+
     def record_broken_run(self, job: Job, server: BackendServer) -> None:
         """Records a run with an incomplete response (``exchange.Broken``).
 
--- a/cornelpin/platform/_headers.py
+++ b/cornelpin/platform/_headers.py
@@ -24,6 +24,8 @@
 it."""
 MAX_PROMPT_PARTS = 64
 """Parts of a prompt that are decoded; further ones are ignored."""
+MAX_PART_ID_LENGTH = 64
+"""Length to which ids of parts are cut: entries keep many of them."""
 LAST_EVENT_ID = b"last-event-id"
 TENANT = b"tenant"
 """Header with the name of the caller's workspace."""
@@ -296,7 +298,9 @@
 
 def _shared_parts(text: str) -> tuple[str, ...]:
     entries = [entry.strip() for entry in text.split(",", MAX_PROMPT_PARTS)]
-    return tuple(entry.partition(":")[0] for entry in entries[:-1] if entry)
+    return tuple(
+        entry.partition(":")[0][:MAX_PART_ID_LENGTH] for entry in entries[:-1] if entry
+    )
 
 
 def _keep_alive_s(raw: bytes) -> float | None:
