Detect a version that is several times slower from its few requests

Cause: only runs of three times the old version's mean counted as slow. Fix: a run counts as slow from twice the mean. Slow runs are tested apart from failed ones, for a rise of 0.3 of their rate: which servers get the few requests explains a smaller one. Counts for messages are copied, so that runs and slow runs are of one moment.

--- a/cornelpin/scheduling/rollouts.py
+++ b/cornelpin/scheduling/rollouts.py
@@ -26,14 +26,16 @@
 canary analysis a new version may use this part of the bound. The rest allows for counts
 of peers that arrive late and for the time in which all requests go to the new version
 (``SWITCH_S``)."""
-SLOW_FACTOR = 3.0
+SLOW_FACTOR = 2.0
 """Multiple of the old version's mean run time on a route above which a run counts as
-slow: servers of one version differ in speed by up to this factor."""
+slow. Servers of one version may differ by more; the share of such runs is compared with
+the old version's. A new version has few requests and runs them faster than it would the
+whole traffic, so one that is several times slower may seem to be twice as slow."""
 MIN_TIMED_RUNS = 20
 """Timed runs of the old version on a route before its mean run time is used."""
 BASE_BAD_RATE = 0.05
-"""Share of bad runs expected of any version: runs on the slowest servers sometimes
-count as slow."""
+"""Share of failed and of slow runs expected of any version: runs on the slowest servers
+sometimes count as slow."""
 PRIOR_RUNS = 20
 """Weight of ``BASE_BAD_RATE`` in the estimate of the old version's bad-run rate, in
 runs."""
@@ -46,9 +48,15 @@
 FALSE_ROLLBACK_RATE = 1e-4
 """Nominal rate of false alarms, by which a good version is rolled back, per run of the
 new version. It is divided among the groups of runs that are tested."""
-RATE_INCREASES = (0.15, 0.4)
-"""Increases of the bad-run rate that are tested for: a fault on one of several routes,
-and one on all."""
+FAILURE_INCREASES = (0.15, 0.4)
+"""Increases of the rate of failed runs that are tested for: a fault on one of several
+routes, and one on all."""
+SLOW_INCREASES = (0.3,)
+"""Increases of the rate of slow runs that are tested for. A smaller one may come from
+the servers of the new version that happen to get its few requests."""
+SLOW_KEY = "\tslow "
+"""Prefix of a route under which messages carry its counts of slow runs among the times,
+where entries of earlier builds ignore them."""
 MIN_RUNS = 20
 """Fewest runs of the new version for it to be declared good. If its bad-run rate has
 risen by 0.15 from ``BASE_BAD_RATE``, at least two of them are bad with a probability of
@@ -101,8 +109,9 @@
         sent: Requests sent to servers of any version.
         sent_new: Those sent to the new version.
         runs: Finished runs by route, as a list in the form of the message to peers:
-            runs of old versions (index 0), bad ones among them (1), runs of the new
-            version (2), bad ones among them (3).
+            runs of old versions (index 0), failed ones among them (1), runs of the new
+            version (2), failed ones among them (3).
+        slow: Slow runs by route, of old versions and of the new one.
         times: Timed runs of old versions by route, as a list: the sum of their
             normalised times (``Rollouts.record_end``) and their number.
     """
@@ -111,13 +120,15 @@
     sent_new: int = 0
     runs: dict[str, list[int]] = attrs.field(factory=dict)
     times: dict[str, list[float]] = attrs.field(factory=dict)
+    slow: dict[str, list[int]] = attrs.field(factory=dict)
 
-    def add(self, route: str, *, new: bool, bad: bool) -> None:
-        """Counts a finished run; a bad one has failed or was slow."""
+    def add(self, route: str, *, new: bool, failed: bool, slow: bool) -> None:
+        """Counts a finished run."""
         cell = self.runs.setdefault(route, [0, 0, 0, 0])
         # The columns of the new version follow the two of the old versions.
         cell[2 * new] += 1
-        cell[2 * new + 1] += bad
+        cell[2 * new + 1] += failed
+        self.slow.setdefault(route, [0, 0])[new] += slow
 
     def time(self, route: str, normalised_time: float) -> None:
         """Records the normalised time of a run of an old version."""
@@ -127,32 +138,50 @@
 
     def export(self) -> list[Any]:
         """Returns the counts for a message to peers."""
-        return [self.sent, self.sent_new, self.runs, self.times]
+        runs = {route: list(cell) for route, cell in self.runs.items()}
+        times = {route: list(cell) for route, cell in self.times.items()}
+        slow = {SLOW_KEY + route: list(cell) for route, cell in self.slow.items()}
+        return [self.sent, self.sent_new, runs, times | slow]
+
+    @classmethod
+    def decode(cls, exported: Sequence[Any]) -> Counts:
+        """Returns the counts that ``export`` put in a message."""
+        sent, sent_new, runs, times = exported
+        slow = {
+            key.removeprefix(SLOW_KEY): [int(number) for number in cell]
+            for key, cell in times.items()
+            if key.startswith(SLOW_KEY)
+        }
+        timed = {k: cell for k, cell in times.items() if not k.startswith(SLOW_KEY)}
+        return cls(sent, sent_new, runs, timed, slow)
 
 
 @attrs.define
 class _ChangeTest:
-    """CUSUM test (Page's test) on the bad-run rate of all runs or of one route's.
+    """CUSUM test (Page's test) on the rate of bad runs, of all routes or of one.
 
     Attributes:
-        seen: The four counts of ``Counts.runs`` at the last update.
+        increases: Increases of the rate that are tested for.
+        seen: The four counts at the last update.
         sums: Cumulative log likelihood ratio, by tested increase of the rate.
     """
 
+    increases: Sequence[float]
     seen: list[int] = attrs.field(factory=lambda: [0, 0, 0, 0])
     sums: dict[float, float] = attrs.field(factory=dict)
 
     def update(self, total: Sequence[int]) -> None:
-        """Adds the runs since the last update, given four counts as in ``Counts.runs``.
+        """Adds the runs since the last update.
 
-        Runs of the new version are tested against the rate of the old ones.
+        The four counts are as in ``Counts.runs``, of failed or of slow runs. Runs of
+        the new version are tested against the rate of the old ones.
         """
         # Columns: runs of old versions, bad ones, runs of the new version, bad ones.
         runs, bad = total[2] - self.seen[2], total[3] - self.seen[3]
         self.seen = list(total)
         prior = BASE_BAD_RATE * PRIOR_RUNS
         base = max(BASE_BAD_RATE, (total[1] + prior) / (total[0] + PRIOR_RUNS))
-        for increase in RATE_INCREASES:
+        for increase in self.increases:
             if base + increase >= 1:
                 continue
             log_ratio = failure_ratio(runs, bad, base, base + increase)
@@ -184,7 +213,7 @@
     lost_outcome: OrderState | None = None
     own: Counts = attrs.field(factory=Counts)
     others: dict[tuple[str, str], Counts] = attrs.field(factory=dict)
-    _tests: dict[str, _ChangeTest] = attrs.field(factory=dict)
+    _tests: dict[tuple[str, str], _ChangeTest] = attrs.field(factory=dict)
 
     @property
     def state(self) -> OrderState:
@@ -216,6 +245,10 @@
                 timed = total.times.setdefault(route, [0.0, 0])
                 timed[0] += time_sum
                 timed[1] += runs
+            for route, slow in counts.slow.items():
+                into = total.slow.setdefault(route, [0, 0])
+                for column, number in enumerate(slow):
+                    into[column] += number
         return total
 
     def ends_at(self) -> float:
@@ -252,17 +285,35 @@
         """Updates the tests; returns whether this call found the new version bad."""
         if self.fault:
             return False
-        runs = self.totals().runs
-        groups = {"": _sum_of(runs.values()), **runs}
-        threshold = math.log(len(groups) / FALSE_ROLLBACK_RATE)
+        total = self.totals()
+        slow = {}
+        for route, (old, _, new, _) in total.runs.items():
+            old_slow, new_slow = total.slow.get(route, (0, 0))
+            slow[route] = [old, old_slow, new, new_slow]
+        return self._assess_rate(
+            "failed", total.runs, FAILURE_INCREASES
+        ) or self._assess_rate("were slow", slow, SLOW_INCREASES)
+
+    def _assess_rate(
+        self, what: str, counts: dict[str, list[int]], increases: Sequence[float]
+    ) -> bool:
+        """Updates the tests of failed or of slow runs; returns whether one alarms.
+
+        Args:
+            what: What the bad runs did, for the reason.
+            counts: Four counts by route, as in ``_ChangeTest.update``.
+            increases: Increases of the rate that are tested for.
+        """
+        groups = {"": _sum_of(counts.values()), **counts}
+        # Failed and slow runs each have as many tests as there are groups.
+        threshold = math.log(2 * len(groups) / FALSE_ROLLBACK_RATE)
         for name, cell in groups.items():
-            test = self._tests.setdefault(name, _ChangeTest())
+            test = self._tests.setdefault((what, name), _ChangeTest(increases))
             test.update(cell)
             if test.score >= threshold:
                 where = f" on route {name}" if name else ""
-                # Columns as in ``_ChangeTest.update``.
                 self.fault = (
-                    f"{cell[3]} of {cell[2]} runs failed or were slow{where}, "
+                    f"{cell[3]} of {cell[2]} runs {what}{where}, "
                     f"with the old version {cell[1]} of {cell[0]}"
                 )
                 return True
@@ -356,7 +407,7 @@
             return False
         new = server.version == rollout.order.version
         slow = took_s is not None and rollout.record_time(route, took_s, new=new)
-        rollout.own.add(route, new=new, bad=failed or slow)
+        rollout.own.add(route, new=new, failed=failed, slow=slow)
         return rollout.assess()
 
     def pending_writes(self, now: float) -> list[tuple[Order, OrderState, str]]:
@@ -409,13 +460,13 @@
         """
         found = False
         for service, report in received.items():
-            version, age_s, fault, sent, sent_new, runs, times = report
+            version, age_s, fault, *counts = report
             rollout = self._rollouts.get(service)
             if rollout is None or rollout.order.version != version:
                 continue
             if now - age_s < rollout.seen_at - START_TOLERANCE_S:
                 rollout.seen_at = now - age_s
-            rollout.others[entry] = Counts(sent, sent_new, runs, times)
+            rollout.others[entry] = Counts.decode(counts)
             if fault and not rollout.fault:
                 rollout.fault, found = str(fault), True
             found = rollout.assess() or found
--- a/cornelpin/tests/test_rollouts.py
+++ b/cornelpin/tests/test_rollouts.py
@@ -47,6 +47,11 @@
     "failing": (OrderState.ROLLED_BACK, lambda route, at: (0.5, 1.0)),
     "failing a little": (OrderState.ROLLED_BACK, lambda route, at: (0.3, 1.0)),
     "slow": (OrderState.ROLLED_BACK, lambda route, at: (0.0, 4.0)),
+    # Several times slower, though its few runs take only twice as long.
+    "slow at little load": (
+        OrderState.ROLLED_BACK,
+        lambda route, at: (0.0, 2.0),
+    ),
     "failing on one route": (
         OrderState.ROLLED_BACK,
         lambda route, at: (0.6 if route == "b" else 0.0, 1.0),
