End responses without end soon, and bound the memory of incomplete ones

Callers would see: requests held until their deadline while a server sends other responses, interim ones or the body of a rejection without end; an entry over its memory limit by large incomplete responses (8 MB each); garbage with blank lines forwarded as events of a stream. Class: reading on while a peer sends. Fix: limits on what is skipped, on the duration and size of calls of the store; incomplete responses share a quarter of the process's memory, each at most half of what is free.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -261,6 +261,7 @@
             self,
             idle_timeouts,
             may_send=lambda: self._may_send(placement),
+            memory=self.state.response_memory,
         )
         ran_before = self.progress.may_have_run
         self.progress.may_have_run = True
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -9,7 +9,7 @@
 import attrs
 import h11
 
-from cornelpin.gateway.event_stream import EventSplitter, EventTooLong
+from cornelpin.gateway.event_stream import BadEvent, EventSplitter
 from cornelpin.http1.client import ConnectionBroken, ConnectionFailed
 from cornelpin.platform import ResponseInfo, read_response, response_headers
 
@@ -24,6 +24,48 @@
 """Size limit of a response that is not streamed: it is buffered until complete."""
 
 
+MAX_FOREIGN_BYTES = 262_144
+"""Bytes of other responses, interim responses and rejections that are skipped before
+the connection is closed. A faulty server may send them without end."""
+MAX_FOREIGN_RESPONSES = 20
+"""Number of other and interim responses that are skipped."""
+REJECTION_TIMEOUT_S = 0.1
+"""Time to read the rest of a rejection: a new connection costs less."""
+MEMORY_SHARE = 0.25
+"""Share of the process's memory for responses that are not complete yet."""
+SMALL_RESPONSE_BYTES = 65_536
+"""Size up to which a response is always accepted."""
+
+
+class ResponseMemory:
+    """Memory that the incomplete responses of an entry share.
+
+    A response may use half of what is free. Many that do not end leave room for others.
+
+    Args:
+        limit: Bytes that large responses may use together.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._free = limit
+
+    def reserve(self, size: int, held: int) -> bool:
+        """Reserves bytes for a response; returns False if it gets too large.
+
+        Args:
+            size: Bytes to reserve.
+            held: Bytes that the response has reserved already.
+        """
+        if held + size > max(SMALL_RESPONSE_BYTES, self._free // 2):
+            return False
+        self._free -= size
+        return True
+
+    def release(self, size: int) -> None:
+        """Releases bytes that were reserved."""
+        self._free += size
+
+
 @attrs.frozen
 class OutgoingRequest:
     """A request as it is sent to a server."""
@@ -140,6 +182,7 @@
         sink: Receives a streamed response.
         timeouts: Limits on the time without data from the server; None for no limits.
         may_send: Returns whether the request may still be sent to the server.
+        memory: Memory for incomplete responses; None for no limit but the one on each.
     """
 
     def __init__(
@@ -151,6 +194,7 @@
         timeouts: IdleTimeouts | None = None,
         *,
         may_send: Callable[[], bool] = lambda: True,
+        memory: ResponseMemory | None = None,
     ) -> None:
         self._pool = pool
         self._server = server
@@ -158,6 +202,9 @@
         self._sink = sink
         self._timeouts = timeouts
         self._may_send = may_send
+        self._memory = memory
+        self._held = 0
+        self._foreign_limit = 0
         self._forwarding = False
         self._lease: Lease | None = None
         self._info: ResponseInfo | None = None
@@ -181,19 +228,21 @@
             return NotRun("withdrawn unsent", reached=False, withdrawn=True)
         try:
             return await self._send_and_read(stream=stream)
-        except (ConnectionBroken, EventTooLong) as exc:
+        except (ConnectionBroken, BadEvent) as exc:
             if self._lease.reused and not self._response_started:
                 self._pool.record_stale(self._lease)
             return Broken(
                 str(exc) or type(exc).__name__, disconnected=conn.ended_by_peer
             )
         finally:
+            self._hold(0)
             if not conn.reusable:
                 conn.abort()
 
     async def _send_and_read(self, *, stream: bool) -> Outcome:
         assert self._lease is not None
         request = self._request
+        self._foreign_limit = self._lease.conn.received_bytes + MAX_FOREIGN_BYTES
         self._sent_at = time.monotonic()
         try:
             self._lease.conn.send(
@@ -238,12 +287,14 @@
     async def _read_head(self) -> tuple[h11.Response, ResponseInfo]:
         """Returns the head of this request's response.
 
-        Skips surplus responses to earlier requests on the connection, which a faulty
-        server may send; they are recognised by their request id.
+        Skips interim responses, and surplus responses to earlier requests on the
+        connection, which a faulty server may send; they are recognised by their request
+        id.
         """
         assert self._lease is not None
         conn = self._lease.conn
-        while True:
+        for _ in range(MAX_FOREIGN_RESPONSES):
+            self._check_foreign_bytes()
             part = await self._next_part()
             if isinstance(part, h11.InformationalResponse):
                 continue
@@ -261,6 +312,7 @@
                 return part, info
             await self._skip_body()
             conn.skip_response()
+        raise ConnectionBroken(f"{MAX_FOREIGN_RESPONSES} responses before an answer")
 
     async def _skip_body(self) -> None:
         """Reads and drops the rest of a response.
@@ -269,13 +321,24 @@
         """
         assert self._lease is not None
         while not isinstance(await self._lease.conn.next_event(), h11.EndOfMessage):
-            pass
+            self._check_foreign_bytes()
+
+    def _check_foreign_bytes(self) -> None:
+        """Raises ConnectionBroken if too much was received that is no answer.
+
+        Bytes of the answer may be among them if they arrived together.
+        """
+        assert self._lease is not None
+        conn = self._lease.conn
+        if conn.received_bytes > self._foreign_limit + conn.pending_bytes:
+            raise ConnectionBroken(f"over {MAX_FOREIGN_BYTES} bytes before an answer")
 
     async def _finish_not_run(self) -> None:
         """Reads the rest of a not-run response, to keep the connection reusable."""
         try:
-            await self._skip_body()
-        except ConnectionBroken:
+            async with asyncio.timeout(REJECTION_TIMEOUT_S):
+                await self._skip_body()
+        except (ConnectionBroken, TimeoutError):
             return
         self._release_connection()
 
@@ -295,9 +358,21 @@
                 raise ConnectionBroken(
                     f"an answer over {MAX_BUFFERED_RESPONSE_BYTES} bytes"
                 )
+            self._hold(size)
         self._release_connection()
         return self._check_buffered(head, info, b"".join(parts))
 
+    def _hold(self, size: int) -> None:
+        """Reserves the memory for an incomplete response of this size."""
+        if self._memory is None:
+            return
+        more = size - self._held
+        if more > 0 and not self._memory.reserve(more, self._held):
+            raise ConnectionBroken(f"no memory for a response of {size} bytes")
+        if more < 0:
+            self._memory.release(-more)
+        self._held = size
+
     def _check_buffered(
         self, head: h11.Response, info: ResponseInfo, body: bytes
     ) -> Outcome:
@@ -332,6 +407,7 @@
                     self._sink.on_event_gap(now - last_event_at)
                 last_event_at = now
                 await self._sink.on_event(event.data, event.id)
+            self._hold(splitter.size)
         if splitter.partial or not self._forwarding:
             raise ConnectionBroken("the stream ended within an event")
         self._release_connection()
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.gateway import logs
+from cornelpin.gateway.exchange import MEMORY_SHARE, ResponseMemory
 from cornelpin.gateway.pool import ConnectionPool
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.client_retries import ClientRetries
@@ -27,6 +28,10 @@
     from cornelpin.scheduling.servers import BackendServer
 
 
+MB = 1_048_576
+"""Bytes per MB."""
+
+
 class GatewayState:
     """Configuration, servers, quotas, retry budgets and metrics of this process.
 
@@ -60,6 +65,9 @@
         self._configured = asyncio.Event()
         self.servers = ServerList(bounds.drain_s)
         self.pool = ConnectionPool()
+        self.response_memory = ResponseMemory(
+            int(MEMORY_SHARE * settings.memory_mb * MB)
+        )
         self.quotas = Quotas(
             time.monotonic(),
             QuotaTolerance(
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -100,6 +100,11 @@
         """Whether another request may be sent now."""
         return not (self._busy or self._unusable or self._eof or self._error)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes received since the parser last ran out of data."""
+        return self._pending_bytes
+
     @property
     def ended_by_peer(self) -> bool:
         """Whether the peer closed or reset the connection."""
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -29,6 +29,10 @@
 """Timeout of the first byte of a response other than a watch's, and of each further
 part of any response. A degraded store responds in 0.2 s instead of the usual 4 ms; the
 timeout is five times the 0.2 s."""
+TRANSFER_TIMEOUT_S = 10.0
+"""Longest duration of a call beyond the wait of a watch, however much data arrives."""
+MAX_RESPONSE_BYTES = 8_388_608
+"""Size limit of a response: several pages of objects, each of which is limited."""
 WATCH_SLACK_S = 0.5
 """Time that a watch may take beyond the requested wait: twice what a degraded store
 adds."""
@@ -314,6 +318,10 @@
         timeout: asyncio.Timeout,
     ) -> tuple[int, dict[str, Any]]:
         """Makes a call on a connection; extends the timeout while data arrives."""
+        now = asyncio.get_running_loop().time
+        first_until = timeout.when()
+        assert first_until is not None
+        latest = first_until + TRANSFER_TIMEOUT_S
         host = f"{self._address[0]}:{self._address[1]}".encode()
         headers = [(b"host", host)]
         data = b""
@@ -324,14 +332,22 @@
         status = 0
         era: int | None = None
         parts = []
+        size = 0
         while True:
             event = await conn.next_event()
-            timeout.reschedule(asyncio.get_running_loop().time() + CALL_TIMEOUT_S)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            timeout.reschedule(min(latest, now() + CALL_TIMEOUT_S))
             if isinstance(event, h11.Response):
                 status = event.status_code
                 era = _decode_era(dict(event.headers).get(ERA_HEADER))
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > MAX_RESPONSE_BYTES:
+                    raise ConnectionBroken(
+                        f"a response over {MAX_RESPONSE_BYTES} bytes"
+                    )
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif isinstance(event, h11.ConnectionClosed):
--- /dev/null
+++ b/cornelpin/tests/test_endless_responses.py
@@ -0,0 +1,114 @@
+"""Servers whose bytes do not end, in a head or a body, until the caller closes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from cornelpin.gateway.exchange import ResponseMemory
+from cornelpin.platform import Store, StoreUnavailable
+from cornelpin.tests.fleet_client import fetch
+from cornelpin.tests.gateway_harness import run_harness
+from standins.fleet.raw_http import RawRequest, RawServer
+from standins.fleet.server import ENDLESS
+
+MAX_BYTES = 24_000_000
+"""Most bytes that a server may write before its connection is closed: the limit of a
+response, and what the buffers of the connection hold."""
+AT_ONCE = 12
+
+
+@pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x"])
+@pytest.mark.parametrize("fault", ENDLESS)
+def test_endless_response_is_ended_soon(fault: str, target: str) -> None:
+    async def scenario() -> None:
+        async with run_harness(servers=2) as harness:
+            bad = harness.servers[0]
+            bad.behaviour.fault = fault
+            entry = harness.entries[0]
+            began = time.monotonic()
+            responses = await asyncio.gather(
+                *(
+                    fetch(entry._settings.callers, target, method="POST")
+                    for _ in range(4)
+                )
+            )
+            assert time.monotonic() - began < 1.2
+            for response in responses:
+                assert response.status in {200, 502, 503}
+                if response.status == 200 and response.complete:
+                    assert b"x" * 100 not in response.body
+            assert bad.arrivals
+            assert bad.endless_bytes < MAX_BYTES * len(bad.arrivals)
+            await asyncio.sleep(0.1)
+            written = bad.endless_bytes
+            await asyncio.sleep(0.1)
+            assert bad.endless_bytes == written, "the connection was not closed"
+
+    asyncio.run(scenario())
+
+
+def test_rejection_without_end_is_not_waited_for() -> None:
+    async def scenario() -> None:
+        async with run_harness(servers=2) as harness:
+            harness.servers[0].behaviour.fault = "endless_rejection"
+            entry = harness.entries[0]
+            for number in range(6):
+                response = await fetch(entry._settings.callers, f"/unsafe/{number}")
+                assert response.status == 200
+
+    asyncio.run(scenario())
+
+
+def test_responses_share_a_part_of_the_memory() -> None:
+    memory = ResponseMemory(1_000_000)
+    held = 0
+    for number in range(AT_ONCE):
+        size = 0
+        while memory.reserve(10_000, size):
+            size += 10_000
+            held += 10_000
+        assert size >= 60_000, number
+    assert held <= 1_000_000 + AT_ONCE * 70_000
+    assert memory.reserve(5_000, 0)
+
+
+@pytest.mark.parametrize(
+    ("fault", "complete"), [("no_length", True), ("partial_no_length", False)]
+)
+def test_stream_that_ends_with_its_connection(fault: str, complete: bool) -> None:
+    async def scenario() -> None:
+        async with run_harness() as harness:
+            harness.servers[0].behaviour.fault = fault
+            entry = harness.entries[0]
+            response = await fetch(entry._settings.callers, "/stream/x", method="POST")
+            assert response.status == 200
+            assert response.complete is complete
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("repeated", [b"x" * 4_096, b"HTTP/1.1 100 Continue\r\n\r\n"])
+def test_call_of_a_store_without_end_fails(repeated: bytes) -> None:
+    async def scenario() -> None:
+        async def write_without_end(
+            req: RawRequest, writer: asyncio.StreamWriter
+        ) -> bool:
+            if repeated.startswith(b"x"):
+                writer.write(b"HTTP/1.1 200 X\r\n\r\n")
+            while True:
+                writer.write(repeated * 20)
+                await writer.drain()
+                await asyncio.sleep(0)
+
+        server = RawServer(write_without_end)
+        await server.start("127.0.0.1")
+        began = time.monotonic()
+        with pytest.raises(StoreUnavailable):
+            await Store(server.address).list("config")
+        assert time.monotonic() - began < 12
+        await server.stop()
+
+    asyncio.run(scenario())
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -33,7 +33,9 @@
             without which the gateway rejects a 2xx response), ``extra`` (a second
             response at once),
             ``late_extra`` (a second response while the connection is idle),
-            ``no_length`` (a body that ends with the connection).
+            ``no_length`` (a body that ends with the connection),
+            ``partial_no_length`` (such a stream that ends within an event), or a key of
+            ``ENDLESS`` (bytes until the caller closes).
         status: Status of plain responses.
         leaving: Whether all responses say that the server leaves.
         pause: Retry-After of a ``full`` server; none if empty.
@@ -51,6 +53,29 @@
     crash_part: str = ""
 
 
+ENDLESS = {
+    "endless_line": (b"", b"x" * 4_096),
+    "endless_head": (b"HTTP/1.1 200 X\r\n", b"X-Junk: junk\r\n" * 200),
+    "endless_continue": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+    "endless_others": (
+        b"",
+        format_response(200, {"Request-Id": "another"}, b"not yours") * 40,
+    ),
+    "endless_rejection": (
+        b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"x" * 4_096 + b"\r\n",
+    ),
+    "endless_body": (
+        b"HTTP/1.1 200 X\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"x" * 4_096 + b"\r\n",
+    ),
+    "endless_unframed": (b"HTTP/1.1 200 X\r\n%s\r\n\r\n", b"x" * 4_096),
+    "endless_blank_lines": (b"HTTP/1.1 200 X\r\n%s\r\n\r\n", b"x\n\n" * 1_000),
+}
+"""Bytes of a response that never ends, by fault: those at its beginning and those that
+are repeated. ``%s`` stands for the headers of a proper response."""
+
+
 @attrs.frozen
 class Notice:
     """A response that told its caller something about the server.
@@ -88,6 +113,7 @@
         notices: Responses that said that the server leaves or wants a pause.
         running: Number of requests in flight.
         max_running: Highest number of requests in flight at once.
+        endless_bytes: Bytes written of responses that never end.
         crashes: Loop times of the crashes by ``Behaviour.crash_part``.
         on_crash: Called after such a crash.
     """
@@ -116,6 +142,7 @@
         self.notices: list[Notice] = []
         self.running = 0
         self.max_running = 0
+        self.endless_bytes = 0
         self.crashes: list[float] = []
         self.on_crash: Callable[[], None] = lambda: None
         self.server = RawServer(self._handle)
@@ -201,6 +228,8 @@
             return False
         headers = {"Request-Id": request_id, "Response-Seal": f"{self.id}.1"}
         headers |= self._state_headers()
+        if fault in ENDLESS:
+            await self._write_without_end(fault, headers, writer)
         if fault == "unsealed":
             del headers["Response-Seal"]
         if req.target.startswith("/stream/"):
@@ -210,6 +239,18 @@
         data = format_response(status, headers, req.target.encode() + b"|" + req.body)
         return await self._write_plain(fault, headers, data, writer)
 
+    async def _write_without_end(
+        self, fault: str, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        beginning, repeated = ENDLESS[fault]
+        lines = "\r\n".join(f"{name}: {value}" for name, value in headers.items())
+        writer.write(beginning.replace(b"%s", lines.encode()))
+        while True:
+            writer.write(repeated)
+            self.endless_bytes += len(repeated)
+            await writer.drain()
+            await asyncio.sleep(0)
+
     async def _write_plain(
         self,
         fault: str,
@@ -243,6 +284,14 @@
         self, req: RawRequest, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> bool:
         lines = [f"{name}: {value}" for name, value in headers.items()]
+        fault = self.behaviour.fault
+        if fault in {"no_length", "partial_no_length"}:
+            head = "HTTP/1.1 200 X\r\nConnection: close\r\n" + "\r\n".join(lines)
+            body = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+            body = body[:-5] if fault == "partial_no_length" else body
+            writer.write(head.encode() + b"\r\n\r\n" + body)
+            await writer.drain()
+            return False
         head = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n" + "\r\n".join(lines)
         writer.write(head.encode() + b"\r\n\r\n")
         first = int(req.headers.get("last-event-id", "0")) + 1
