--- a/cornelpin/gateway/snapshots.py
+++ b/cornelpin/gateway/snapshots.py
@@ -24,8 +24,9 @@
 TRANSFER_TIMEOUT_S = 10.0
 """Longest duration of a transfer. A whole configuration takes about 2 s uncompressed on
 the narrowest link."""
-REQUEST_WAIT_S = 0.25
-"""Time for which the request of a connected entry is awaited."""
+REQUEST_WAIT_S = 0.5
+"""Time for which the request of a connected entry is awaited: a lost packet is sent
+again within it."""
 MAX_SNAPSHOT_BYTES = 8_388_608
 """Size limit of a snapshot, compressed or not; a larger one is not read."""
 MAX_REQUEST_BYTES = 65_536
--- a/cornelpin/gateway/watcher_selection.py
+++ b/cornelpin/gateway/watcher_selection.py
@@ -25,10 +25,11 @@
 total."""
 WATCHERS = 3
 """Number of watching entries in a larger fleet, so that two may fail at once."""
-
-
 MIN_WAIT_S = 0.2
 """Lower bound of a long poll: a few calls a second."""
+RECONNECT_S = 0.4
+"""Time from the time-out of a watch to the list of current objects: pauses before the
+next watch and the next call, a connection, and a response of a degraded store."""
 
 
 @attrs.frozen
@@ -48,11 +49,6 @@
     fresh_s: float
 
 
-RECONNECT_S = 0.4
-"""Time from the time-out of a watch to the list of current objects: pauses before the
-next watch and the next call, a connection, and a response of a degraded store."""
-
-
 def default_timing(contact_s: float) -> WatchTiming:
     """Returns the timing for kinds whose changes must soon be in force.
 
