Take no version for slow because of its slowest servers

Fix: the servers of the new version are counted in eight groups; a version is slow if two groups or more are and half of its runs since the test was last zero are in them. Counts travel among the times, where entries of earlier builds ignore them.

--- a/cornelpin/scheduling/rollouts.py
+++ b/cornelpin/scheduling/rollouts.py
@@ -9,6 +9,7 @@
 
 import enum
 import math
+import zlib
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -51,12 +52,24 @@
 FAILURE_INCREASES = (0.15, 0.4)
 """Increases of the rate of failed runs that are tested for: a fault on one of several
 routes, and one on all."""
-SLOW_INCREASES = (0.3,)
-"""Increases of the rate of slow runs that are tested for. A smaller one may come from
-the servers of the new version that happen to get its few requests."""
+SLOW_INCREASE = 0.3
+"""Increase of the rate of slow runs that is tested for."""
+SERVER_GROUPS = 8
+"""Number of groups into which the servers of the new version are divided, so that one
+slow server is not taken for a slow version. Counts by group stay few in a large
+fleet."""
+MIN_SLOW_RUNS = 2
+"""Fewest slow runs with which a group counts as slow."""
+SLOW_GROUPS = 2
+"""Fewest slow groups of a slow version, if so many have runs."""
+SLOW_GROUPS_SHARE = 0.5
+"""Share of the runs of the new version in groups that are slow, from which the version
+is: several of its servers, not those that happen to be the slowest."""
+OLD_GROUP = "old"
+"""Name of the group of all servers of old versions."""
 SLOW_KEY = "\tslow "
-"""Prefix of a route under which messages carry its counts of slow runs among the times,
-where entries of earlier builds ignore them."""
+"""Prefix under which messages carry the counts of slow runs among the times, where
+entries of earlier builds ignore them."""
 MIN_RUNS = 20
 """Fewest runs of the new version for it to be declared good. If its bad-run rate has
 risen by 0.15 from ``BASE_BAD_RATE``, at least two of them are bad with a probability of
@@ -111,24 +124,28 @@
         runs: Finished runs by route, as a list in the form of the message to peers:
             runs of old versions (index 0), failed ones among them (1), runs of the new
             version (2), failed ones among them (3).
-        slow: Slow runs by route, of old versions and of the new one.
         times: Timed runs of old versions by route, as a list: the sum of their
             normalised times (``Rollouts.record_end``) and their number.
+        slow: Runs and slow ones among them by group of servers and route.
     """
 
     sent: int = 0
     sent_new: int = 0
     runs: dict[str, list[int]] = attrs.field(factory=dict)
     times: dict[str, list[float]] = attrs.field(factory=dict)
-    slow: dict[str, list[int]] = attrs.field(factory=dict)
+    slow: dict[tuple[str, str], list[int]] = attrs.field(factory=dict)
 
-    def add(self, route: str, *, new: bool, failed: bool, slow: bool) -> None:
-        """Counts a finished run."""
+    def add(
+        self, route: str, group: str, *, new: bool, failed: bool, slow: bool
+    ) -> None:
+        """Counts a finished run on a server of a group."""
         cell = self.runs.setdefault(route, [0, 0, 0, 0])
         # The columns of the new version follow the two of the old versions.
         cell[2 * new] += 1
         cell[2 * new + 1] += failed
-        self.slow.setdefault(route, [0, 0])[new] += slow
+        timed = self.slow.setdefault((group, route), [0, 0])
+        timed[0] += 1
+        timed[1] += slow
 
     def time(self, route: str, normalised_time: float) -> None:
         """Records the normalised time of a run of an old version."""
@@ -140,48 +157,48 @@
         """Returns the counts for a message to peers."""
         runs = {route: list(cell) for route, cell in self.runs.items()}
         times = {route: list(cell) for route, cell in self.times.items()}
-        slow = {SLOW_KEY + route: list(cell) for route, cell in self.slow.items()}
+        slow = {
+            f"{SLOW_KEY}{group} {route}": list(cell)
+            for (group, route), cell in self.slow.items()
+        }
         return [self.sent, self.sent_new, runs, times | slow]
 
     @classmethod
     def decode(cls, exported: Sequence[Any]) -> Counts:
         """Returns the counts that ``export`` put in a message."""
         sent, sent_new, runs, times = exported
-        slow = {
-            key.removeprefix(SLOW_KEY): [int(number) for number in cell]
-            for key, cell in times.items()
-            if key.startswith(SLOW_KEY)
-        }
-        timed = {k: cell for k, cell in times.items() if not k.startswith(SLOW_KEY)}
+        timed, slow = {}, {}
+        for key, cell in times.items():
+            if key.startswith(SLOW_KEY):
+                group, _, route = key.removeprefix(SLOW_KEY).partition(" ")
+                slow[group, route] = [int(number) for number in cell]
+            else:
+                timed[key] = cell
         return cls(sent, sent_new, runs, timed, slow)
 
 
 @attrs.define
 class _ChangeTest:
-    """CUSUM test (Page's test) on the rate of bad runs, of all routes or of one.
+    """CUSUM test (Page's test) on the rate of failed runs, of all routes or of one.
 
     Attributes:
-        increases: Increases of the rate that are tested for.
-        seen: The four counts at the last update.
+        seen: The four counts of ``Counts.runs`` at the last update.
         sums: Cumulative log likelihood ratio, by tested increase of the rate.
     """
 
-    increases: Sequence[float]
     seen: list[int] = attrs.field(factory=lambda: [0, 0, 0, 0])
     sums: dict[float, float] = attrs.field(factory=dict)
 
     def update(self, total: Sequence[int]) -> None:
-        """Adds the runs since the last update.
+        """Adds the runs since the last update, given four counts as in ``Counts.runs``.
 
-        The four counts are as in ``Counts.runs``, of failed or of slow runs. Runs of
-        the new version are tested against the rate of the old ones.
+        Runs of the new version are tested against the rate of the old ones.
         """
         # Columns: runs of old versions, bad ones, runs of the new version, bad ones.
         runs, bad = total[2] - self.seen[2], total[3] - self.seen[3]
         self.seen = list(total)
-        prior = BASE_BAD_RATE * PRIOR_RUNS
-        base = max(BASE_BAD_RATE, (total[1] + prior) / (total[0] + PRIOR_RUNS))
-        for increase in self.increases:
+        base = _base_rate(total[0], total[1])
+        for increase in FAILURE_INCREASES:
             if base + increase >= 1:
                 continue
             log_ratio = failure_ratio(runs, bad, base, base + increase)
@@ -193,6 +210,71 @@
         return max(self.sums.values(), default=0.0)
 
 
+@attrs.define
+class _SlownessTest:
+    """CUSUM test on the rate of slow runs, of all routes or of one.
+
+    Servers of one version differ in speed. A version is slow if most of its runs since
+    the sum was last zero are in groups of servers that are.
+
+    Attributes:
+        seen: Runs and slow ones by group at the last update.
+        since: Those at the time when the sum was last zero.
+        sum: Cumulative log likelihood ratio.
+        base: Estimated rate of slow runs of the old version.
+    """
+
+    seen: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    since: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    sum: float = 0.0
+    base: float = 1.0
+
+    def update(self, counts: Mapping[str, Sequence[int]]) -> None:
+        """Adds the runs since the last update, given runs and slow ones by group."""
+        self.base = _base_rate(*counts.get(OLD_GROUP, (0, 0)))
+        if self.base + SLOW_INCREASE >= 1:
+            return
+        new = {g: (c[0], c[1]) for g, c in counts.items() if g != OLD_GROUP}
+        runs = sum(c[0] for c in new.values()) - sum(c[0] for c in self.seen.values())
+        slow = sum(c[1] for c in new.values()) - sum(c[1] for c in self.seen.values())
+        self.seen = new
+        log_ratio = failure_ratio(runs, slow, self.base, self.base + SLOW_INCREASE)
+        self.sum = max(0.0, self.sum + log_ratio)
+        if not self.sum:
+            self.since = new
+
+    def alarms(self, threshold: float) -> bool:
+        """Returns whether the sum reaches a threshold and most groups are slow."""
+        return self.sum >= threshold and self._most_are_slow()
+
+    def _most_are_slow(self) -> bool:
+        """Returns whether several groups are slow, and most runs are in them."""
+        total = in_slow_groups = groups = slow_groups = 0
+        for group, (runs, slow) in self.seen.items():
+            runs_before, slow_before = self.since.get(group, (0, 0))
+            runs, slow = runs - runs_before, slow - slow_before
+            total += runs
+            groups += runs >= MIN_SLOW_RUNS
+            if slow >= MIN_SLOW_RUNS and slow > runs * (self.base + SLOW_INCREASE / 2):
+                slow_groups += 1
+                in_slow_groups += runs
+        return (
+            slow_groups >= min(SLOW_GROUPS, groups)
+            and in_slow_groups >= SLOW_GROUPS_SHARE * total
+        )
+
+
+def _base_rate(runs: int, bad: int) -> float:
+    """Returns the estimated rate of bad runs of the old version."""
+    prior = BASE_BAD_RATE * PRIOR_RUNS
+    return max(BASE_BAD_RATE, (bad + prior) / (runs + PRIOR_RUNS))
+
+
+def _group(server: BackendServer) -> str:
+    """Returns the group of a server of the new version."""
+    return str(zlib.crc32(server.id.encode()) % SERVER_GROUPS)
+
+
 @attrs.define
 class Rollout:
     """One order with the counts of all entries.
@@ -213,7 +295,8 @@
     lost_outcome: OrderState | None = None
     own: Counts = attrs.field(factory=Counts)
     others: dict[tuple[str, str], Counts] = attrs.field(factory=dict)
-    _tests: dict[tuple[str, str], _ChangeTest] = attrs.field(factory=dict)
+    _failure_tests: dict[str, _ChangeTest] = attrs.field(factory=dict)
+    _slowness_tests: dict[str, _SlownessTest] = attrs.field(factory=dict)
 
     @property
     def state(self) -> OrderState:
@@ -245,10 +328,10 @@
                 timed = total.times.setdefault(route, [0.0, 0])
                 timed[0] += time_sum
                 timed[1] += runs
-            for route, slow in counts.slow.items():
-                into = total.slow.setdefault(route, [0, 0])
-                for column, number in enumerate(slow):
-                    into[column] += number
+            for key, slow in counts.slow.items():
+                slow_total = total.slow.setdefault(key, [0, 0])
+                slow_total[0] += slow[0]
+                slow_total[1] += slow[1]
         return total
 
     def ends_at(self) -> float:
@@ -286,40 +369,48 @@
         if self.fault:
             return False
         total = self.totals()
-        slow = {}
-        for route, (old, _, new, _) in total.runs.items():
-            old_slow, new_slow = total.slow.get(route, (0, 0))
-            slow[route] = [old, old_slow, new, new_slow]
-        return self._assess_rate(
-            "failed", total.runs, FAILURE_INCREASES
-        ) or self._assess_rate("were slow", slow, SLOW_INCREASES)
-
-    def _assess_rate(
-        self, what: str, counts: dict[str, list[int]], increases: Sequence[float]
-    ) -> bool:
-        """Updates the tests of failed or of slow runs; returns whether one alarms.
-
-        Args:
-            what: What the bad runs did, for the reason.
-            counts: Four counts by route, as in ``_ChangeTest.update``.
-            increases: Increases of the rate that are tested for.
-        """
-        groups = {"": _sum_of(counts.values()), **counts}
-        # Failed and slow runs each have as many tests as there are groups.
+        groups = {"": _sum_of(total.runs.values()), **total.runs}
+        # Each group has a test of failures and one of slowness.
         threshold = math.log(2 * len(groups) / FALSE_ROLLBACK_RATE)
         for name, cell in groups.items():
-            test = self._tests.setdefault((what, name), _ChangeTest(increases))
+            test = self._failure_tests.setdefault(name, _ChangeTest())
             test.update(cell)
             if test.score >= threshold:
-                where = f" on route {name}" if name else ""
-                self.fault = (
-                    f"{cell[3]} of {cell[2]} runs {what}{where}, "
-                    f"with the old version {cell[1]} of {cell[0]}"
-                )
+                # Columns as in ``_ChangeTest.update``.
+                self.fault = _reason("failed", name, cell[2:], cell[:2])
+                return True
+            by_servers = _slow_by_servers(total.slow, name)
+            slowness = self._slowness_tests.setdefault(name, _SlownessTest())
+            slowness.update(by_servers)
+            if slowness.alarms(threshold):
+                old = by_servers.pop(OLD_GROUP, [0, 0])
+                new = [sum(column) for column in zip(*by_servers.values(), strict=True)]
+                self.fault = _reason("were slow", name, new, old)
                 return True
         return False
 
 
+def _slow_by_servers(
+    slow: Mapping[tuple[str, str], Sequence[int]], name: str
+) -> dict[str, list[int]]:
+    """Returns runs and slow ones of a route, or of all if empty, by servers' group."""
+    by_servers: dict[str, list[int]] = {}
+    for (group, route), (runs, slow_runs) in slow.items():
+        if name in {"", route}:
+            cell = by_servers.setdefault(group, [0, 0])
+            cell[0] += runs
+            cell[1] += slow_runs
+    return by_servers
+
+
+def _reason(what: str, name: str, new: Sequence[int], old: Sequence[int]) -> str:
+    where = f" on route {name}" if name else ""
+    return (
+        f"{new[1]} of {new[0]} runs {what}{where}, "
+        f"with the old version {old[1]} of {old[0]}"
+    )
+
+
 class Rollouts:
     """Roll-out orders of all services.
 
@@ -407,7 +498,8 @@
             return False
         new = server.version == rollout.order.version
         slow = took_s is not None and rollout.record_time(route, took_s, new=new)
-        rollout.own.add(route, new=new, failed=failed, slow=slow)
+        group = _group(server) if new else OLD_GROUP
+        rollout.own.add(route, group, new=new, failed=failed, slow=slow)
         return rollout.assess()
 
     def pending_writes(self, now: float) -> list[tuple[Order, OrderState, str]]:
