--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -324,7 +324,7 @@
             case Answered(response=response):
                 if response.status < 500:
                     health.succeeded()
-                    self._record_sound_parts()
+                    self.state.record_sound_parts(self.job)
                 elif not paused:
                     health.failed()
             case Broken():
@@ -355,9 +355,6 @@
         self.state.record_broken_run(self.job, placement.server)
         self.scheduler.eject(placement.server, broken.reason)
 
-    def _record_sound_parts(self) -> None:
-        self.state.poison_parts.record_sound(self.job.shared_parts, time.monotonic())
-
     def _relative_time(self) -> float:
         """Returns the run's time for the comparison of versions.
 
@@ -445,7 +442,7 @@
     async def on_stream_start(self, status: int, headers: Headers) -> None:
         """Forwards the head of a stream; a resumed stream keeps its first head."""
         self.run_begun = True
-        self._record_sound_parts()
+        self.state.record_sound_parts(self.job)
         if not self.responder.started:
             self.responder.start(status, headers)
             self.progress.begun = True
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -8,8 +8,8 @@
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.gateway import logs
-from cornelpin.gateway.exchange import MEMORY_SHARE, ResponseMemory
 from cornelpin.gateway.pool import ConnectionPool
+from cornelpin.gateway.response_memory import MEMORY_SHARE, ResponseMemory
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.client_retries import ClientRetries
 from cornelpin.scheduling.poison_parts import PoisonParts
@@ -198,6 +198,11 @@
                 f"{server_id}@{started_ms}", job.shared_parts, now
             )
 
+    def record_sound_parts(self, job: Job) -> None:
+        """Records that an answer to a request has begun."""
+        with self._logged_quarantine():
+            self.poison_parts.record_sound(job.shared_parts, time.monotonic())
+
     def merge_poison_parts(self, message: Mapping[str, Any]) -> None:
         """Merges what another entry's message says about parts that crash servers."""
         now = time.monotonic()
--- a/cornelpin/scheduling/poison_parts.py
+++ b/cornelpin/scheduling/poison_parts.py
@@ -36,6 +36,8 @@
 MAX_SOUND_PARTS = 20_000
 MAX_EXPORTED = 50
 """Quarantined parts in a message."""
+_NOTHING = frozenset({""})
+"""Parts that no request has."""
 
 
 @attrs.define
@@ -223,7 +225,3 @@
             self.quarantined[part] = self._suspects[part].companions
             for crashes in unexplained.values():
                 crashes -= explained
-
-
-_NOTHING = frozenset({""})
-"""Parts that no request has."""
--- a/cornelpin/scheduling/rollouts.py
+++ b/cornelpin/scheduling/rollouts.py
@@ -9,13 +9,17 @@
 
 import enum
 import math
-import zlib
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
-from cornelpin.core.canary_analysis import failure_ratio
 from cornelpin.core.revision import NO_REVISION, Revision
+from cornelpin.scheduling.rollout_analysis import (
+    OLD_GROUP,
+    FailureTest,
+    SlownessTest,
+    server_group,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -34,12 +38,6 @@
 whole traffic, so one that is several times slower may seem to be twice as slow."""
 MIN_TIMED_RUNS = 20
 """Timed runs of the old version on a route before its mean run time is used."""
-BASE_BAD_RATE = 0.05
-"""Share of failed and of slow runs expected of any version: runs on the slowest servers
-sometimes count as slow."""
-PRIOR_RUNS = 20
-"""Weight of ``BASE_BAD_RATE`` in the estimate of the old version's bad-run rate, in
-runs."""
 MIN_TIME_S = 0.05
 """Lower bound that the gateway applies to a run's duration before it calls
 ``Rollouts.record_end``, seconds: a busy entry or a new connection adds as much."""
@@ -49,31 +47,13 @@
 FALSE_ROLLBACK_RATE = 1e-4
 """Nominal rate of false alarms, by which a good version is rolled back, per run of the
 new version. It is divided among the groups of runs that are tested."""
-FAILURE_INCREASES = (0.15, 0.4)
-"""Increases of the rate of failed runs that are tested for: a fault on one of several
-routes, and one on all."""
-SLOW_INCREASE = 0.3
-"""Increase of the rate of slow runs that is tested for."""
-SERVER_GROUPS = 8
-"""Number of groups into which the servers of the new version are divided, so that one
-slow server is not taken for a slow version. Counts by group stay few in a large
-fleet."""
-MIN_SLOW_RUNS = 2
-"""Fewest slow runs with which a group counts as slow."""
-SLOW_GROUPS = 2
-"""Fewest slow groups of a slow version, if so many have runs."""
-SLOW_GROUPS_SHARE = 0.5
-"""Share of the runs of the new version in groups that are slow, from which the version
-is: several of its servers, not those that happen to be the slowest."""
-OLD_GROUP = "old"
-"""Name of the group of all servers of old versions."""
 SLOW_KEY = "\tslow "
 """Prefix under which messages carry the counts of slow runs among the times, where
 entries of earlier builds ignore them."""
 MIN_RUNS = 20
-"""Fewest runs of the new version for it to be declared good. If its bad-run rate has
-risen by 0.15 from ``BASE_BAD_RATE``, at least two of them are bad with a probability of
-0.9, although two bad runs alone do not cause a rollback."""
+"""Fewest runs of the new version for it to be declared good. If its failure rate has
+risen by 0.15 from ``rollout_analysis.BASE_BAD_RATE``, at least two of them have failed
+with a probability of 0.9, although two failures alone do not cause a rollback."""
 SWITCH_S = 2.5
 """All new requests go to the new version for this time before the outcome of the order
 is written, seconds, so that most runs on old servers have ended when these servers are
@@ -177,104 +157,6 @@
         return cls(sent, sent_new, runs, timed, slow)
 
 
-@attrs.define
-class _ChangeTest:
-    """CUSUM test (Page's test) on the rate of failed runs, of all routes or of one.
-
-    Attributes:
-        seen: The four counts of ``Counts.runs`` at the last update.
-        sums: Cumulative log likelihood ratio, by tested increase of the rate.
-    """
-
-    seen: list[int] = attrs.field(factory=lambda: [0, 0, 0, 0])
-    sums: dict[float, float] = attrs.field(factory=dict)
-
-    def update(self, total: Sequence[int]) -> None:
-        """Adds the runs since the last update, given four counts as in ``Counts.runs``.
-
-        Runs of the new version are tested against the rate of the old ones.
-        """
-        # Columns: runs of old versions, bad ones, runs of the new version, bad ones.
-        runs, bad = total[2] - self.seen[2], total[3] - self.seen[3]
-        self.seen = list(total)
-        base = _base_rate(total[0], total[1])
-        for increase in FAILURE_INCREASES:
-            if base + increase >= 1:
-                continue
-            log_ratio = failure_ratio(runs, bad, base, base + increase)
-            self.sums[increase] = max(0.0, self.sums.get(increase, 0.0) + log_ratio)
-
-    @property
-    def score(self) -> float:
-        """Largest cumulative log likelihood ratio."""
-        return max(self.sums.values(), default=0.0)
-
-
-@attrs.define
-class _SlownessTest:
-    """CUSUM test on the rate of slow runs, of all routes or of one.
-
-    Servers of one version differ in speed. A version is slow if most of its runs since
-    the sum was last zero are in groups of servers that are.
-
-    Attributes:
-        seen: Runs and slow ones by group at the last update.
-        since: Those at the time when the sum was last zero.
-        sum: Cumulative log likelihood ratio.
-        base: Estimated rate of slow runs of the old version.
-    """
-
-    seen: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    since: dict[str, tuple[int, int]] = attrs.field(factory=dict)
-    sum: float = 0.0
-    base: float = 1.0
-
-    def update(self, counts: Mapping[str, Sequence[int]]) -> None:
-        """Adds the runs since the last update, given runs and slow ones by group."""
-        self.base = _base_rate(*counts.get(OLD_GROUP, (0, 0)))
-        if self.base + SLOW_INCREASE >= 1:
-            return
-        new = {g: (c[0], c[1]) for g, c in counts.items() if g != OLD_GROUP}
-        runs = sum(c[0] for c in new.values()) - sum(c[0] for c in self.seen.values())
-        slow = sum(c[1] for c in new.values()) - sum(c[1] for c in self.seen.values())
-        self.seen = new
-        log_ratio = failure_ratio(runs, slow, self.base, self.base + SLOW_INCREASE)
-        self.sum = max(0.0, self.sum + log_ratio)
-        if not self.sum:
-            self.since = new
-
-    def alarms(self, threshold: float) -> bool:
-        """Returns whether the sum reaches a threshold and most groups are slow."""
-        return self.sum >= threshold and self._most_are_slow()
-
-    def _most_are_slow(self) -> bool:
-        """Returns whether several groups are slow, and most runs are in them."""
-        total = in_slow_groups = groups = slow_groups = 0
-        for group, (runs, slow) in self.seen.items():
-            runs_before, slow_before = self.since.get(group, (0, 0))
-            runs, slow = runs - runs_before, slow - slow_before
-            total += runs
-            groups += runs >= MIN_SLOW_RUNS
-            if slow >= MIN_SLOW_RUNS and slow > runs * (self.base + SLOW_INCREASE / 2):
-                slow_groups += 1
-                in_slow_groups += runs
-        return (
-            slow_groups >= min(SLOW_GROUPS, groups)
-            and in_slow_groups >= SLOW_GROUPS_SHARE * total
-        )
-
-
-def _base_rate(runs: int, bad: int) -> float:
-    """Returns the estimated rate of bad runs of the old version."""
-    prior = BASE_BAD_RATE * PRIOR_RUNS
-    return max(BASE_BAD_RATE, (bad + prior) / (runs + PRIOR_RUNS))
-
-
-def _group(server: BackendServer) -> str:
-    """Returns the group of a server of the new version."""
-    return str(zlib.crc32(server.id.encode()) % SERVER_GROUPS)
-
-
 @attrs.define
 class Rollout:
     """One order with the counts of all entries.
@@ -295,8 +177,8 @@
     lost_outcome: OrderState | None = None
     own: Counts = attrs.field(factory=Counts)
     others: dict[tuple[str, str], Counts] = attrs.field(factory=dict)
-    _failure_tests: dict[str, _ChangeTest] = attrs.field(factory=dict)
-    _slowness_tests: dict[str, _SlownessTest] = attrs.field(factory=dict)
+    _failure_tests: dict[str, FailureTest] = attrs.field(factory=dict)
+    _slowness_tests: dict[str, SlownessTest] = attrs.field(factory=dict)
 
     @property
     def state(self) -> OrderState:
@@ -373,14 +255,14 @@
         # Each group has a test of failures and one of slowness.
         threshold = math.log(2 * len(groups) / FALSE_ROLLBACK_RATE)
         for name, cell in groups.items():
-            test = self._failure_tests.setdefault(name, _ChangeTest())
+            test = self._failure_tests.setdefault(name, FailureTest())
             test.update(cell)
             if test.score >= threshold:
-                # Columns as in ``_ChangeTest.update``.
+                # Columns as in ``FailureTest.update``.
                 self.fault = _reason("failed", name, cell[2:], cell[:2])
                 return True
             by_servers = _slow_by_servers(total.slow, name)
-            slowness = self._slowness_tests.setdefault(name, _SlownessTest())
+            slowness = self._slowness_tests.setdefault(name, SlownessTest())
             slowness.update(by_servers)
             if slowness.alarms(threshold):
                 old = by_servers.pop(OLD_GROUP, [0, 0])
@@ -498,7 +380,7 @@
             return False
         new = server.version == rollout.order.version
         slow = took_s is not None and rollout.record_time(route, took_s, new=new)
-        group = _group(server) if new else OLD_GROUP
+        group = server_group(server) if new else OLD_GROUP
         rollout.own.add(route, group, new=new, failed=failed, slow=slow)
         return rollout.assess()
 
--- a/cornelpin/tests/test_endless_responses.py
+++ b/cornelpin/tests/test_endless_responses.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cornelpin.gateway.exchange import ResponseMemory
+from cornelpin.gateway.response_memory import ResponseMemory
 from cornelpin.platform import Store, StoreUnavailable
 from cornelpin.tests.fleet_client import fetch
 from cornelpin.tests.gateway_harness import run_harness
