Rank the watchers only when a peer is ahead

Cause: reading the diff; asked every 50 ms for each kind whether this entry watches, which takes time in proportion to the entries.

--- a/cornelpin/gateway/catch_up.py
+++ b/cornelpin/gateway/catch_up.py
@@ -92,23 +92,30 @@
                 cache.confirm(
                     max((p.store_seen_at.get(kind, 0.0) for p in live), default=0.0)
                 )
-            if self._overdue(kind, ahead, now, own_watch=self._watches(kind)):
+            if self._overdue(kind, ahead, now):
                 return ahead
         # A peer has another configuration in force than its store objects for a moment
         # after each change, and for longer if this entry started while a restored store
         # held an older one.
         version = self._version_in_force()
         ahead = [p for p in live if p.revision(IN_FORCE).number > version]
-        return ahead if self._overdue(IN_FORCE, ahead, now, own_watch=True) else []
+        return ahead if self._overdue(IN_FORCE, ahead, now) else []
 
-    def _overdue(
-        self, name: str, ahead: list[Peer], now: float, *, own_watch: bool
-    ) -> bool:
+    def _overdue(self, name: str, ahead: list[Peer], now: float) -> bool:
+        """Returns whether peers are ahead and this entry should not wait any longer.
+
+        Args:
+            name: Kind of the objects, or IN_FORCE.
+            ahead: The peers that are ahead.
+            now: Monotonic time in seconds.
+        """
         if not ahead:
             self._behind_since.pop(name, None)
             return False
         since = self._behind_since.setdefault(name, now)
-        return not own_watch or now - since >= WATCH_LAG_S
+        if now - since >= WATCH_LAG_S:
+            return True
+        return name != IN_FORCE and not self._watches(name)
 
     def _select(self, ahead: list[Peer], now: float) -> Peer:
         """Returns one of the peers with wide links, at random to spread the load."""
