Write roll-out states beside the ticks

A tick awaited the calls that write the states of roll-outs. With an order and a silent store each tick took a call's time-out of 1 s: requests were reviewed and heartbeats sent that late, and the other entries counted an entry as dead after 1.5 s. In test_silent_store_delays_no_message_between_entries the longest silence between two idle entries was 1.46 s, where a heartbeat is due every 0.4 s; it is below 0.8 s now. The states are written by a task of their own.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -150,6 +150,7 @@
         for task in self._view.tasks():
             self._start(task)
         self._start(self._tick())
+        self._start(self._write_statuses())
         self._start(self._housekeeping())
         self._start(self._keep_registered())
         await self._stop.wait()
@@ -310,6 +311,10 @@
             await self.scheduler.recover()
             self.scheduler.tick()
             self.peers.tick()
+
+    async def _write_statuses(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
             await self.rollout_controller.write_statuses()
 
     async def _housekeeping(self) -> None:
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -30,8 +30,8 @@
 TICK_S = 0.05
 """Interval at which queued requests are dispatched and refused even if nothing changes.
 A request is refused at most this long after the time at which it can no longer be
-served, unless a store call delays the tick or the process pauses (``ReviewGate``). The
-interval is a tenth of the shortest latency objective."""
+served, unless the process pauses (``ReviewGate``). The interval is a tenth of the
+shortest latency objective."""
 
 
 class Scheduler:
--- a/cornelpin/tests/test_rollouts.py
+++ b/cornelpin/tests/test_rollouts.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import random
+import time
 from typing import TYPE_CHECKING
 
 import attrs
 import pytest
 
 from cornelpin.core.revision import Revision
+from cornelpin.gateway.peers import HEARTBEAT_INTERVAL_S
 from cornelpin.scheduling.rollouts import (
     MIN_RUNS,
     STATE_MARGIN_S,
@@ -24,6 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cornelpin.gateway.app import Entry
+
 SHARE, EXTRA = 0.1, 50
 """A bad version may receive this share of all requests and as many requests more."""
 ORDER = Order("app", "v2", duration_s=12.0)
@@ -258,6 +262,40 @@
     asyncio.run(scenario())
 
 
+def test_silent_store_delays_no_message_between_entries() -> None:
+    """Guards against a call of the store that holds up the ticks of an entry.
+
+    An order whose state is to be written is known when the store goes silent. The
+    entries are idle, so that each sends a heartbeat every ``HEARTBEAT_INTERVAL_S``.
+    """
+    longest = [0.0, 0.0]
+
+    def measure(entry: Entry, now: float) -> float:
+        (peer,) = entry.peers.live_peers().values()
+        return now - peer.received_at
+
+    async def scenario() -> None:
+        async with run_harness(entries=2, servers=2) as harness:
+            entries = harness.entries
+            await until(lambda: all(e.peers.live_peers() for e in entries))
+            spec = {"service": "app", "target": "v2", "duration_s": 1}
+            harness.store.put("rollouts", "app", spec)
+            await until(lambda: bool(harness.store.status("rollouts", "app")))
+            harness.store.go_silent()
+            loop = asyncio.get_running_loop()
+            ends_at = loop.time() + 4.0
+            while loop.time() < ends_at:
+                now = time.monotonic()
+                longest[:] = [
+                    max(old, measure(entry, now))
+                    for old, entry in zip(longest, entries, strict=True)
+                ]
+                await asyncio.sleep(0.02)
+
+    asyncio.run(scenario())
+    assert max(longest) < 2 * HEARTBEAT_INTERVAL_S
+
+
 def test_malformed_order_is_logged_and_ignored() -> None:
     async def scenario() -> None:
         async with run_harness(entries=1) as harness:
