Delay only connections to servers in a test of a leaving server

The test patches HttpConnection.open, which opens the store's connections, too. On a busy machine the store's connection came first: next() found no server, a task of the entry failed, and the request ended with 504 (once of about 20 runs beside eight busy processes; task.failed in its log). In another run the entry had not heard of the departure in the fixed 0.3 s. The test now delays connections to servers alone, until the entry knows that the server leaves.

--- a/cornelpin/tests/test_server_notices.py
+++ b/cornelpin/tests/test_server_notices.py
@@ -27,6 +27,11 @@
     return entry.scheduler.dispatcher.health(servers[server_id])
 
 
+def is_known_to_leave(entry: Entry, server_id: str) -> bool:
+    servers = entry.state.servers.all(asyncio.get_running_loop().time())
+    return server_id not in servers or servers[server_id].leaving
+
+
 async def ask(entry: Entry, times: int, path: str = "/safe/x") -> list[int]:
     return [(await fetch(caller_address(entry), path)).status for _ in range(times)]
 
@@ -87,16 +92,16 @@
             entry = harness.entries[0]
             opened = HttpConnection.open
             left: list[FleetServer] = []
+            # The store's connections are opened in the same way.
+            addresses = {s.server.address: s for s in harness.servers}
 
             async def open_slowly(address: tuple[str, int]) -> HttpConnection:
-                if not left:
-                    server = next(
-                        s for s in harness.servers if s.server.address == address
-                    )
+                server = addresses.get(address)
+                if server is not None and not left:
                     left.append(server)
                     spec = server.store_spec("draining")
                     harness.store.put("servers", server.id, spec)
-                    await asyncio.sleep(0.3)
+                    await until(lambda: is_known_to_leave(entry, server.id))
                 return await opened(address)
 
             monkeypatch.setattr(HttpConnection, "open", open_slowly)
