Deliver a response that arrived while the process was paused

A host that freezes wakes with responses in its sockets and time-outs in the past. The event loop reads the data and then runs the timer in one step, which cancels the wait for the data: the response was dropped and the request sent again. In both rows of test_process_pauses.py, a pause of 2.3 s and a response or event after 0.1 s, the server had two runs; it has one now, because a wait that times out looks first at what has been received.

--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -250,6 +250,10 @@
             async with asyncio.timeout(limit_s):
                 return await conn.next_event()
         except TimeoutError as exc:
+            # After a pause of the process, the part may have arrived in time.
+            part = conn.next_received_event()
+            if part is not None:
+                return part
             raise ConnectionBroken(f"silent for {limit_s:.1f} s") from exc
 
     async def _read_head(self) -> tuple[h11.Response, ResponseInfo]:
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -149,14 +149,21 @@
         Raises:
             ConnectionBroken: If the connection ended first or violated HTTP.
         """
-        while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise ConnectionBroken(f"not HTTP: {exc}") from exc
-            if event is not h11.NEED_DATA:
-                return event
+        while (event := self.next_received_event()) is None:
             await self._wait_for_data()
+        return event
+
+    def next_received_event(self) -> Event | None:
+        """Returns the next part of the response, or None if it has not arrived yet.
+
+        Raises:
+            ConnectionBroken: If the response violated HTTP.
+        """
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise ConnectionBroken(f"not HTTP: {exc}") from exc
+        return None if event is h11.NEED_DATA else event
 
     async def _wait_for_data(self) -> None:
         if self._error is not None:
