Show quarantined parts and failed copies in explain

A request that is rejected because of a part of its prompt has no server, so the trace held no line on the quarantine; nor was a failed copy of the store's state shown.

--- a/cornelpin/gateway/request_trace.py
+++ b/cornelpin/gateway/request_trace.py
@@ -14,7 +14,11 @@
 """Time before and after a request within which events of its servers are included,
 in seconds."""
 STORE_EVENTS = {"store.lost", "store.regained", "store.copied", "store.history_lost"}
+COPY_EVENTS = {"store.copied", "store.copy_failed"}
+PART_EVENTS = {"part.quarantined", "part.released"}
 PROCESS_EVENTS = {"entry.started", "entry.stopping", "entry.stopped"}
+STATE_EVENTS = STORE_EVENTS | PART_EVENTS | PROCESS_EVENTS | {"config.in_force"}
+"""Events that tell the state of an entry, until the next one of the same kind."""
 
 
 def parse_lines(lines: Iterable[str]) -> Iterator[LogLine]:
@@ -39,7 +43,9 @@
     * events of the servers it was sent to, from ``SERVER_EVENT_MARGIN_S`` before the
       request to as long after it;
     * the last line before the end of the request about the configuration, about each
-      kind of store objects and about the process.
+      kind of store objects and about the process;
+    * a failed copy from another entry, if no copy has succeeded since;
+    * the parts of prompts that are quarantined at the end of the request.
 
     Args:
         lines: Log lines of all entries.
@@ -65,9 +71,16 @@
             chosen.append(line)
         elif line["at"] > ended:
             continue
-        elif event in STORE_EVENTS | PROCESS_EVENTS or event == "config.in_force":
+        elif event in STATE_EVENTS:
             last[_state_key(line)] = line
-    chosen += last.values()
+        if event in COPY_EVENTS:
+            last["copy"] = line
+    chosen += [
+        line
+        for key, line in last.items()
+        if line["event"] != "part.released"
+        and (key != "copy" or line["event"] == "store.copy_failed")
+    ]
     return sorted(chosen, key=lambda line: line["at"])
 
 
@@ -82,6 +95,8 @@
     event = line["event"]
     if event in STORE_EVENTS:
         return f"store {line.get('kind')}"
+    if event in PART_EVENTS:
+        return f"part {line.get('part')}"
     return "process" if event in PROCESS_EVENTS else event
 
 
--- a/cornelpin/tests/test_explain.py
+++ b/cornelpin/tests/test_explain.py
@@ -36,6 +36,53 @@
     assert trace_request(LINES, "none") == []
 
 
+def part_line(at: float, event: str, part: str, host: str = "a") -> dict[str, object]:
+    return {"at": at, "host": host, "event": event, "part": part}
+
+
+STATES = [
+    # Lines besides those of the request, which ends at 5.0, and those of them shown.
+    ("quarantined part", [part_line(3.5, "part.quarantined", "p")], [3.5]),
+    (
+        "released part",
+        [part_line(3.5, "part.quarantined", "p"), part_line(3.6, "part.released", "p")],
+        [],
+    ),
+    (
+        "two parts",
+        [part_line(3.5, "part.quarantined", "p"), part_line(3.6, "part.released", "q")],
+        [3.5],
+    ),
+    ("part quarantined later", [part_line(5.5, "part.quarantined", "p")], []),
+    ("part at another entry", [part_line(3.5, "part.quarantined", "p", "b")], []),
+    ("failed copy", [{"at": 3.5, "host": "a", "event": "store.copy_failed"}], [3.5]),
+    (
+        "copy after a failed one",
+        [
+            {"at": 3.5, "host": "a", "event": "store.copy_failed"},
+            {"at": 3.6, "host": "a", "event": "store.copied", "kind": "servers"},
+        ],
+        [3.6],
+    ),
+    (
+        "crash of its server",
+        [{"at": 4.6, "host": "a", "event": "server.disconnected", "server": "i-1"}],
+        [4.6],
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("lines", "shown"), [row[1:] for row in STATES], ids=[row[0] for row in STATES]
+)
+def test_trace_holds_quarantines_and_failed_copies(
+    lines: list[dict[str, object]], shown: list[float]
+) -> None:
+    plain = {line["at"] for line in trace_request(LINES, "r1")}
+    traced = {line["at"] for line in trace_request([*LINES, *lines], "r1")}
+    assert sorted(traced - plain) == shown
+
+
 @pytest.mark.parametrize("prefix", ["", "  12.5 front-a-1 ", "Dec 4 host app[1]: "])
 def test_lines_are_found_after_a_collector_prefix(prefix: str) -> None:
     texts = ["noise", "{broken", "[1]", *(prefix + json.dumps(x) for x in LINES)]
