--- a/cornelpin/gateway/snapshots.py
+++ b/cornelpin/gateway/snapshots.py
@@ -33,7 +33,7 @@
 READ_BYTES = 65_536
 """Most bytes read at once."""
 COMPRESSION_LEVEL = 1
-"""Fastest level of zlib; a configuration of many routes shrinks to a tenth."""
+"""Fastest level of zlib; a configuration of many routes shrinks to a sixth."""
 KINDS = "kinds"
 """Field of a response with the changed kinds; whole snapshots do not have it."""
 LENGTH = struct.Struct(">I")
