Serve requests that meet an unconfirmed copy of the server list

The log of the restarted entry shows OverflowError in servers_age_ms: its first list was a copy from another entry, which the store had not confirmed yet, so that its age was infinite; writing the log line of the placement raised, the connection ended and the slot was not given back. The age is None then. test_request_meets_a_copy_that_has_not_been_confirmed fails on the code before.

--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -126,9 +127,15 @@
         """Returns the number of live entries, among which retry budgets are divided."""
         return self.fleet_view().heard
 
-    def servers_age_ms(self) -> int:
-        """Returns the milliseconds since the server list was known to be current."""
-        return round(1e3 * (time.monotonic() - self.get_servers_confirmed_at()))
+    def servers_age_ms(self) -> int | None:
+        """Returns the milliseconds since the server list was known to be current.
+
+        None if it is a copy from another entry that has not been confirmed yet.
+        """
+        confirmed_at = self.get_servers_confirmed_at()
+        if math.isinf(confirmed_at):
+            return None
+        return round(1e3 * (time.monotonic() - confirmed_at))
 
     def budget(self, service: str) -> RetryBudget:
         """Returns the retry budget of a service."""
--- a/cornelpin/tests/test_store_transfers.py
+++ b/cornelpin/tests/test_store_transfers.py
@@ -20,6 +20,7 @@
 )
 from cornelpin.gateway.watcher_selection import watch_wait_s
 from cornelpin.platform import Store
+from cornelpin.tests.fleet_client import fetch
 from cornelpin.tests.gateway_harness import Harness, config, route, run_harness, until
 from standins.fleet.store import FleetStore
 from standins.slow_link import SlowLink
@@ -220,3 +221,22 @@
             silent.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("servers", "status"), [(1, 200), (0, 503)])
+def test_request_meets_a_copy_that_has_not_been_confirmed(
+    servers: int, status: int
+) -> None:
+    """Guards against requests lost by an entry that starts.
+
+    Its first list of servers is a copy from another entry, whose age is not known.
+    """
+
+    async def scenario() -> None:
+        async with run_harness(servers=servers) as harness:
+            (entry,) = harness.entries
+            entry.state.get_servers_confirmed_at = lambda: float("-inf")
+            response = await fetch(entry._settings.callers, "/safe/x")
+            assert response.status == status
+
+    asyncio.run(scenario())
