--- a/benchmarks/scenario_measures.py
+++ b/benchmarks/scenario_measures.py
@@ -80,7 +80,11 @@
 def _lagging_processes(run: Run, arguments: Mapping[str, Any]) -> float:
     status = run.testbed.call_any_entry("GET", "/admin/v1/config/status").body
     number = status["number"]
-    return sum(process["number"] < number for process in status["processes"])
+    # The number of an unreachable process is None.
+    return sum(
+        process["number"] is None or process["number"] < number
+        for process in status["processes"]
+    )
 
 
 @measure("ready_entries")
