--- a/cornelpin/gateway/request_trace.py
+++ b/cornelpin/gateway/request_trace.py
@@ -15,6 +15,8 @@
 in seconds."""
 STORE_EVENTS = {"store.lost", "store.regained", "store.copied", "store.history_lost"}
 COPY_EVENTS = {"store.copied", "store.copy_failed"}
+COPY_KEY = "copy"
+"""Key of the last copy of any kind; a failed one has no kind."""
 PART_EVENTS = {"part.quarantined", "part.released"}
 PROCESS_EVENTS = {"entry.started", "entry.stopping", "entry.stopped"}
 STATE_EVENTS = STORE_EVENTS | PART_EVENTS | PROCESS_EVENTS | {"config.in_force"}
@@ -74,13 +76,8 @@
         elif event in STATE_EVENTS:
             last[_state_key(line)] = line
         if event in COPY_EVENTS:
-            last["copy"] = line
-    chosen += [
-        line
-        for key, line in last.items()
-        if line["event"] != "part.released"
-        and (key != "copy" or line["event"] == "store.copy_failed")
-    ]
+            last[COPY_KEY] = line
+    chosen += [line for key, line in last.items() if _is_of_interest(key, line)]
     return sorted(chosen, key=lambda line: line["at"])
 
 
@@ -100,6 +97,13 @@
     return "process" if event in PROCESS_EVENTS else event
 
 
+def _is_of_interest(key: str, line: LogLine) -> bool:
+    """Returns whether a trace shows the last line about a part of the state."""
+    if key == COPY_KEY:
+        return line["event"] == "store.copy_failed"
+    return line["event"] != "part.released"
+
+
 def format_line(line: LogLine) -> str:
     """Returns a log line as readable text."""
     fields = {
--- a/cornelpin/tests/test_process_pauses.py
+++ b/cornelpin/tests/test_process_pauses.py
@@ -29,8 +29,8 @@
 
     Attributes:
         runs: Number of requests received.
-        started: Whether the first part of a response, if streamed, or else a request
-            has been handled.
+        started: Set when a request has been received and the first part of a streamed
+            response sent.
     """
 
     def __init__(self, *, stream: bool) -> None:
