Log limits that servers name in their responses

The header Server-Limit is decoded and observed; nothing is decided by it yet. Metrics: cornelpin_limited_servers, cornelpin_bad_limits_total.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -343,6 +343,11 @@
             "Quarantined parts of prompts",
             lambda: len(self.state.poison_parts.quarantined),
         )
+        self.state.metrics.gauge(
+            "limited_servers",
+            "Servers that name a limit",
+            lambda: self.state.limits.limited,
+        )
         self.state.metrics.gauge(
             "connections_opened",
             "Connections to servers",
@@ -356,6 +361,7 @@
             alive = {server.incarnation for server in servers}
             self.state.pool.sweep(alive)
             self.scheduler.dispatcher.forget(alive, now)
+            self.state.limits.forget(alive, now)
             self.state.expire_poison_parts()
 
     def _reload_if_changed(self) -> None:
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -284,13 +284,16 @@
         ) and not self.state.quarantine_reason(self.job, now)
 
     def on_response_head(self, info: ResponseInfo) -> None:
-        """Takes note of a server that leaves, or wants a pause from this host."""
+        """Takes note of a server that leaves, wants a pause, or names a limit."""
         assert self.placement is not None
         server = self.placement.server
         if info.leaving:
             self.state.mark_leaving(server)
         if info.pause_s is not None or info.bad_pause:
             self.scheduler.pause(server, info.pause_s, info.bad_pause)
+        # A surplus response may be an old one.
+        if info.request_id in {self.job.request_id, ""}:
+            self.state.observe_limit(server, info, self.sent_at)
 
     def _idle_timeouts(self, placement: Placement) -> IdleTimeouts | None:
         """Returns the time-outs of a send, or None if it has only its deadline."""
--- a/cornelpin/gateway/metrics.py
+++ b/cornelpin/gateway/metrics.py
@@ -33,6 +33,7 @@
             are left out.
         forecast_error: The measured wait of the same requests minus the forecast one.
         rejections: Responses made by the entry itself instead of a server.
+        bad_limits: Responses whose ``Server-Limit`` is not one valid number.
         sends: Requests sent to servers; the outcome is a class name of
             cornelpin.gateway.exchange.
     """
@@ -78,6 +79,11 @@
             ["status", "reason"],
             registry=self.registry,
         )
+        self.bad_limits = Counter(
+            "cornelpin_bad_limits",
+            "Responses with an invalid limit",
+            registry=self.registry,
+        )
         self.sends = Counter(
             "cornelpin_sends",
             "Sends to servers, by what came of them",
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.gateway import logs
+from cornelpin.gateway.limit_log import LimitLog
 from cornelpin.gateway.pool import ConnectionPool
 from cornelpin.gateway.response_memory import MEMORY_SHARE, ResponseMemory
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
@@ -17,13 +18,14 @@
 from cornelpin.scheduling.poison_requests import PoisonDetector
 from cornelpin.scheduling.quota import FleetView, Quotas, QuotaTolerance
 from cornelpin.scheduling.rollouts import Rollouts
+from cornelpin.scheduling.server_limits import ServerLimits
 from cornelpin.scheduling.servers import ServerList
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from cornelpin.gateway.metrics import Metrics
-    from cornelpin.platform import HostSettings
+    from cornelpin.platform import HostSettings, ResponseInfo
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.routing import RoutingConfig, Workspace
     from cornelpin.scheduling.servers import BackendServer
@@ -81,6 +83,8 @@
         )
         self.poison_detector = PoisonDetector()
         self.poison_parts = PoisonParts()
+        self.limits = ServerLimits()
+        self._limit_log = LimitLog()
         self.metrics: Metrics | None = None
         self.servers_listed = False
         self.get_servers_confirmed_at: Callable[[], float] = lambda: 0.0
@@ -170,6 +174,31 @@
             logs.event("server.leaving", server=incarnation[0], source=source)
         return new
 
+    def observe_limit(
+        self, server: BackendServer, info: ResponseInfo, sent_at: float
+    ) -> None:
+        """Records what a response says about its server's limit, and logs a change.
+
+        Args:
+            server: The server.
+            info: Decoded headers of the response.
+            sent_at: Monotonic time at which the request was sent.
+        """
+        now = time.monotonic()
+        if info.bad_limit:
+            self._limit_log.invalid(server.id, info.bad_limit, now)
+            if self.metrics is not None:
+                self.metrics.bad_limits.inc()
+            if info.limit_per_s is None:
+                return
+        before = self.limits.limit_per_s(server)
+        if self.limits.observe(
+            server.incarnation, info.limit_per_s, sent_at=sent_at, now=now
+        ):
+            self._limit_log.changed(
+                server.id, before, info.limit_per_s, source="its response", now=now
+            )
+
     def take_unsent_leaving(self) -> list[tuple[str, int]]:
         """Returns and clears the leaving servers not yet sent to peers."""
         unsent, self._unsent_leaving = self._unsent_leaving, []
--- a/cornelpin/platform/_headers.py
+++ b/cornelpin/platform/_headers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Iterable, Sequence
 
 import attrs
@@ -40,6 +41,8 @@
 RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
 """Header of a response of a server that leaves and wants no further requests."""
+SERVER_LIMIT = b"server-limit"
+"""Header with the requests per second that a server takes from all hosts together."""
 
 PROTECTED_HEADERS = {b"model", TOKEN_USAGE, PROMPT_PREFIX, REQUEST_ID}
 """Headers that are forwarded even if a client names them in ``Connection``."""
@@ -80,6 +83,9 @@
 UNAVAILABLE = 503
 MAX_PAUSE_S = 300.0
 """Bound on the pause that a server may ask for; no value over it is plausible."""
+MAX_LIMIT_PER_S = 1e6
+"""Bound on the limit that a server may name; no value over it is plausible."""
+DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}", re.ASCII)
 MS = 1e-3
 """Seconds per millisecond."""
 MAX_DEADLINE_S = 86_400.0
@@ -135,6 +141,9 @@
         pause_s: Seconds for which it wants no requests from this host; None if it asks
             for no pause.
         bad_pause: A value in place of ``pause_s`` that is not a valid one.
+        limit_per_s: Requests per second that the server takes from all hosts together;
+            None if it names no valid limit.
+        bad_limit: Values in place of ``limit_per_s`` that are not a single valid one.
     """
 
     request_id: str
@@ -147,6 +156,8 @@
     leaving: bool = False
     pause_s: float | None = None
     bad_pause: str = ""
+    limit_per_s: float | None = None
+    bad_limit: str = ""
 
 
 def read_request(headers: Headers) -> RequestInfo:
@@ -173,6 +184,7 @@
     pause_s, bad_pause = None, ""
     if status == UNAVAILABLE and RETRY_AFTER in fields:
         pause_s, bad_pause = _pause_s(_text(fields[RETRY_AFTER]))
+    limit_per_s, bad_limit = _limit_per_s(headers)
     return ResponseInfo(
         request_id=_text(fields.get(REQUEST_ID, b"")),
         sealed=SEAL in fields,
@@ -184,9 +196,30 @@
         leaving=fields.get(SERVER_LEAVING) == b"1",
         pause_s=pause_s,
         bad_pause=bad_pause,
+        limit_per_s=limit_per_s,
+        bad_limit=bad_limit,
     )
 
 
+def _limit_per_s(headers: Headers) -> tuple[float | None, str]:
+    """Returns a server's limit, and what it named if that is not one valid value.
+
+    Of several valid values the smallest holds. A value over the bound is cut to it.
+    """
+    named = [_text(value).strip() for n, value in headers if n.lower() == SERVER_LIMIT]
+    if not named:
+        return None, ""
+    text = ",".join(named)
+    values = [float(v) for v in map(str.strip, text.split(",")) if DECIMAL.fullmatch(v)]
+    limit_per_s = min(values, default=None)
+    if limit_per_s is None:
+        return None, text or "empty"
+    valid = len(values) == 1 and DECIMAL.fullmatch(text) is not None
+    if limit_per_s > MAX_LIMIT_PER_S:
+        return MAX_LIMIT_PER_S, text
+    return limit_per_s, "" if valid else text
+
+
 def _pause_s(text: str) -> tuple[float | None, str]:
     """Returns a server's Retry-After in seconds, and the text if it is not valid.
 
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -39,6 +39,7 @@
         status: Status of plain responses.
         leaving: Whether all responses say that the server leaves.
         pause: Retry-After of a ``full`` server; none if empty.
+        limits: Values of ``Server-Limit`` in all responses, by turns.
         crash_part: Shared part of a prompt at whose first event the server crashes: it
             resets all connections and becomes another incarnation. None if empty.
     """
@@ -50,6 +51,7 @@
     status: int = 200
     leaving: bool = False
     pause: str = ""
+    limits: tuple[str, ...] = ()
     crash_part: str = ""
 
 
@@ -215,7 +217,11 @@
             self.running -= 1
 
     def _state_headers(self) -> dict[str, str]:
-        return {"Server-Leaving": "1"} if self.behaviour.leaving else {}
+        headers = {"Server-Leaving": "1"} if self.behaviour.leaving else {}
+        limits = self.behaviour.limits
+        if limits:
+            headers["Server-Limit"] = limits[len(self.arrivals) % len(limits)]
+        return headers
 
     async def _run(
         self, req: RawRequest, request_id: str, writer: asyncio.StreamWriter
