Keep all entries together within the limits that servers name

Callers saw nothing yet: a server in need got as many requests as before it named its Server-Limit, and would have failed for it. Cause: the header was not read, and no mechanism held a rate of all entries before one server. The class is a bound on a shared resource that no one counts for all entries.

One entry, chosen by rendezvous hashing in the server's data centre, issues permits at the limit; a server with a limit gets no send without one, whatever its kind. Permits go to the highest scores first; without a reply for 0.5 s an entry uses its own share of the limit, and entries that hear only a part of the others use that part. Limits are told to all entries at once.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -13,6 +13,7 @@
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.endpoints import MetricsEndpoint, ReadyEndpoint
+from cornelpin.gateway.limit_coordinator import LimitCoordinator
 from cornelpin.gateway.peers import Peers
 from cornelpin.gateway.request_handler import RequestHandler
 from cornelpin.gateway.rollouts import RolloutController
@@ -99,10 +100,19 @@
                 time.monotonic()
             ),
             speeds=lambda: self.scheduler.dispatcher.speeds.export(time.monotonic()),
+            all_limits=lambda: self.server_limits.limits.export(time.monotonic()),
             on_message=self._on_peer_message,
+            on_permits=lambda host, message: self.server_limits.receive(host, message),
+        )
+        self.server_limits = LimitCoordinator(
+            self.peers,
+            lambda server_id: self.state.servers.get(server_id),
+            flush=self.peers.flush,
+            on_change=self.peers.schedule_update,
         )
         self.state = GatewayState(
             settings,
+            limits=self.server_limits,
             fleet_view=self.peers.fleet_view,
             on_change=self.peers.schedule_update,
             flush=self.peers.flush,
@@ -114,6 +124,7 @@
             self.state.rollouts,
             settings.data_centre,
             valuation or Valuation(),
+            self.server_limits,
         )
         self.store = Store(settings.store)
         self.rollout_controller = RolloutController(
@@ -230,6 +241,7 @@
             "crashed": self.state.poison_parts.take_unsent_crashes(),
             "sound": self.state.poison_parts.take_unsent_sound(),
             "leaving": self.state.take_unsent_leaving(),
+            "limits": self.server_limits.limits.take_unsent(time.monotonic()),
         }
         return {name: items for name, items in updates.items() if items}
 
@@ -255,18 +267,22 @@
             self.state.merge_poison_parts(message)
         if "leaving" in message:
             self.state.merge_leaving(message["leaving"])
+        if "limits" in message or "all_limits" in message:
+            self.server_limits.merge(message)
         if "rollouts" in message:
             self.rollout_controller.merge_from(
                 (sender, incarnation), message["rollouts"]
             )
+        self._merge_statistics(sender, message)
+        if "in_flight" in message or "keys" in message:
+            self.scheduler.dispatch_soon()
+
+    def _merge_statistics(self, sender: str, message: dict[str, Any]) -> None:
+        dispatcher = self.scheduler.dispatcher
         if "shares" in message:
-            dispatcher = self.scheduler.dispatcher
             dispatcher.merge_class_counts(sender, message["shares"], time.monotonic())
         if "paces" in message:
-            dispatcher = self.scheduler.dispatcher
             dispatcher.speeds.merge_from(sender, message["paces"], time.monotonic())
-        if "in_flight" in message or "keys" in message:
-            self.scheduler.dispatch_soon()
 
     async def _keep_registered(self) -> None:
         """Registers this entry, and again if a restored store has lost it."""
@@ -310,6 +326,7 @@
             await asyncio.sleep(TICK_S)
             await self.scheduler.recover()
             self.scheduler.tick()
+            self.server_limits.tick()
             self.peers.tick()
 
     async def _write_statuses(self) -> None:
@@ -346,7 +363,12 @@
         self.state.metrics.gauge(
             "limited_servers",
             "Servers that name a limit",
-            lambda: self.state.limits.limited,
+            lambda: self.server_limits.limits.limited,
+        )
+        self.state.metrics.gauge(
+            "bad_limits",
+            "Responses with an invalid limit",
+            lambda: self.server_limits.invalid,
         )
         self.state.metrics.gauge(
             "connections_opened",
@@ -361,7 +383,7 @@
             alive = {server.incarnation for server in servers}
             self.state.pool.sweep(alive)
             self.scheduler.dispatcher.forget(alive, now)
-            self.state.limits.forget(alive, now)
+            self.server_limits.forget(alive, now)
             self.state.expire_poison_parts()
 
     def _reload_if_changed(self) -> None:
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -36,6 +36,7 @@
     from cornelpin.http1.client import Headers
     from cornelpin.http1.server import ClientRequest, Responder
     from cornelpin.platform import ResponseInfo
+    from cornelpin.scheduling.decisions import HeldBackServer
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.routing import Workspace
 
@@ -57,6 +58,9 @@
 """Shortest time-out between two events of a stream."""
 MIN_SEND_S = 0.02
 """Time to the deadline below which a request is not sent again."""
+PERMIT_USE_S = 0.5
+"""Time within which a permit of a server with a limit is used: later sends would arrive
+together with those of later permits."""
 NOT_RUN_RETRY_S = (0.2, 0.5)
 """Range of Retry-After, in seconds, for a request whose last send was not run: a full
 server frees a slot in less time, and the random value spreads the retries."""
@@ -198,6 +202,7 @@
             retry_after_s=round(refused.retry_after_s, 3),
             servers_age_ms=self.state.servers_age_ms(),
             entries=self.state.live_entry_count(),
+            **self._held_back(refused.held_back, "refused"),
         )
         if self.progress.failure is not None and not self.responder.started:
             return self._deliver(self.progress.failure)
@@ -230,8 +235,18 @@
             forecast_ms=round(1e3 * self.job.forecast_wait_s),
             servers_age_ms=self.state.servers_age_ms(),
             entries=self.state.live_entry_count(),
+            **self._held_back(placement.held_back, "placed"),
         )
 
+    def _held_back(
+        self, servers: tuple[HeldBackServer, ...], outcome: str
+    ) -> dict[str, list[dict[str, object]]]:
+        """Counts and returns the servers that limits kept from a request, for a log."""
+        if not servers:
+            return {}
+        self.state.count_held_back(outcome)
+        return {"held_back": [attrs.asdict(server) for server in servers]}
+
     async def _send(self, placement: Placement) -> Outcome:
         job, req = self.job, self.req
         self.placement = placement
@@ -279,9 +294,17 @@
     def _may_send(self, placement: Placement) -> bool:
         """Returns whether what held when the slot was assigned still holds."""
         now = time.monotonic()
-        return self.state.servers.is_usable(
-            placement.server, now
-        ) and not self.state.quarantine_reason(self.job, now)
+        return (
+            self.state.servers.is_usable(placement.server, now)
+            and not self.state.quarantine_reason(self.job, now)
+            and self._within_limit(placement, now)
+        )
+
+    def _within_limit(self, placement: Placement, now: float) -> bool:
+        """Returns whether the server has no limit, or this send a recent permit."""
+        if self.state.limits.limit_per_s(placement.server) is None:
+            return True
+        return placement.permitted and now - placement.held_since < PERMIT_USE_S
 
     def on_response_head(self, info: ResponseInfo) -> None:
         """Takes note of a server that leaves, wants a pause, or names a limit."""
@@ -293,7 +316,7 @@
             self.scheduler.pause(server, info.pause_s, info.bad_pause)
         # A surplus response may be an old one.
         if info.request_id in {self.job.request_id, ""}:
-            self.state.observe_limit(server, info, self.sent_at)
+            self.state.limits.observe(server, info, self.sent_at)
 
     def _idle_timeouts(self, placement: Placement) -> IdleTimeouts | None:
         """Returns the time-outs of a send, or None if it has only its deadline."""
--- a/cornelpin/gateway/metrics.py
+++ b/cornelpin/gateway/metrics.py
@@ -33,7 +33,8 @@
             are left out.
         forecast_error: The measured wait of the same requests minus the forecast one.
         rejections: Responses made by the entry itself instead of a server.
-        bad_limits: Responses whose ``Server-Limit`` is not one valid number.
+        held_back: Requests placed elsewhere or refused while servers with free slots
+            were kept from them by their limits.
         sends: Requests sent to servers; the outcome is a class name of
             cornelpin.gateway.exchange.
     """
@@ -79,9 +80,10 @@
             ["status", "reason"],
             registry=self.registry,
         )
-        self.bad_limits = Counter(
-            "cornelpin_bad_limits",
-            "Responses with an invalid limit",
+        self.held_back = Counter(
+            "cornelpin_held_back",
+            "Requests that servers' limits kept from servers with free slots",
+            ["outcome"],
             registry=self.registry,
         )
         self.sends = Counter(
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -13,7 +13,10 @@
 * ``paces``: estimates of server speeds
 * ``digest``: a relay's reports on the entries of its data centre
 * ``poison``: quarantined parts of prompts
-* ``refused``, ``broken``, ``leaving``, ``crashed``, ``sound``: see ONE_TIME_UPDATES
+* ``all_limits``: limits that servers have named
+* ``permits``: permits to send to servers with limits; a message has this field alone
+* ``refused``, ``broken``, ``leaving``, ``crashed``, ``sound``, ``limits``: see
+  ONE_TIME_UPDATES
 """
 
 from __future__ import annotations
@@ -61,11 +64,12 @@
 """A message due within this time is sent now instead of by another timer."""
 PEER_EXPIRY_S = 15.0
 """Time without a message after which a peer is removed: longer than a restart."""
-ONE_TIME_UPDATES = ("refused", "broken", "leaving", "crashed", "sound")
+ONE_TIME_UPDATES = ("refused", "broken", "leaving", "crashed", "sound", "limits")
 """Fields that are sent once and not repeated in full-state messages: refused requests,
 runs with an incomplete response (``exchange.Broken``), servers that said that they
-leave, and parts of prompts in hand at crashes or shown to be sound."""
-URGENT_UPDATES = ("broken", "leaving", "crashed")
+leave, parts of prompts in hand at crashes or shown to be sound, and changed limits of
+servers."""
+URGENT_UPDATES = ("broken", "leaving", "crashed", "limits")
 """Those of them that ``flush`` sends to all entries."""
 
 
@@ -83,11 +87,15 @@
         class_counts: Returns the counts of offered and served requests by service and
             request class (``scheduling.request_classes``).
         speeds: Returns this entry's estimates of server speeds.
+        all_limits: Returns the limits that servers have named, for entries that start
+            or have missed an update.
         ages: Returns the seconds since the store's last response by kind; sent with
             each message.
         on_message: Called after a message is merged, with the host and incarnation of
             its sender and the message; for a summary with the name of its data centre,
             an empty incarnation and the message.
+        on_permits: Called with the host of the sender of a message about permits, and
+            its content.
 
     Attributes:
         slots_scarce: Whether few slots are free; updates are then sent more often,
@@ -107,8 +115,10 @@
         one_time_updates: Callable[[], dict[str, Any]],
         class_counts: Callable[[], dict[str, dict[str, list[float]]]],
         speeds: Callable[[], dict[str, list[float]]],
+        all_limits: Callable[[], dict[str, Any]],
         ages: Callable[[], dict[str, float]],
         on_message: Callable[[str, str, dict[str, Any]], None],
+        on_permits: Callable[[str, dict[str, Any]], None],
     ) -> None:
         self.host = host
         self.incarnation = secrets.token_hex(4)
@@ -120,8 +130,13 @@
         self._one_time_updates = one_time_updates
         self._class_counts = class_counts
         self._speeds = speeds
+        self._all_limits = all_limits
         self._ages = ages
         self._on_message = on_message
+        self._on_permits = on_permits
+        self._started = time.monotonic()
+        # Hosts of peers that expired while most others were silent as well.
+        self._lost: set[str] = set()
         self._peers: dict[str, Peer] = {}
         # Sums of in_flight over the peers, by server id.
         self._totals: dict[str, list[int]] = {}
@@ -182,7 +197,20 @@
 
     def fleet_view(self) -> FleetView:
         """Returns the numbers of live and known entries, this one included."""
-        return FleetView(heard=1 + len(self.live_peers()), known=1 + len(self._peers))
+        unaccounted = len(self._lost)
+        if time.monotonic() - self._started < PEER_EXPIRY_S:
+            heard_from = {peer.ip for peer in self._peers.values()}
+            unaccounted += len(self.addresses - heard_from)
+        return FleetView(
+            heard=1 + len(self.live_peers()),
+            known=1 + len(self._peers),
+            unaccounted=unaccounted,
+        )
+
+    def live_hosts(self) -> dict[str, str]:
+        """Returns the data centre of each live entry, this one included."""
+        live = {host: peer.data_centre for host, peer in self.live_peers().items()}
+        return live | {self.host: self._data_centre}
 
     def live_peers(self) -> dict[str, Peer]:
         """Returns the live peers by host."""
@@ -269,7 +297,12 @@
         self._summary_exchange.expire(now)
 
     def _remove(self, host: str, peer: Peer, now: float) -> None:
+        fleet = self.fleet_view()
         del self._peers[host]
+        if 2 * fleet.heard > fleet.all_entries:
+            self._lost.clear()
+        else:
+            self._lost.add(host)
         self._local.addresses.discard(peer.ip)
         self._remote_or_unknown.discard(peer.ip)
         silent_s = round(now - peer.received_at, 1)
@@ -295,14 +328,25 @@
     def _send_full_local_state(self) -> None:
         self._full_state_sent_at = time.monotonic()
         full_state = dict(self._state(), full=True, ips=sorted(self.addresses))
-        self._send_local(full_state)
+        self._send_local(full_state | self._limits_if_any())
 
     def _send_hello(self, addresses: Iterable[str]) -> None:
         """Sends all known addresses and what an entry that starts must know."""
         state = self._state()
         hello = {name: state[name] for name in ("versions", "poison")}
+        hello |= self._limits_if_any()
         self._send(hello | {"ips": sorted(self.addresses)}, addresses)
 
+    def _limits_if_any(self) -> dict[str, Any]:
+        limits = self._all_limits()
+        return {"all_limits": limits} if limits else {}
+
+    def send_permits(self, host: str, message: dict[str, Any]) -> None:
+        """Sends a message about permits to one entry."""
+        peer = self._peers.get(host)
+        if peer is not None:
+            self._send({"permits": message}, [peer.ip])
+
     def _send_due(self) -> None:
         self._timer = None
         now = time.monotonic()
@@ -406,6 +450,10 @@
                     self._receive_summary(data_centre, message, data, addr[0])
                 return
             peer = self._peer_for(host, incarnation, data_centre, addr[0])
+            if "permits" in message:
+                # These are numbered by themselves and not ordered with the others.
+                self._on_permits(host, message["permits"])
+                return
             peer.link_mbps = float(link_mbps)
             self._merge(host, peer, int(sequence), message)
         except (
@@ -423,6 +471,7 @@
         if peer is not None and peer.incarnation == incarnation:
             return peer
         logs.event("peer.heard", peer=host, incarnation=incarnation, ip=ip)
+        self._lost.discard(host)
         if peer is not None:
             self._clear_in_flight(peer)
         local = data_centre == self._data_centre
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -18,6 +18,7 @@
 from cornelpin.scheduling.subsetting import ServerSubsets
 
 if TYPE_CHECKING:
+    from cornelpin.gateway.limit_coordinator import LimitCoordinator
     from cornelpin.gateway.peers import Peers
     from cornelpin.gateway.pool import ConnectionPool
     from cornelpin.scheduling.jobs import Job
@@ -48,6 +49,7 @@
         rollouts: Decides which software versions of the servers may be used.
         data_centre: Data centre of this entry.
         valuation: Relative values of responses.
+        limits: Permits to send to servers with limits.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         rollouts: Rollouts,
         data_centre: str,
         valuation: Valuation,
+        limits: LimitCoordinator,
     ) -> None:
         self._servers = servers
         self._rollouts = rollouts
@@ -65,6 +68,7 @@
         self._peers = peers
         self._queued: dict[Job, asyncio.Future[Placement | Refused]] = {}
         self._dispatch_timer: asyncio.TimerHandle | None = None
+        self._permits_dispatch: asyncio.Handle | None = None
         self._review_gate = ReviewGate(TICK_S)
         self.dispatcher = Dispatcher(
             servers=self._usable_servers,
@@ -73,7 +77,9 @@
             data_centre=data_centre,
             valuation=valuation,
             needs_traffic=rollouts.needs_traffic,
+            permits=limits,
         )
+        limits.on_permits = self._on_permits
 
     async def place(self, job: Job) -> Placement | Refused:
         """Waits until a job is assigned a slot or refused; returns which."""
@@ -123,6 +129,16 @@
                 UPDATE_BATCH_S, self._on_dispatch_timer
             )
 
+    def _on_permits(self) -> None:
+        """Dispatches right after the current callback, which may be a dispatch."""
+        if self._queued and self._permits_dispatch is None:
+            loop = asyncio.get_running_loop()
+            self._permits_dispatch = loop.call_soon(self._use_permits)
+
+    def _use_permits(self) -> None:
+        self._permits_dispatch = None
+        self.dispatch_all()
+
     def _on_dispatch_timer(self) -> None:
         self._dispatch_timer = None
         self.dispatch_all()
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -9,7 +9,6 @@
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.gateway import logs
-from cornelpin.gateway.limit_log import LimitLog
 from cornelpin.gateway.pool import ConnectionPool
 from cornelpin.gateway.response_memory import MEMORY_SHARE, ResponseMemory
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
@@ -18,14 +17,14 @@
 from cornelpin.scheduling.poison_requests import PoisonDetector
 from cornelpin.scheduling.quota import FleetView, Quotas, QuotaTolerance
 from cornelpin.scheduling.rollouts import Rollouts
-from cornelpin.scheduling.server_limits import ServerLimits
 from cornelpin.scheduling.servers import ServerList
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
 
+    from cornelpin.gateway.limit_coordinator import LimitCoordinator
     from cornelpin.gateway.metrics import Metrics
-    from cornelpin.platform import HostSettings, ResponseInfo
+    from cornelpin.platform import HostSettings
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.routing import RoutingConfig, Workspace
     from cornelpin.scheduling.servers import BackendServer
@@ -40,6 +39,7 @@
 
     Args:
         settings: Settings of this host.
+        limits: Keeps the entries within the limits that servers name.
         fleet_view: Returns the numbers of live and of known entries.
         on_change: Called after a change that the next update to the other entries
             carries.
@@ -58,6 +58,7 @@
         self,
         settings: HostSettings,
         *,
+        limits: LimitCoordinator,
         fleet_view: Callable[[], FleetView],
         on_change: Callable[[], None],
         flush: Callable[[], None],
@@ -83,8 +84,7 @@
         )
         self.poison_detector = PoisonDetector()
         self.poison_parts = PoisonParts()
-        self.limits = ServerLimits()
-        self._limit_log = LimitLog()
+        self.limits = limits
         self.metrics: Metrics | None = None
         self.servers_listed = False
         self.get_servers_confirmed_at: Callable[[], float] = lambda: 0.0
@@ -174,31 +174,6 @@
             logs.event("server.leaving", server=incarnation[0], source=source)
         return new
 
-    def observe_limit(
-        self, server: BackendServer, info: ResponseInfo, sent_at: float
-    ) -> None:
-        """Records what a response says about its server's limit, and logs a change.
-
-        Args:
-            server: The server.
-            info: Decoded headers of the response.
-            sent_at: Monotonic time at which the request was sent.
-        """
-        now = time.monotonic()
-        if info.bad_limit:
-            self._limit_log.invalid(server.id, info.bad_limit, now)
-            if self.metrics is not None:
-                self.metrics.bad_limits.inc()
-            if info.limit_per_s is None:
-                return
-        before = self.limits.limit_per_s(server)
-        if self.limits.observe(
-            server.incarnation, info.limit_per_s, sent_at=sent_at, now=now
-        ):
-            self._limit_log.changed(
-                server.id, before, info.limit_per_s, source="its response", now=now
-            )
-
     def take_unsent_leaving(self) -> list[tuple[str, int]]:
         """Returns and clears the leaving servers not yet sent to peers."""
         unsent, self._unsent_leaving = self._unsent_leaving, []
@@ -284,6 +259,11 @@
         if self.metrics is not None:
             self.metrics.response_time.labels(server.id).observe(took_s)
 
+    def count_held_back(self, outcome: str) -> None:
+        """Counts a request that limits kept from servers with free slots."""
+        if self.metrics is not None:
+            self.metrics.held_back.labels(outcome).inc()
+
     def record_queue_wait(self, forecast_s: float, measured_s: float) -> None:
         """Records how long a request waited for its slot, and the forecast of it."""
         if self.metrics is None:
--- a/cornelpin/scheduling/admission.py
+++ b/cornelpin/scheduling/admission.py
@@ -44,6 +44,8 @@
 MIN_HOLD_S = 1e-3
 """Lower bound of the time for which a request holds a slot, against division by
 zero."""
+MIN_RELEASE_RATE = 1e-3
+"""Lower bound of the slots that come free per second, likewise."""
 MIN_OWN_SHARE = 1e-3
 """Lower bound of the part of all requests that reach this entry, likewise."""
 MIN_RETRY_S = 0.2
@@ -64,12 +66,16 @@
         slots: Slots of all usable servers.
         free: Free slots among them.
         hold_s: Mean time for which a request holds a slot, seconds.
+        limited_slots: Slots of servers with limits, among all.
+        limited_per_s: Requests per second that these servers take.
         queued: Requests queued at all entries, as far as their scores are known here.
     """
 
     slots: int
     free: int
     hold_s: float
+    limited_slots: int = 0
+    limited_per_s: float = 0.0
     queued: int = 0
 
     @property
@@ -79,8 +85,10 @@
 
     @property
     def release_rate(self) -> float:
-        """Slots that come free per second while all are taken."""
-        return self.slots / max(self.hold_s, MIN_HOLD_S)
+        """Slots that come free per second while all that may be used are taken."""
+        unlimited = self.slots - self.limited_slots
+        rate = unlimited / max(self.hold_s, MIN_HOLD_S) + self.limited_per_s
+        return max(rate, MIN_RELEASE_RATE)
 
 
 @attrs.frozen
--- a/cornelpin/scheduling/decisions.py
+++ b/cornelpin/scheduling/decisions.py
@@ -16,6 +16,23 @@
 """Reasons of refusals, for the client and the log."""
 
 
+@attrs.frozen
+class HeldBackServer:
+    """A server with free slots that its limit kept from a request.
+
+    Attributes:
+        server: Its id.
+        limit_per_s: Its limit in requests per second.
+        rate_per_s: Requests per second from all entries, as last reported here.
+        age_s: Age of that report in seconds; None without a report.
+    """
+
+    server: str
+    limit_per_s: float
+    rate_per_s: float
+    age_s: float | None
+
+
 @attrs.frozen
 class Refused:
     """Refusal of a request, with the load that it was based on.
@@ -27,6 +44,7 @@
         free: Free slots among them.
         ahead: Requests ahead of it at all entries.
         forecast_wait_s: Forecast wait for a slot, seconds.
+        held_back: Servers with free slots that their limits kept from it.
     """
 
     reason: str
@@ -35,6 +53,7 @@
     free: int = 0
     ahead: int = 0
     forecast_wait_s: float = 0.0
+    held_back: tuple[HeldBackServer, ...] = ()
 
 
 @attrs.define(eq=False)
@@ -52,6 +71,8 @@
         expected_s: Expected response time, seconds: from the send to the first event of
             a stream, or to the whole response if it is not streamed.
         free_local: Free slots in the own data centre when it was granted.
+        permitted: Whether a permit was taken, since the server has a limit.
+        held_back: Servers with free slots that their limits kept from the request.
     """
 
     server: BackendServer
@@ -61,6 +82,8 @@
     held_since: float
     expected_s: float
     free_local: int = 0
+    permitted: bool = False
+    held_back: tuple[HeldBackServer, ...] = ()
 
 
 Decision = tuple["Job", Placement | Refused]
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -30,6 +30,14 @@
 )
 from cornelpin.scheduling.fleet_speeds import FleetSpeeds
 from cornelpin.scheduling.jobs import Review
+from cornelpin.scheduling.permit_demand import (
+    NoPermits,
+    PermitSource,
+    after_peers,
+    held_back,
+    may_get_permit,
+    permits_wanted,
+)
 from cornelpin.scheduling.request_queue import RequestQueue
 from cornelpin.scheduling.server_health import ServerHealth
 from cornelpin.scheduling.server_selection import (
@@ -137,6 +145,7 @@
         needs_traffic: Returns whether a server's version is below its traffic share.
         data_centre: Data centre of this entry.
         valuation: Relative values of responses.
+        permits: Limits of servers, and permits to send to those that have one.
         rng: Source of randomness.
 
     Attributes:
@@ -152,9 +161,11 @@
         data_centre: str,
         needs_traffic: Callable[[BackendServer], bool] = lambda server: False,
         valuation: Valuation | None = None,
+        permits: PermitSource | None = None,
         rng: Callable[[], float] = random.random,
     ) -> None:
         self._valuation = valuation or Valuation()
+        self._permits = permits or NoPermits()
         self._servers = servers
         self._peers = peers
         self._connected = connected
@@ -265,7 +276,7 @@
                 ):
                     return forecast
                 reason = TOO_LONG
-        return self._refuse(service, job, snapshot.load, now, reason, forecast)
+        return self._refuse(service, job, snapshot, now, reason, forecast)
 
     def _forecast(
         self,
@@ -286,17 +297,22 @@
         self,
         service: _Service,
         job: Job,
-        load: ServiceLoad,
+        snapshot: _Snapshot,
         now: float,
         reason: str,
         forecast: Forecast,
     ) -> Refused:
+        load = snapshot.load
         retry_after_s = service.admission.retry_after_s(
             job, self._run_s(service, job), now
         )
+        if load.limited_slots:
+            # Limits allow no earlier start, however soon slots are free.
+            retry_after_s = max(retry_after_s, forecast.wait_s)
         return Refused(
             reason,
             retry_after_s,
+            held_back=held_back(snapshot.candidates, self._permits, now),
             slots=load.slots,
             free=load.free,
             ahead=forecast.ahead,
@@ -330,6 +346,7 @@
         decisions: list[Decision] = []
         free, granted = snapshot.load.free, 0
         jobs = service.queue.ordered(now, service.first_s)
+        last: tuple[Job, Candidate] | None = None
         while granted < free:
             compared = jobs[:MAX_COMPARED_JOBS]
             pair = self._pick(
@@ -344,14 +361,19 @@
                 break
             job, chosen = pair
             jobs.remove(job)
-            free_local = sum(c.free for c in candidates if not c.remote)
-            placement = self._grant(service, job, chosen, free_local, now)
+            placement = self._grant(service, job, chosen, candidates, now)
             decisions.append((job, placement))
             granted += 1
+            last = pair
             candidates = [
                 self._candidate(c.server, now) if c is chosen else c for c in candidates
             ]
         service.free_share = (free - granted) / max(1, snapshot.load.slots)
+        score = service.queue.score(jobs[0], now, service.first_s) if jobs else 0.0
+        for chosen, count in permits_wanted(
+            jobs[:MAX_COMPARED_JOBS], last, candidates, self._permits, now
+        ):
+            self._permits.ask(chosen.server, count, score, now)
         if review:
             decisions += self._review_queue(service, snapshot, now)
         return decisions
@@ -377,18 +399,23 @@
         """
         best, best_value = None, 0.0
         contested = len(jobs) + len(peer_scores) > 1
+        limited = [c for c in candidates if c.limited]
         for job in jobs:
             score = service.queue.score(job, now, service.first_s)
             # Each request of a peer with a higher score is assumed to take one free
             # slot first, at the best server left.
             ahead = len(peer_scores) - bisect.bisect_right(peer_scores, score)
             # The expected value of a job is at most its score, and scores descend.
-            if ahead >= free or score <= best_value:
+            if score <= best_value:
+                break
+            # Permits are for this entry alone, whatever waits at others.
+            open_to_job = candidates if ahead < free else limited
+            if not open_to_job:
                 break
-            ranked = rank_candidates(job, candidates, now, contested=contested)
+            ranked = rank_candidates(job, open_to_job, now, contested=contested)
             if not ranked:
                 continue
-            chosen = ranked[min(ahead, len(ranked) - 1)]
+            chosen = after_peers(ranked, ahead)
             if should_wait(job, chosen, candidates, now):
                 continue
             # The score contains the factor for lateness from ``first_s`` before the
@@ -407,7 +434,7 @@
         service: _Service,
         job: Job,
         chosen: Candidate,
-        free_local: int,
+        candidates: list[Candidate],
         now: float,
     ) -> Placement:
         service.queue.pop(job, now, service.first_s)
@@ -418,8 +445,12 @@
             running=chosen.running,
             held_since=now,
             expected_s=expected_response_s(job, chosen),
-            free_local=free_local,
+            free_local=sum(c.free for c in candidates if not c.remote),
+            permitted=chosen.limited,
+            held_back=held_back(candidates, self._permits, now),
         )
+        if chosen.limited:
+            self._permits.take(chosen.server, now)
         self._placements.setdefault(chosen.server.id, set()).add(placement)
         chosen.health.sent(job.request_id, now, placement.expected_s)
         return placement
@@ -437,9 +468,7 @@
             outcome: Forecast | Refused
             if review is Review.EXPIRED:
                 forecast = self._forecast(service, job, snapshot, now, score_at=now)
-                outcome = self._refuse(
-                    service, job, snapshot.load, now, WAITED, forecast
-                )
+                outcome = self._refuse(service, job, snapshot, now, WAITED, forecast)
             else:
                 strictness = EARLY_STRICTNESS if review is Review.EARLY else 1.0
                 outcome = self._assess(service, job, snapshot, now, strictness)
@@ -524,6 +553,7 @@
         placements = self._placements.get(server.id, ())
         remote = server.data_centre != self._data_centre
         age_s = self._peers.remote_age_s() if remote else 0.0
+        limit_per_s = self._permits.limit_per_s(server)
         return Candidate(
             server=server,
             speed=self.speeds.merged(server, now),
@@ -538,6 +568,8 @@
             connected=self._connected(server),
             needs_traffic=self._needs_traffic(server),
             paused=self.health(server).is_paused(now),
+            limit_per_s=limit_per_s,
+            permits=0 if limit_per_s is None else self._permits.permits(server, now),
         )
 
     def _snapshot(self, name: str, service: _Service, now: float) -> _Snapshot:
@@ -548,13 +580,20 @@
         candidates = self._candidates(name, now)
         peer_scores = self._peers.queue_scores(name)
         healthy = [c for c in candidates if not c.health.is_ejected(now)] or candidates
-        slots = sum(c.server.slots for c in healthy if not c.paused)
-        free = sum(c.free for c in healthy)
+        running = [c for c in healthy if not c.paused]
+        slots = sum(c.server.slots for c in running)
+        free = sum(c.free or may_get_permit(c, self._permits, now) for c in healthy)
+        limited = [c for c in running if c.limited]
         service.free_share = free / max(1, slots)
         load = ServiceLoad(
             slots=slots,
             free=free,
             hold_s=service.hold_s,
+            limited_slots=sum(c.server.slots for c in limited),
+            limited_per_s=sum(
+                min(c.limit_per_s or 0.0, c.server.slots / service.hold_s)
+                for c in limited
+            ),
             queued=len(service.queue) + len(peer_scores),
         )
         return _Snapshot(candidates, load, peer_scores)
--- a/cornelpin/scheduling/quota.py
+++ b/cornelpin/scheduling/quota.py
@@ -72,10 +72,24 @@
     Attributes:
         heard: Number of live entries: those from which reports arrive, and this one.
         known: Number of entries believed to be running, this one included.
+        unaccounted: Number of further entries that may be running: those that this
+            entry stopped hearing together with most others, and those that it has not
+            heard yet since its start.
     """
 
     heard: int = 1
     known: int = 1
+    unaccounted: int = 0
+
+    @property
+    def all_entries(self) -> int:
+        """Number of entries that may be running."""
+        return self.known + self.unaccounted
+
+    @property
+    def sure_fraction(self) -> float:
+        """Share of a limit that no entry outside of the live ones uses."""
+        return self.heard / self.all_entries
 
     @property
     def rate_fraction(self) -> float:
--- a/cornelpin/scheduling/server_limits.py
+++ b/cornelpin/scheduling/server_limits.py
@@ -63,10 +63,14 @@
         """Returns the last observation of an incarnation."""
         return self._observations.get(incarnation)
 
+    def incarnations(self) -> set[Incarnation]:
+        """Returns the servers with a limit."""
+        return {i for i, o in self._observations.items() if o.limit_per_s is not None}
+
     @property
     def limited(self) -> int:
         """Number of servers with a limit."""
-        return sum(o.limit_per_s is not None for o in self._observations.values())
+        return len(self.incarnations())
 
     def observe(
         self,
--- a/cornelpin/scheduling/server_selection.py
+++ b/cornelpin/scheduling/server_selection.py
@@ -76,6 +76,9 @@
         connected: Whether an idle connection to it is open.
         needs_traffic: Whether its version is below its traffic share.
         paused: Whether it has asked this host for no requests.
+        limit_per_s: Requests per second that it takes from all entries together; None
+            if it names no limit.
+        permits: Requests that this entry may send to it now if it has a limit.
     """
 
     server: BackendServer
@@ -88,14 +91,26 @@
     connected: bool = True
     needs_traffic: bool = False
     paused: bool = False
+    limit_per_s: float | None = None
+    permits: int = 0
 
     @property
-    def free(self) -> int:
-        """Free slots."""
+    def limited(self) -> bool:
+        """Whether the server has a limit."""
+        return self.limit_per_s is not None
+
+    @property
+    def free_slots(self) -> int:
+        """Free slots, whether or not a limit allows to use them."""
         if self.paused:
             return 0
         return max(0, self.server.slots - self.running - self.margin)
 
+    @property
+    def free(self) -> int:
+        """Free slots that may be used."""
+        return min(self.free_slots, self.permits) if self.limited else self.free_slots
+
 
 def expected_response_s(job: Job, candidate: Candidate) -> float:
     """Returns the expected response time of a job at a server, seconds.
@@ -173,7 +188,10 @@
     if risk < MIN_RISK_DECREASE or now > job.objective:
         return False
     later = now + NEXT_FREE_SLOT_S
-    healthy = [c for c in candidates if not (c.paused or c.health.is_ejected(now))]
+    # The next permit of a server with a limit may go to another entry.
+    healthy = [
+        c for c in candidates if not (c.paused or c.limited or c.health.is_ejected(now))
+    ]
     best = min((late_risk(job, c, later) for c in healthy), default=1.0)
     return risk - best > MIN_RISK_DECREASE
 
--- a/cornelpin/scheduling/servers.py
+++ b/cornelpin/scheduling/servers.py
@@ -218,6 +218,11 @@
             and now < removed.used_until
         )
 
+    def get(self, server_id: str) -> BackendServer | None:
+        """Returns a server by its id if it is registered, or was until recently."""
+        removed = self._removed.get(server_id)
+        return self._listed.get(server_id) or (removed.server if removed else None)
+
     def all(self, now: float) -> dict[str, BackendServer]:
         """Returns the servers believed to be running, draining ones included, by id."""
         for server_id, removed in list(self._removed.items()):
