Queue a request whose run has failed for another one until its client leaves

Callers saw 504 within 0.2 s of safe requests with 1.5 s left, while another server was full, paused or over its limit for a moment: admission control refused the second try as if it were a first one, whose caller can come back with "not run". Of a request whose run has failed that is no longer true.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -455,6 +455,7 @@
         now = time.monotonic()
         if self.placement is not None:
             job.avoid.add(self.placement.server.id)
+        job.run_failed = self.progress.runs > 0
         if self.progress.sends >= MAX_SENDS or now + MIN_SEND_S > job.deadline:
             return False
         if not counts_as_retry:
--- a/cornelpin/scheduling/admission.py
+++ b/cornelpin/scheduling/admission.py
@@ -215,6 +215,8 @@
     """Returns the review of a queued job that is due, if any."""
     if now >= latest_start(job, first_s):
         return Review.EXPIRED
+    if job.run_failed:
+        return None
     waited_s = now - job.queued_since
     if (
         waited_s > REVIEW_SHARE * job.route.objective_s
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -232,7 +232,10 @@
             self._service(name).queue.classes.merge_from(entry, exported, now)
 
     def offer(self, job: Job, now: float) -> Refused | None:
-        """Queues a job, or returns a refusal if it could not be served in time."""
+        """Queues a job, or returns a refusal if it could not be served in time.
+
+        One whose run has failed is queued until its client is about to leave.
+        """
         service = self._service(job.service)
         job.queued_since = now
         job.typical_tokens = service.mean_output.get(
@@ -240,7 +243,11 @@
         )
         service.queue.count_request(job, now)
         snapshot = self._snapshot(job.service, service, now)
-        outcome = self._assess(service, job, snapshot, now)
+        outcome: Forecast | Refused
+        if job.run_failed:
+            outcome = self._forecast(service, job, snapshot, now, score_at=now)
+        else:
+            outcome = self._assess(service, job, snapshot, now)
         if isinstance(outcome, Refused):
             service.admission.refused_early()
             return outcome
--- a/cornelpin/scheduling/jobs.py
+++ b/cornelpin/scheduling/jobs.py
@@ -61,6 +61,9 @@
         fingerprint: Digest by which a client retry of it is recognised.
         shared_parts: Ids of the parts of its prompt that other requests may share.
         avoid: Ids of the servers to which it was already sent.
+        run_failed: Whether a run of it has failed and it waits for another one. "Not
+            run" is no longer true of it, so its caller gains nothing from an early
+            refusal.
         workspace: Name of the caller's workspace; empty if there is none.
         first_attempt_at: Monotonic time of its first attempt; before its arrival if
             this is a client retry.
@@ -84,6 +87,7 @@
     fingerprint: bytes = b""
     shared_parts: tuple[str, ...] = ()
     avoid: set[str] = attrs.field(factory=set)
+    run_failed: bool = False
     first_attempt_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived, takes_self=True)
     )
--- a/cornelpin/tests/test_endless_responses.py
+++ b/cornelpin/tests/test_endless_responses.py
@@ -63,6 +63,42 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("reason", ["slots", "pause", "limit"])
+def test_safe_request_waits_for_its_second_try(reason: str) -> None:
+    """Guards against 504 while another server has no room but for a moment."""
+
+    async def scenario() -> None:
+        async with run_harness(servers=2) as harness:
+            bad, sound = harness.servers
+            bad.behaviour.fault = "endless_others"
+            sound.behaviour.answer_s = 0.1
+            entry = harness.entries[0]
+            if reason == "pause":
+                listed = entry.state.servers.get(sound.id)
+                assert listed is not None
+                entry.scheduler.pause(listed, 0.6, "")
+            if reason == "limit":
+                sound.behaviour.limits = ("30",)
+            responses = await asyncio.gather(
+                *(
+                    fetch(
+                        entry._settings.callers,
+                        f"/safe/{number}",
+                        request_id=f"r{number}",
+                    )
+                    for number in range(20)
+                )
+            )
+            ran = {request_id for _, request_id in bad.arrivals}
+            assert ran
+            for number, response in enumerate(responses):
+                # What has not run may be refused, to come back.
+                expected = {200} if f"r{number}" in ran else {200, 503}
+                assert response.status in expected
+
+    asyncio.run(scenario())
+
+
 def test_rejection_without_end_is_not_waited_for() -> None:
     async def scenario() -> None:
         async with run_harness(servers=2) as harness:
