Divide retry budgets among all entries that may be running

In a partition each part took the whole budget, an entry cut off alone 48 of 60 retries where its part is 8. The servers behind would get up to twice the retries that the platform allows.

The budget is divided among the known entries, and those that may be running although they were not heard since the start. In test_entries_that_are_cut_off_use_their_part_of_the_retry_budget one entry of six took 48 and one of three heard 16, both 8 now.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -460,7 +460,7 @@
             return False
         if not counts_as_retry:
             return True
-        return self.state.budget(job.service).take(now, self.state.live_entry_count())
+        return self.state.take_retry(job.service, now)
 
     def retry_after_s(self) -> float:
         """Returns the Retry-After, in seconds, after a last send that was not run."""
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -128,7 +128,7 @@
                     await self._configured.wait()
 
     def live_entry_count(self) -> int:
-        """Returns the number of live entries, among which retry budgets are divided."""
+        """Returns the number of live entries, this one included."""
         return self.fleet_view().heard
 
     def servers_age_ms(self) -> int | None:
@@ -148,6 +148,13 @@
             budget = self._budgets[service] = RetryBudget(self._budget_bounds)
         return budget
 
+    def take_retry(self, service: str, now: float) -> bool:
+        """Takes a retry from this entry's part of a service's budget, if any is left.
+
+        Entries that are not heard may be running and use theirs.
+        """
+        return self.budget(service).take(now, self.fleet_view().all_entries)
+
     def take_quota(self, workspace: Workspace, amount: float) -> float | None:
         """Takes an amount from a workspace's quota, or returns the wait in seconds."""
         wait_s = self.quotas.admit(
--- a/cornelpin/tests/test_fleet_limits.py
+++ b/cornelpin/tests/test_fleet_limits.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import time
 
 import attrs
 import pytest
@@ -17,6 +19,7 @@
 )
 from cornelpin.scheduling.routing import Workspace
 from cornelpin.scheduling.servers import ServerList
+from cornelpin.tests.gateway_harness import run_harness
 from cornelpin.tests.scheduling_harness import make_server
 
 WORKSPACE = Workspace("blue", ("key",), rate_per_s=100.0, burst=100.0)
@@ -180,6 +183,21 @@
     assert repeats >= 0.7 * BUDGET_SHARE * (0.2 * 600)
 
 
+@pytest.mark.parametrize("heard", [1, 3, 6])
+def test_entries_that_are_cut_off_use_their_part_of_the_retry_budget(
+    heard: int,
+) -> None:
+    async def scenario() -> None:
+        async with run_harness(entries=0) as harness:
+            entry = await harness.add_entry(bounds={"budget_extra": 60})
+            entry.state.fleet_view = lambda: FleetView(heard, known=6)
+            now = time.monotonic()
+            taken = sum(entry.state.take_retry("app", now) for _ in range(100))
+            assert taken == int(BUDGET_SHARE * 60 / 6)
+
+    asyncio.run(scenario())
+
+
 def test_retry_budget_refills_over_time() -> None:
     budget = RetryBudget(BOUNDS)
     while budget.take(0.0, 1):
