--- a/benchmarks/replay/engine.py
+++ b/benchmarks/replay/engine.py
@@ -89,6 +89,11 @@
         slowness: Factor on the duration of each step.
         slots: Maximum number of running requests.
         model: Its speed at slowness 1.
+
+    Attributes:
+        available: Whether it is up.
+        limit_per_s: Requests per second that it says it takes; None for no limit.
+        arrivals: Simulated times of the requests that reached it.
     """
 
     def __init__(
@@ -103,6 +108,8 @@
         self.slots = slots
         self.slowness = slowness
         self.available = True
+        self.limit_per_s: float | None = None
+        self.arrivals: list[float] = []
         self._sim = sim
         self._model = model
         self._queue: deque[Run] = deque()
@@ -116,6 +123,7 @@
 
     def submit(self, run: Run) -> bool:
         """Queues a request; returns False if it is rejected without running."""
+        self.arrivals.append(self._sim.now)
         if not self.available or len(self._queue) >= MAX_QUEUED:
             return False
         self._queue.append(run)
--- a/benchmarks/replay/patterns.py
+++ b/benchmarks/replay/patterns.py
@@ -148,6 +148,16 @@
     server: int
 
 
+@attrs.frozen
+class Limit:
+    """A limit that a server, by its index, names for a while, requests per second."""
+
+    start_s: float
+    duration_s: float
+    server: int
+    per_s: float
+
+
 @attrs.frozen
 class Pattern:
     """One load pattern.
@@ -156,6 +166,7 @@
         slowness: Factor on the step time of each server, one value per server.
         surges: Changes of the arrival rate.
         crashes: Servers that go down.
+        limits: Limits that servers name.
         entries: Entries that share the servers.
         slots: Maximum number of running requests of a server.
         duration_s: Time during which requests arrive.
@@ -167,6 +178,7 @@
     slowness: tuple[float, ...] = (0.55, 1.0, 1.0, 2.8, 0.55)
     surges: tuple[Surge, ...] = ()
     crashes: tuple[Crash, ...] = ()
+    limits: tuple[Limit, ...] = ()
     entries: int = 6
     slots: int = 8
     duration_s: float = 20.0
@@ -246,6 +258,21 @@
     )
 
 
+@register
+def two_limited() -> Pattern:
+    """Two of five servers, one of the fastest among them, take two requests a second.
+
+    The other three can just run what the two do not take.
+    """
+    return Pattern(limits=(Limit(3.0, 12.0, 0, 2.1), Limit(3.0, 12.0, 2, 1.8)))
+
+
+@register
+def all_limited() -> Pattern:
+    """All servers together take half of the load."""
+    return Pattern(limits=tuple(Limit(3.0, 12.0, n, 2.8) for n in range(5)))
+
+
 def sample(rng: random.Random, mean: float, sigma: float, limit: float) -> int:
     """Draws a length from a log-normal distribution with a mean and an upper limit."""
     mu = math.log(mean) - sigma * sigma / 2
--- a/benchmarks/replay/replay.py
+++ b/benchmarks/replay/replay.py
@@ -20,6 +20,11 @@
 """Time after the last arrival, longer than every route's time-out."""
 EARLY_SHARE = 0.25
 """Part of its objective within which a caller that is not served should know it."""
+SETTLE_S = 0.5
+"""Time from which a limit is counted: a server's first response with it takes a
+while."""
+WINDOW_S = 4.0
+"""Window in which requests to servers with limits are counted."""
 SYSTEMS = ("forwarder", "gateway")
 
 
@@ -39,6 +44,10 @@
         false_refusals: Requests refused as not run that had run.
         served: Share of the calls that were answered completely.
         refused_early: Share of the refusals within ``EARLY_SHARE`` of the objective.
+        over_limit: Most requests that a server with a limit got in ``WINDOW_S``, as a
+            multiple of what the limit allows in that time; zero without limits.
+        limits_used: Requests that servers with limits got, as a part of what their
+            limits allow; zero without limits.
     """
 
     in_time: dict[str, float]
@@ -50,6 +59,8 @@
     false_refusals: int
     served: float
     refused_early: float
+    over_limit: float = 0.0
+    limits_used: float = 0.0
 
 
 class _Clients:
@@ -139,9 +150,31 @@
     for crash in pattern.crashes:
         engine = engines[crash.server]
         sim.call_later(crash.start_s, functools.partial(engine.crash, crash.duration_s))
+    for limit in pattern.limits:
+        engine = engines[limit.server]
+        name = functools.partial(setattr, engine, "limit_per_s")
+        sim.call_later(limit.start_s, functools.partial(name, limit.per_s))
+        end_s = limit.start_s + limit.duration_s
+        sim.call_later(end_s, functools.partial(name, None))
     clients.start(under_test)
     sim.run_until(pattern.duration_s + DRAIN_S)
-    return _summarise(clients, pattern)
+    result = _summarise(clients, pattern)
+    over_limit, limits_used = _limits_kept(pattern, engines)
+    return attrs.evolve(result, over_limit=over_limit, limits_used=limits_used)
+
+
+def _limits_kept(pattern: Pattern, engines: list[Engine]) -> tuple[float, float]:
+    """Returns ``over_limit`` and ``limits_used``, after ``SETTLE_S`` of each limit."""
+    most = arrived = allowed = 0.0
+    for limit in pattern.limits:
+        start_s = limit.start_s + SETTLE_S
+        end_s = limit.start_s + limit.duration_s
+        times = [at for at in engines[limit.server].arrivals if start_s <= at < end_s]
+        counts = [sum(1 for t in times if at <= t < at + WINDOW_S) for at in times]
+        most = max(most, max(counts, default=0) / (WINDOW_S * limit.per_s))
+        arrived += len(times)
+        allowed += limit.per_s * (end_s - start_s)
+    return most, arrived / allowed if allowed else 0.0
 
 
 def _summarise(clients: _Clients, pattern: Pattern) -> Result:
--- a/benchmarks/replay/systems.py
+++ b/benchmarks/replay/systems.py
@@ -8,6 +8,7 @@
 import attrs
 
 from benchmarks.replay.engine import Engine, Run
+from benchmarks.replay.limit_exchange import LimitExchange
 from cornelpin.scheduling.decisions import Placement, Refused
 from cornelpin.scheduling.dispatcher import Dispatcher
 from cornelpin.scheduling.servers import BackendServer
@@ -155,6 +156,9 @@
             for e in engines
         ]
         self._histories: list[list[_EntryState]] = [[] for _ in range(entries)]
+        self._limits = LimitExchange(
+            sim, self._servers, entries, GOSSIP_DELAY_S, HOP_LATENCY_S, self._dispatch
+        )
         self._queued: dict[Job, Call] = {}
         self._dispatchers = [
             Dispatcher(
@@ -162,6 +166,7 @@
                 peers=_PeerView(sim, self._histories, entry),
                 connected=lambda server: True,
                 data_centre="here",
+                permits=self._limits.coordinators[entry],
                 rng=rng.random,
             )
             for entry in range(entries)
@@ -191,6 +196,7 @@
             self._caller.on_failed(call)
 
     def _tick(self, entry: int) -> None:
+        self._limits.coordinators[entry].tick()
         class_counts = self._dispatchers[entry].export_class_counts(self._sim.now)
         speeds = self._dispatchers[entry].speeds.export(self._sim.now)
         for other, dispatcher in enumerate(self._dispatchers):
@@ -232,6 +238,9 @@
             call.record_event(now)
             events += 1
             if events == 1:
+                self._limits.observe(
+                    entry, placement.server, engine.limit_per_s, sent_at
+                )
                 dispatcher.first_bytes(job, placement, now - sent_at, now)
             else:
                 speed = dispatcher.speed(placement.server)
--- a/cornelpin/tests/test_replay.py
+++ b/cornelpin/tests/test_replay.py
@@ -9,7 +9,7 @@
 import attrs
 import pytest
 
-from benchmarks.replay.patterns import PATTERNS
+from benchmarks.replay.patterns import PATTERNS, Crash
 from benchmarks.replay.replay import Result, bound, play
 
 DURATION_S = 12.0
@@ -51,6 +51,43 @@
     assert sum(r.false_refusals for r in served) == 0
 
 
+LIMITED_ROWS = [
+    # Pattern, least part of the limits that is used, least earned share, and the least
+    # share of refusals that come early.
+    ("two_limited", 0.7, 0.92, 0.7),
+    ("all_limited", 0.9, 0.68, 0.9),
+]
+
+
+@pytest.mark.parametrize(("name", "used", "earned", "early"), LIMITED_ROWS)
+def test_limits_of_servers_are_kept_and_used(
+    name: str, used: float, earned: float, early: float
+) -> None:
+    pattern = PATTERNS[name]()
+    served = [play(pattern, "gateway", seed) for seed in SEEDS]
+    least = min(limit.per_s for limit in pattern.limits)
+    # Beyond the limit: a permit that had accumulated, a burst of 0.2 s, and requests
+    # on their way when the window begins.
+    tolerance = (2.0 + 0.2 * least) / (4.0 * least)
+    assert max(r.over_limit for r in served) <= 1.0 + tolerance
+    assert mean([r.limits_used for r in served]) >= used
+    assert mean([r.earned for r in served]) >= earned
+    assert mean([r.refused_early for r in served]) >= early
+    assert sum(r.false_refusals for r in served) == 0
+
+
+def test_servers_with_limits_serve_more_than_none() -> None:
+    """Limits of two servers cost less than their loss would."""
+    limited = PATTERNS["two_limited"]()
+    crashes = tuple(Crash(v.start_s, v.duration_s, v.server) for v in limited.limits)
+    lost = attrs.evolve(limited, limits=(), crashes=crashes)
+    gains = [
+        play(limited, "gateway", seed).earned - play(lost, "gateway", seed).earned
+        for seed in SEEDS
+    ]
+    assert mean(gains) > 0.02
+
+
 def test_overloaded_callers_know_at_once_that_they_are_not_served() -> None:
     """Nine of ten refusals come within a quarter of the objective.
 
