--- a/cornelpin/tests/test_gateway_fleet.py
+++ b/cornelpin/tests/test_gateway_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import subprocess
 import sys
@@ -153,6 +154,50 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("silent", [1, 2, 3])
+def test_entries_with_silent_store_connections_follow_changes(silent: int) -> None:
+    """Guards against requests by an old route, or to a server that has left.
+
+    The connections of some of three entries to the store go silent for good; then a
+    route moves to another service, and a server of that service leaves.
+    """
+
+    async def scenario() -> None:
+        async with (
+            run_harness(entries=0, servers=0) as harness,
+            contextlib.AsyncExitStack() as stack,
+        ):
+            leaving, stays = [await harness.add_server() for _ in range(2)]
+            links = []
+            for _ in range(3):
+                link = SlowLink(harness.store.server.address, 1e9)
+                links.append(await stack.enter_async_context(link))
+                address = f"{link.address[0]}:{link.address[1]}"
+                await harness.add_entry(
+                    provider={"address": address}, bounds={"contact_ms": 2000}
+                )
+            await until(lambda: all(e.peers.count == 3 for e in harness.entries))
+            for link in links[:silent]:
+                link.silence()
+            changed = config(4)
+            changed["routes"] = [
+                r for r in changed["routes"] if r["name"] != "stream/resumable"
+            ]
+            harness.store.put("config", "main", changed)
+            harness.store.put("servers", leaving.id, leaving.store_spec("draining"))
+            await asyncio.sleep(2.0)
+            before = len(leaving.arrivals)
+            for entry in harness.entries:
+                assert version(entry) == 4
+                for _ in range(10):
+                    response = await fetch(caller_address(entry), "/safe/x")
+                    assert response.status == 200
+            assert len(leaving.arrivals) == before
+            assert len(stays.arrivals) >= 30
+
+    asyncio.run(scenario())
+
+
 def test_lost_history_causes_a_new_listing() -> None:
     async def scenario() -> None:
         async with run_harness() as harness:
