Show limits in explain, and cap the Retry-After that follows from them

A trace shows the limit of each server that the request was sent to, or that limits kept it from. With limits of zero a refusal named a time of many minutes; limits end without notice, so it is 30 s at most.

--- a/cornelpin/gateway/request_trace.py
+++ b/cornelpin/gateway/request_trace.py
@@ -18,6 +18,7 @@
 COPY_KEY = "copy"
 """Key of the last copy of any kind; a failed one has no kind."""
 PART_EVENTS = {"part.quarantined", "part.released"}
+LIMIT_EVENTS = {"server.limit_named", "server.limit_changed", "server.limit_ended"}
 PROCESS_EVENTS = {"entry.started", "entry.stopping", "entry.stopped"}
 STATE_EVENTS = STORE_EVENTS | PART_EVENTS | PROCESS_EVENTS | {"config.in_force"}
 """Events that tell the state of an entry, until the next one of the same kind."""
@@ -47,7 +48,8 @@
     * the last line before the end of the request about the configuration, about each
       kind of store objects and about the process;
     * a failed copy from another entry, if no copy has succeeded since;
-    * the parts of prompts that are quarantined at the end of the request.
+    * the parts of prompts that are quarantined at the end of the request;
+    * the limits of servers that it was sent to, or that limits kept it from.
 
     Args:
         lines: Log lines of all entries.
@@ -60,6 +62,9 @@
     host = own[-1].get("host")
     began, ended = _span(own)
     servers = {line["server"] for line in own if line.get("server")}
+    limited = servers | {
+        server["server"] for line in own for server in line.get("held_back", ())
+    }
     chosen = list(own)
     last: dict[str, LogLine] = {}
     for line in ordered:
@@ -69,11 +74,13 @@
         near = (
             began - SERVER_EVENT_MARGIN_S <= line["at"] <= ended + SERVER_EVENT_MARGIN_S
         )
-        if event.startswith("server.") and line.get("server") in servers and near:
+        if _is_about_server(event) and line.get("server") in servers and near:
             chosen.append(line)
         elif line["at"] > ended:
             continue
-        elif event in STATE_EVENTS:
+        elif event in STATE_EVENTS or (
+            event in LIMIT_EVENTS and line.get("server") in limited
+        ):
             last[_state_key(line)] = line
         if event in COPY_EVENTS:
             last[COPY_KEY] = line
@@ -87,11 +94,18 @@
     return min(own[0]["at"], ended - took_s), ended
 
 
+def _is_about_server(event: str) -> bool:
+    """Returns whether events of this name are shown around a request's time."""
+    return event.startswith("server.") and event not in LIMIT_EVENTS
+
+
 def _state_key(line: LogLine) -> str:
     """Returns the part of the entry's state that a line reports."""
     event = line["event"]
     if event in STORE_EVENTS:
         return f"store {line.get('kind')}"
+    if event in LIMIT_EVENTS:
+        return f"limit {line.get('server')}"
     if event in PART_EVENTS:
         return f"part {line.get('part')}"
     return "process" if event in PROCESS_EVENTS else event
@@ -101,7 +115,7 @@
     """Returns whether a trace shows the last line about a part of the state."""
     if key == COPY_KEY:
         return line["event"] == "store.copy_failed"
-    return line["event"] != "part.released"
+    return line["event"] not in {"part.released", "server.limit_ended"}
 
 
 def format_line(line: LogLine) -> str:
--- a/cornelpin/scheduling/admission.py
+++ b/cornelpin/scheduling/admission.py
@@ -50,6 +50,8 @@
 """Lower bound of the part of all requests that reach this entry, likewise."""
 MIN_RETRY_S = 0.2
 """Shortest Retry-After of a refused request, seconds."""
+MAX_RETRY_S = 30.0
+"""Longest Retry-After for a server's limit, seconds: limits end without notice."""
 RETRY_SHARES = (0.21, 0.32)
 """Range of the random Retry-After, as parts of the time to the deadline: below a third,
 the longest that clients wait, and wide enough that the callers of one burst do not
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -14,6 +14,7 @@
 
 from cornelpin.scheduling.admission import (
     EARLY_STRICTNESS,
+    MAX_RETRY_S,
     AdmissionControl,
     Forecast,
     ServiceLoad,
@@ -315,7 +316,7 @@
         )
         if load.limited_slots:
             # Limits allow no earlier start, however soon slots are free.
-            retry_after_s = max(retry_after_s, forecast.wait_s)
+            retry_after_s = max(retry_after_s, min(forecast.wait_s, MAX_RETRY_S))
         return Refused(
             reason,
             retry_after_s,
