Bound the messages that repeat servers' limits

Every entry repeated the whole table of limits in its full states, so what an entry received grew with entries times servers: 3.1 MB a second at 82 entries of a data centre and 4,600 limits by calculation, and the table would not have fitted one datagram. Only the two relays of a data centre repeat it now, in parts of 200, and entries that start get it from them.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -267,7 +267,7 @@
             self.state.merge_poison_parts(message)
         if "leaving" in message:
             self.state.merge_leaving(message["leaving"])
-        if "limits" in message or "all_limits" in message:
+        if "limits" in message:
             self.server_limits.merge(message)
         if "rollouts" in message:
             self.rollout_controller.merge_from(
--- a/cornelpin/gateway/limit_coordinator.py
+++ b/cornelpin/gateway/limit_coordinator.py
@@ -137,13 +137,13 @@
     def merge(self, message: Mapping[str, Any]) -> None:
         """Merges what another entry's message says about limits."""
         now = self._clock()
+        received = message["limits"]
         before = {
-            i: known.limit_per_s
-            for i in self._mentioned(message)
-            if (known := self.limits.get(i)) is not None
+            (server_id, started_ms): known.limit_per_s
+            for server_id, started_ms, *_ in received
+            if (known := self.limits.get((server_id, started_ms))) is not None
         }
-        changed = self.limits.merge(message.get("limits", ()), now)
-        changed += self.limits.merge_table(message.get("all_limits", {}), now)
+        changed = self.limits.merge(received, now)
         for incarnation in changed:
             known = self.limits.get(incarnation)
             self._log.changed(
@@ -154,11 +154,6 @@
                 now=now,
             )
 
-    @staticmethod
-    def _mentioned(message: Mapping[str, Any]) -> list[Incarnation]:
-        listed = [(i[0], i[1]) for i in message.get("limits", ())]
-        return listed + [(i, f[0]) for i, f in message.get("all_limits", {}).items()]
-
     def forget(self, alive: set[Incarnation], now: float) -> None:
         """Drops what is known of servers that are gone or have no limit any more.
 
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -13,7 +13,6 @@
 * ``paces``: estimates of server speeds
 * ``digest``: a relay's reports on the entries of its data centre
 * ``poison``: quarantined parts of prompts
-* ``all_limits``: limits that servers have named
 * ``permits``: permits to send to servers with limits; a message has this field alone
 * ``refused``, ``broken``, ``leaving``, ``crashed``, ``sound``, ``limits``: see
   ONE_TIME_UPDATES
@@ -40,6 +39,9 @@
 )
 from cornelpin.gateway.summary_exchange import SummaryExchange
 from cornelpin.scheduling.quota import FleetView
+from cornelpin.scheduling.server_limits import (
+    MAX_PER_MESSAGE as MAX_LIMITS_PER_MESSAGE,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -115,7 +117,7 @@
         one_time_updates: Callable[[], dict[str, Any]],
         class_counts: Callable[[], dict[str, dict[str, list[float]]]],
         speeds: Callable[[], dict[str, list[float]]],
-        all_limits: Callable[[], dict[str, Any]],
+        all_limits: Callable[[], list[Any]],
         ages: Callable[[], dict[str, float]],
         on_message: Callable[[str, str, dict[str, Any]], None],
         on_permits: Callable[[str, dict[str, Any]], None],
@@ -328,18 +330,29 @@
     def _send_full_local_state(self) -> None:
         self._full_state_sent_at = time.monotonic()
         full_state = dict(self._state(), full=True, ips=sorted(self.addresses))
-        self._send_local(full_state | self._limits_if_any())
+        self._send_local(full_state)
+        self._send_limits(self._local.addresses)
 
     def _send_hello(self, addresses: Iterable[str]) -> None:
         """Sends all known addresses and what an entry that starts must know."""
         state = self._state()
         hello = {name: state[name] for name in ("versions", "poison")}
-        hello |= self._limits_if_any()
         self._send(hello | {"ips": sorted(self.addresses)}, addresses)
 
-    def _limits_if_any(self) -> dict[str, Any]:
+    def _send_limits(self, addresses: Iterable[str]) -> None:
+        """Sends all limits of servers if this entry is a relay of its data centre.
+
+        So what an entry receives does not grow with the number of entries.
+        """
         limits = self._all_limits()
-        return {"all_limits": limits} if limits else {}
+        if not limits:
+            return
+        rank = self._summary_exchange.rank(self._live_local(), time.monotonic())
+        if rank is None:
+            return
+        for first in range(0, len(limits), MAX_LIMITS_PER_MESSAGE):
+            some = limits[first : first + MAX_LIMITS_PER_MESSAGE]
+            self._send({"limits": some}, addresses)
 
     def send_permits(self, host: str, message: dict[str, Any]) -> None:
         """Sends a message about permits to one entry."""
@@ -483,6 +496,7 @@
             self._full_state_sent_at = 0.0
         elif self._transport is not None:
             self._send_hello([ip])
+            self._send_limits([ip])
         return peer
 
     def _merge(
--- a/cornelpin/scheduling/server_limits.py
+++ b/cornelpin/scheduling/server_limits.py
@@ -11,19 +11,25 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Sequence
 
     from cornelpin.scheduling.servers import BackendServer
 
 Incarnation = tuple[str, int]
 """Id of a server and start of its incarnation, as ``BackendServer.incarnation``."""
 
+PackedObservation = list[str | float | None]
+"""An observation in a message: id and start of the server's incarnation, the limit, the
+age of the observation in seconds, and the number of responses without a limit since."""
+
 END_RESPONSES = 2
 """Responses without a limit that end it: a single one may have been made by something
 else on the way."""
 FORGET_S = 15.0
 """Time after its last observation for which the limit of a server that is not listed is
 kept: an entry's list may be older than its peers' observations."""
+MAX_PER_MESSAGE = 200
+"""Most observations in one message, of about 30 bytes each."""
 MAX_OBSERVATIONS = 10_000
 """Most servers whose observations are kept: twice those of the largest deployment."""
 
@@ -127,33 +133,33 @@
             del self._observations[dropped]
             self._unsent.pop(dropped, None)
 
-    def export(self, now: float) -> dict[str, list[float | None]]:
-        """Returns all observations for messages, by server id.
-
-        Each is the start of the incarnation, the limit, the age of the observation in
-        seconds and the number of responses without a limit since.
-        """
-        return {i[0]: self._packed(i, now) for i in self._observations}
+    def export(self, now: float) -> list[PackedObservation]:
+        """Returns all observations for messages."""
+        return [self.packed(incarnation, now) for incarnation in self._observations]
 
-    def take_unsent(self, now: float) -> list[list[float | str | None]]:
-        """Returns and clears the observations that peers don't know yet."""
-        unsent, self._unsent = self._unsent, {}
-        return [[i[0], *self._packed(i, now)] for i in unsent]
+    def take_unsent(self, now: float) -> list[PackedObservation]:
+        """Returns observations that peers don't know yet, which then count as sent.
 
-    def packed(self, incarnation: Incarnation, now: float) -> list[float | str | None]:
-        """Returns one observation for a message, with the server's id."""
-        return [incarnation[0], *self._packed(incarnation, now)]
+        At most ``MAX_PER_MESSAGE`` are returned; the others remain for the next call.
+        """
+        taken = list(self._unsent)[:MAX_PER_MESSAGE]
+        for incarnation in taken:
+            del self._unsent[incarnation]
+        return [self.packed(incarnation, now) for incarnation in taken]
 
-    def _packed(self, incarnation: Incarnation, now: float) -> list[float | None]:
+    def packed(self, incarnation: Incarnation, now: float) -> PackedObservation:
+        """Returns one observation for a message."""
         known = self._observations[incarnation]
         age_s = round(now - known.observed_at, 3)
-        return [incarnation[1], known.limit_per_s, age_s, known.missing]
+        return [*incarnation, known.limit_per_s, age_s, known.missing]
 
-    def merge(self, received: Iterable[list[object]], now: float) -> list[Incarnation]:
+    def merge(
+        self, received: Iterable[Sequence[object]], now: float
+    ) -> list[Incarnation]:
         """Merges a peer's observations; returns the servers whose limits have changed.
 
         Args:
-            received: Observations as of ``take_unsent``.
+            received: Observations as of ``export``.
             now: Monotonic time in seconds.
         """
         changed = []
@@ -176,12 +182,6 @@
                 changed.append(incarnation)
         return changed
 
-    def merge_table(
-        self, table: Mapping[str, list[object]], now: float
-    ) -> list[Incarnation]:
-        """Merges a table as of ``export``; returns the servers with changed limits."""
-        return self.merge(([i, *fields] for i, fields in table.items()), now)
-
     def forget(self, alive: set[Incarnation], now: float) -> None:
         """Drops observations of servers that are gone.
 
