Let servers name limits in the fault soak, and check that they are kept

A planned operation of the soak: servers name 0 to 6 requests a second, some beside invalid values, for 3 to 7 s, while entries are killed, paused and restarted. No machine is excused.

--- a/benchmarks/fault_soak/faults.py
+++ b/benchmarks/fault_soak/faults.py
@@ -7,7 +7,7 @@
 import signal
 from typing import TYPE_CHECKING, Any
 
-from benchmarks.fault_soak.fleet import GRACE_S, EntryProcess, Fleet
+from benchmarks.fault_soak.fleet import GRACE_S, EntryProcess, Fleet, Limit
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -167,6 +167,26 @@
     behaviour.fault = behaviour.pause = ""
 
 
+@register(planned=True)
+async def limit(fleet: Fleet, rng: random.Random) -> None:
+    """Makes a server name a limit on the requests of all entries, or invalid values."""
+    limited = rng.choice(fleet.servers)
+    behaviour, loop = limited.behaviour, asyncio.get_running_loop()
+    if behaviour.limits:
+        return
+    per_s = rng.choice([0.0, 0.5, 2.0, 6.0])
+    behaviour.limits = rng.choice([(f"{per_s}",), (f"{per_s}", "soon"), ("-1", "")])
+    begin = loop.time()
+    while loop.time() < begin + rng.uniform(3.0, 7.0):
+        await asyncio.sleep(0.1)
+        # A restart, which replaces the behaviour, ends the limit.
+        if limited.behaviour is not behaviour:
+            break
+    if behaviour.limits[0] == f"{per_s}":
+        fleet.limits.append(Limit(limited, per_s, begin, loop.time()))
+    behaviour.limits = ()
+
+
 @register()
 async def store(fleet: Fleet, rng: random.Random) -> None:
     """Makes the store fail, stall, lose responses, drop its history or be cut off."""
--- a/benchmarks/fault_soak/fleet.py
+++ b/benchmarks/fault_soak/fleet.py
@@ -89,11 +89,29 @@
             self.process.wait()
 
 
+@attrs.frozen
+class Limit:
+    """A limit that a server named for a while.
+
+    Attributes:
+        server: The server.
+        per_s: The limit in requests per second.
+        begin: Loop time from which it was named.
+        end: Loop time until which it was named.
+    """
+
+    server: FleetServer
+    per_s: float
+    begin: float
+    end: float
+
+
 class Fleet:
     """A store, servers, proxies and entry processes.
 
     Attributes:
         version: Version of the configuration in the store.
+        limits: Limits that servers have named.
         never_ready: Log files of entries that did not become ready in time.
     """
 
@@ -109,6 +127,7 @@
         self.link_faults: list[tuple[str, float, float]] = []
         # What the operator and the servers wrote last, by kind and name.
         self._written: dict[tuple[str, str], Any] = {}
+        self.limits: list[Limit] = []
         self.never_ready: list[str] = []
         self._count = entries
         self._port = port
--- a/benchmarks/fault_soak/soak.py
+++ b/benchmarks/fault_soak/soak.py
@@ -18,6 +18,13 @@
 """Lowest share of requests that must succeed after the time for recovery."""
 
 
+LIMIT_WINDOW_S = 4.0
+"""Window of the platform's rule on limits of servers."""
+LIMIT_KNOWN_S = 1.0
+"""Time after which all entries know a limit: each entry may have to learn it from its
+own first response, which takes a moment at little load."""
+
+
 @attrs.frozen
 class Result:
     """Outcome of a run.
@@ -85,6 +92,7 @@
         await _cancel(client_tasks)
         clients_run.check_runs()
         clients_run.violations += [f"READY: {log}" for log in fleet.never_ready]
+        clients_run.violations += _check_limits(fleet)
         _check_recovery(clients_run, first_recent)
     finally:
         await _cancel(client_tasks)
@@ -104,6 +112,24 @@
     )
 
 
+def _check_limits(fleet: Fleet) -> list[str]:
+    """Returns the limits of servers that all entries together have exceeded."""
+    violations = []
+    for limit in fleet.limits:
+        first = limit.begin + LIMIT_KNOWN_S
+        times = [at for at, _ in limit.server.arrivals if first <= at < limit.end]
+        most = max(
+            (sum(1 for t in times if at <= t < at + LIMIT_WINDOW_S) for at in times),
+            default=0,
+        )
+        if most > 1.5 * limit.per_s * LIMIT_WINDOW_S + 5:
+            violations.append(
+                f"LIMIT: {limit.server.id} named {limit.per_s} a second"
+                f" and got {most} requests in {LIMIT_WINDOW_S} s"
+            )
+    return violations
+
+
 def _check_recovery(clients_run: Clients, first_recent: int) -> None:
     """Checks that requests are served again once the faults are over.
 
--- a/cornelpin/tests/test_fault_soak.py
+++ b/cornelpin/tests/test_fault_soak.py
@@ -48,6 +48,7 @@
         "configure",
         "drain",
         "leave",
+        "limit",
         "restore",
     }
     assert planned.violations == [], f"logs in {planned.logs}"
