Ask for permits of ejected servers if there are no others

Where all servers of a service had limits and were ejected, no permit was asked for, so the last remaining server got no requests until its ejection ended, where one without a limit is still used. Found by reading; the row of an ejected server alone in test_permits_are_asked_for_queued_jobs fails without the change. Tables of tests for the issuer, the holders and what is asked for.

--- a/cornelpin/scheduling/permit_demand.py
+++ b/cornelpin/scheduling/permit_demand.py
@@ -85,6 +85,8 @@
 ) -> list[tuple[Candidate, int]]:
     """Returns the servers whose permits are to be asked for, and the numbers.
 
+    Ejected servers are asked for only if there are no others.
+
     Queued jobs can use permits at once. Without one, a permit is asked for if the last
     job would rather have gone to a server with a limit: it is used by the next job,
     and the response shows whether the limit has ended.
@@ -96,13 +98,10 @@
         source: Limits and permits.
         now: Monotonic time in seconds.
     """
-    usable = [
-        c
-        for c in candidates
-        if c.limited and c.free_slots and not (c.permits or c.health.is_ejected(now))
-    ]
-    if not usable:
+    limited = [c for c in candidates if c.limited and c.free_slots and not c.permits]
+    if not limited:
         return []
+    usable = [c for c in limited if not c.health.is_ejected(now)] or limited
     if jobs:
         return _for_queued(jobs, usable, source, now)
     if last is None or last[1].limited:
--- a/cornelpin/tests/test_server_limits.py
+++ b/cornelpin/tests/test_server_limits.py
@@ -2,12 +2,26 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 import pytest
 
 from cornelpin.gateway.limit_log import LOG_INTERVAL_S, LimitLog
 from cornelpin.platform import read_response
+from cornelpin.scheduling.permit_demand import (
+    NoPermits,
+    after_peers,
+    held_back,
+    permits_wanted,
+)
+from cornelpin.scheduling.server_health import ServerHealth
 from cornelpin.scheduling.server_limits import FORGET_S, MAX_PER_MESSAGE, ServerLimits
-from cornelpin.tests.scheduling_harness import make_server
+from cornelpin.scheduling.server_selection import Candidate
+from cornelpin.scheduling.speed import SpeedEstimate
+from cornelpin.tests.scheduling_harness import make_job, make_server
+
+if TYPE_CHECKING:
+    from cornelpin.scheduling.servers import BackendServer
 
 SERVER = make_server("i-1", started_ms=7)
 INCARNATION = SERVER.incarnation
@@ -46,6 +60,93 @@
     assert bool(info.bad_limit) is bad
 
 
+class FixedPermits(NoPermits):
+    """Permits of which any number may be asked for, except from some servers."""
+
+    def __init__(self, pending: tuple[str, ...] = ()) -> None:
+        self._pending = pending
+
+    def may_ask(self, server: BackendServer, now: float) -> bool:
+        return server.id not in self._pending
+
+
+def candidate(name: str, **fields: Any) -> Candidate:
+    defaults = {"health": ServerHealth(), "limit_per_s": 2.0}
+    return Candidate(make_server(name, slots=4), SpeedEstimate(), **(defaults | fields))
+
+
+def ejected() -> ServerHealth:
+    health = ServerHealth()
+    health.unreachable(100.0)
+    return health
+
+
+WANTED = [
+    # Number of queued jobs, servers, those whose reply is pending, what is asked for.
+    (0, [candidate("a")], (), []),
+    (1, [candidate("a")], (), [("a", 1)]),
+    (
+        3,
+        [candidate("a", running=3), candidate("b", running=3)],
+        (),
+        [("a", 1), ("b", 1)],
+    ),
+    (9, [candidate("a", running=1)], (), [("a", 3)]),
+    (1, [candidate("a", permits=1)], (), []),
+    (1, [candidate("a", running=4)], (), []),
+    (1, [candidate("a", paused=True)], (), []),
+    (1, [candidate("a", limit_per_s=None)], (), []),
+    (1, [candidate("a"), candidate("b")], ("a",), [("b", 1)]),
+    (1, [candidate("a", health=ejected()), candidate("b")], (), [("b", 1)]),
+    (1, [candidate("a", health=ejected())], (), [("a", 1)]),
+]
+
+
+@pytest.mark.parametrize(("jobs", "candidates", "pending", "wanted"), WANTED)
+def test_permits_are_asked_for_queued_jobs(
+    jobs: int,
+    candidates: list[Candidate],
+    pending: tuple[str, ...],
+    wanted: list[tuple[str, int]],
+) -> None:
+    queued = [make_job() for _ in range(jobs)]
+    asked = permits_wanted(queued, None, candidates, FixedPermits(pending), 100.1)
+    assert [(c.server.id, count) for c, count in asked] == wanted
+
+
+@pytest.mark.parametrize(
+    ("running", "limited", "wanted"),
+    [(3, False, ["free"]), (0, False, []), (3, True, [])],
+)
+def test_permit_is_asked_for_if_a_job_would_rather_have_used_it(
+    running: int, limited: bool, wanted: list[str]
+) -> None:
+    taken = candidate("taken", running=running, limit_per_s=2.0 if limited else None)
+    servers = [taken, candidate("free", running=1)]
+    asked = permits_wanted([], (make_job(), taken), servers, FixedPermits(), 100.1)
+    assert [c.server.id for c, _ in asked] == wanted
+
+
+@pytest.mark.parametrize(
+    ("ahead", "chosen"), [(0, "a"), (1, "limited"), (9, "limited")]
+)
+def test_peers_requests_leave_servers_of_own_permits(ahead: int, chosen: str) -> None:
+    ranked = [
+        candidate("a", limit_per_s=None),
+        candidate("limited", permits=1),
+        candidate("c", limit_per_s=None),
+    ]
+    assert after_peers(ranked, ahead).server.id == chosen
+
+
+def test_held_back_servers_are_named_for_the_log() -> None:
+    servers = [candidate(name) for name in "abcdef"]
+    servers += [candidate("full", running=4), candidate("permitted", permits=1)]
+    named = held_back(servers[::-1], NoPermits(), 100.0)
+    assert [server.server for server in named] == list("fedc")
+    assert {(server.limit_per_s, server.age_s) for server in named} == {(2.0, None)}
+
+
 def test_limit_ends_after_two_responses_without_it() -> None:
     limits = ServerLimits()
     assert not limits.observe(INCARNATION, None, sent_at=9.0, now=9.1)
