--- a/benchmarks/limits/network.py
+++ b/benchmarks/limits/network.py
@@ -47,7 +47,7 @@
         data_centre: Its data centre.
         started: Simulated time of its last start.
         heard: Time of the last message of each peer.
-        lost: Peers that expired while most others were silent.
+        lost: Expired peers that may be running on the other side of a partition.
         receive: Handles a message: sender and content.
     """
 
@@ -118,12 +118,13 @@
         for host in self.nodes:
             if host != node.host:
                 self._deliver(node, host, None)
-        fleet = self.fleet_view(node)
         for host, at in list(node.heard.items()):
             if self.sim.now - at > EXPIRY_S:
                 del node.heard[host]
-                if 2 * fleet.heard <= fleet.all_entries:
-                    node.lost.add(host)
+                node.lost.add(host)
+        fleet = self.fleet_view(node)
+        if 2 * fleet.heard > fleet.all_entries:
+            node.lost.clear()
         self._schedule_beat(node, HEARTBEAT_S)
 
     def _schedule_beat(self, node: Node, delay_s: float) -> None:
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -137,7 +137,7 @@
         self._on_message = on_message
         self._on_permits = on_permits
         self._started = time.monotonic()
-        # Hosts of peers that expired while most others were silent as well.
+        # Hosts of expired peers that may be running on the other side of a partition.
         self._lost: set[str] = set()
         self._peers: dict[str, Peer] = {}
         # Sums of in_flight over the peers, by server id.
@@ -152,6 +152,8 @@
         self._sequence = 0
         self._full_state_sent_at = 0.0
         self._hello_sent_at = 0.0
+        # Whether the next full state is followed by the limits of servers.
+        self._limits_due = True
         self._timer: asyncio.TimerHandle | None = None
         self.slots_scarce = False
         self.malformed = 0
@@ -296,20 +298,27 @@
                 self._clear_in_flight(peer)
             if now - peer.received_at > PEER_EXPIRY_S:
                 self._remove(host, peer, now)
+        self._forget_lost()
         self._summary_exchange.expire(now)
 
     def _remove(self, host: str, peer: Peer, now: float) -> None:
-        fleet = self.fleet_view()
         del self._peers[host]
-        if 2 * fleet.heard > fleet.all_entries:
-            self._lost.clear()
-        else:
-            self._lost.add(host)
+        self._lost.add(host)
         self._local.addresses.discard(peer.ip)
         self._remote_or_unknown.discard(peer.ip)
         silent_s = round(now - peer.received_at, 1)
         logs.event("peer.forgotten", peer=host, silent_s=silent_s)
 
+    def _forget_lost(self) -> None:
+        """Forgets expired peers while this entry hears most entries.
+
+        Those that it does not hear are then few, if they run at all.
+        """
+        if self._lost:
+            fleet = self.fleet_view()
+            if 2 * fleet.heard > fleet.all_entries:
+                self._lost.clear()
+
     def flush(self) -> None:
         """Sends updates now: all to the own data centre, urgent ones to all entries."""
         updates = self._one_time_updates()
@@ -324,6 +333,7 @@
     def send_full_state(self) -> None:
         """Sends the full state to the own data centre and hellos to all others."""
         self._hello_sent_at = time.monotonic()
+        self._limits_due = True
         self._send_full_local_state()
         self._send_hello(self._remote_or_unknown)
 
@@ -331,7 +341,9 @@
         self._full_state_sent_at = time.monotonic()
         full_state = dict(self._state(), full=True, ips=sorted(self.addresses))
         self._send_local(full_state)
-        self._send_limits(self._local.addresses)
+        if self._limits_due:
+            self._limits_due = False
+            self._send_limits(self._local.addresses)
 
     def _send_hello(self, addresses: Iterable[str]) -> None:
         """Sends all known addresses and what an entry that starts must know."""
@@ -494,6 +506,7 @@
         if local:
             # The next tick sends a full state, for the new peer.
             self._full_state_sent_at = 0.0
+            self._limits_due = True
         elif self._transport is not None:
             self._send_hello([ip])
             self._send_limits([ip])
--- a/cornelpin/tests/test_fleet_limits.py
+++ b/cornelpin/tests/test_fleet_limits.py
@@ -10,6 +10,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from cornelpin.gateway.peer import Peer
+from cornelpin.gateway.peers import PEER_EXPIRY_S
 from cornelpin.scheduling.budget import BUDGET_SHARE, BudgetBounds, RetryBudget
 from cornelpin.scheduling.quota import (
     SLACK_SHARE,
@@ -183,6 +185,47 @@
     assert repeats >= 0.7 * BUDGET_SHARE * (0.2 * 600)
 
 
+MEMBERS = [
+    # Peers that are heard, silent ones, the sure part of a limit after their expiry.
+    (5, 0, 1.0),
+    (4, 1, 1.0),
+    (3, 2, 1.0),
+    (2, 3, 0.5),
+    (1, 4, 1 / 3),
+    (0, 5, 1 / 6),
+]
+
+
+@pytest.mark.parametrize(("heard", "silent", "part"), MEMBERS)
+def test_minority_uses_its_part_of_a_limit_after_the_others_have_expired(
+    heard: int, silent: int, part: float
+) -> None:
+    async def scenario() -> None:
+        async with run_harness() as harness:
+            peers = harness.entries[0].peers
+            peers._started -= 2 * PEER_EXPIRY_S
+            now = time.monotonic()
+
+            def add(name: str, age_s: float) -> None:
+                peer = Peer("127.0.0.200", "here", "1", received_at=now - age_s)
+                peers._peers[name] = peer
+
+            for number in range(heard):
+                add(f"heard-{number}", 0.0)
+            for number in range(silent):
+                add(f"silent-{number}", PEER_EXPIRY_S + 1.0)
+            peers.tick()
+            assert set(peers.live_peers()) == set(peers._peers)
+            assert peers.fleet_view().sure_fraction == pytest.approx(part)
+            # Others take the place of those that were lost.
+            for number in range(silent):
+                add(f"new-{number}", 0.0)
+            peers.tick()
+            assert peers.fleet_view().sure_fraction == 1.0
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("heard", [1, 3, 6])
 def test_entries_that_are_cut_off_use_their_part_of_the_retry_budget(
     heard: int,
