Separate the messages about permits; take back only permits granted here

The coordinator decoded messages and decided in one place. After a hand-over a permit of the former issuer came back to the new one, which had not granted it and would have issued one too many; a row of test_permits_that_come_back_serve_others shows it.

--- a/cornelpin/gateway/limit_coordinator.py
+++ b/cornelpin/gateway/limit_coordinator.py
@@ -12,18 +12,23 @@
 
 from cornelpin.core.subsetting import highest_weighted
 from cornelpin.gateway.limit_log import LimitLog
-from cornelpin.scheduling.permits import (
-    PermitHolder,
-    PermitIssuer,
-    PermitReply,
-    PermitRequest,
+from cornelpin.gateway.permit_messages import (
+    ask_message,
+    read_asks,
+    read_replies,
+    read_unused,
+    reply_message,
+    unused_message,
 )
+from cornelpin.scheduling.permits import PermitHolder, PermitIssuer
 from cornelpin.scheduling.server_limits import ServerLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from cornelpin.gateway.permit_messages import Message
     from cornelpin.platform import ResponseInfo
+    from cornelpin.scheduling.permits import PermitReply, PermitRequest
     from cornelpin.scheduling.quota import FleetView
     from cornelpin.scheduling.server_limits import Incarnation
     from cornelpin.scheduling.servers import BackendServer
@@ -49,7 +54,7 @@
     def fleet_view(self) -> FleetView:
         """Returns the numbers of live and known entries."""
 
-    def send_permits(self, host: str, message: dict[str, Any]) -> None:
+    def send_permits(self, host: str, message: Message) -> None:
         """Sends a message about permits to one entry."""
 
 
@@ -191,8 +196,7 @@
             self._issue(issuer, request, now)
             return
         known = self.limits.packed(server.incarnation, now)
-        packed = [*known, request.number, request.count, round(request.score, 5)]
-        self._transport.send_permits(issuer, {"asks": [packed]})
+        self._transport.send_permits(issuer, ask_message(request, known))
 
     def take(self, server: BackendServer, now: float) -> None:
         """Uses a permit for a send."""
@@ -207,30 +211,15 @@
     def receive(self, host: str, message: Mapping[str, Any]) -> None:
         """Handles a message about permits of another entry."""
         now = self._clock()
-        for server_id, started_ms, limit, age_s, missing, *rest in message.get(
-            "asks", ()
-        ):
-            self.merge({"limits": [[server_id, started_ms, limit, age_s, missing]]})
-            number, count, score = rest
-            request = PermitRequest(
-                (str(server_id), int(started_ms)), int(number), int(count), float(score)
-            )
-            # Another entry may still be issuing these permits, or issue them already.
+        for request, known in read_asks(message):
+            self.merge({"limits": [known]})
+            # Another entry may still issue these permits, or issue them already.
             if self.issuer_of(request.incarnation, now) == self._transport.host:
                 self._issue(host, request, now)
-        for server_id, started_ms, number, granted, wait_s, rate in message.get(
-            "replies", ()
-        ):
-            reply = PermitReply(
-                (str(server_id), int(started_ms)),
-                int(number),
-                int(granted),
-                float(wait_s),
-                float(rate),
-            )
+        for reply in read_replies(message):
             self._accept(reply, now)
-        for server_id, started_ms, count in message.get("unused", ()):
-            self._issuer.put_back((str(server_id), int(started_ms)), int(count))
+        for incarnation, count in read_unused(message):
+            self._issuer.put_back(host, incarnation, count)
 
     def tick(self) -> None:
         """Issues accumulated permits, and gives unused ones back."""
@@ -240,11 +229,10 @@
         for incarnation, count in self._holder.expire(now):
             issuer = self.issuer_of(incarnation, now)
             if issuer == self._transport.host:
-                self._issuer.put_back(incarnation, count)
+                self._issuer.put_back(issuer, incarnation, count)
             else:
-                self._transport.send_permits(
-                    issuer, {"unused": [[*incarnation, count]]}
-                )
+                message = unused_message(incarnation, count)
+                self._transport.send_permits(issuer, message)
 
     def _issue(self, host: str, request: PermitRequest, now: float) -> None:
         known = self.limits.get(request.incarnation)
@@ -264,14 +252,7 @@
         if host == self._transport.host:
             self._accept(reply, now)
             return
-        packed = [
-            *reply.incarnation,
-            reply.number,
-            reply.granted,
-            round(reply.wait_s, 3),
-            round(reply.rate_per_s, 2),
-        ]
-        self._transport.send_permits(host, {"replies": [packed]})
+        self._transport.send_permits(host, reply_message(reply))
 
     def _accept(self, reply: PermitReply, now: float) -> None:
         if self._holder.receive(reply, now):
--- a/cornelpin/scheduling/permits.py
+++ b/cornelpin/scheduling/permits.py
@@ -193,10 +193,10 @@
                 replies += self._serve(incarnation, bucket, rate, now)
         return replies
 
-    def put_back(self, incarnation: Incarnation, count: int) -> None:
-        """Takes back permits that an entry did not use."""
+    def put_back(self, entry: str, incarnation: Incarnation, count: int) -> None:
+        """Takes back permits that an entry did not use, if they were granted here."""
         bucket = self._buckets.get(incarnation)
-        if bucket is not None:
+        if bucket is not None and entry in bucket.last_grants:
             bucket.level += count
 
     def _serve(
--- a/cornelpin/tests/test_permits.py
+++ b/cornelpin/tests/test_permits.py
@@ -87,8 +87,11 @@
     issuer = PermitIssuer()
     ask(issuer, "a", request(1), 100.0)
     ask(issuer, "b", request(1), 100.1)
-    issuer.put_back(SERVER, 1)
-    issuer.put_back(OTHER, 1)
+    # Granted by another issuer, before this one.
+    issuer.put_back("c", SERVER, 1)
+    assert granted(issuer.replies_due(100.1, lambda server: 2.0)) == []
+    issuer.put_back("a", SERVER, 1)
+    issuer.put_back("a", OTHER, 1)
     assert granted(issuer.replies_due(100.1, lambda server: 2.0)) == [("b", 1)]
 
 
