Give up responses that stall but for a byte now and then

Callers of safe requests got 504 at their deadline, and resumable streams broke off there, where a server sent a byte each 0.2 s: each byte restarted the time-out. Only progress does now: the head, a complete event, or 1 KB; a slow client's time does not count.

--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -30,6 +30,9 @@
 the connection is closed. A faulty server may send them without end."""
 MAX_FOREIGN_RESPONSES = 20
 """Number of other and interim responses that are skipped."""
+MIN_PROGRESS_BYTES = 1_024
+"""Bytes that count as progress of a response: a server that stalls may still send a
+byte now and then, and a sound one that is slow sends more."""
 REJECTION_TIMEOUT_S = 0.1
 """Time to read the rest of a rejection: a new connection costs less."""
 
@@ -105,12 +108,14 @@
 
 @attrs.frozen
 class IdleTimeouts:
-    """Longest waits for the next part of a response before a send is cancelled.
+    """Longest times without progress of a response before a send is cancelled.
+
+    Progress is the head, a complete event of a stream, or ``MIN_PROGRESS_BYTES``.
 
     Attributes:
-        first_s: Limit in seconds on each wait for data before the first event of a
-            stream, and on each wait for data of other responses.
-        event_gap_s: Limit in seconds on each wait for data after that event.
+        first_s: Limit in seconds before the first event of a stream, and for other
+            responses.
+        event_gap_s: Limit in seconds after that event.
     """
 
     first_s: float
@@ -177,6 +182,9 @@
         self._lease: Lease | None = None
         self._info: ResponseInfo | None = None
         self._sent_at = 0.0
+        # Monotonic time of the last progress, and bytes received by then.
+        self._progress_at = 0.0
+        self._progress_bytes = 0
         self._response_started = False
 
     async def run(self, *, stream: bool) -> Outcome:
@@ -212,6 +220,7 @@
         request = self._request
         self._foreign_limit = self._lease.conn.received_bytes + MAX_FOREIGN_BYTES
         self._sent_at = time.monotonic()
+        self._record_progress()
         try:
             self._lease.conn.send(
                 request.method, request.target, request.headers, request.body
@@ -237,24 +246,34 @@
         """Returns the next part of the response.
 
         Raises:
-            ConnectionBroken: If the server disconnects or a time-out expires.
+            ConnectionBroken: If the server disconnects, or the response makes no
+                progress for too long.
         """
         assert self._lease is not None
         conn = self._lease.conn
         if self._timeouts is None:
             return await conn.next_event()
+        if conn.received_bytes >= self._progress_bytes + MIN_PROGRESS_BYTES:
+            self._record_progress()
         limit_s = (
             self._timeouts.event_gap_s if self._forwarding else self._timeouts.first_s
         )
         try:
-            async with asyncio.timeout(limit_s):
+            remaining_s = self._progress_at + limit_s - time.monotonic()
+            async with asyncio.timeout(max(0.0, remaining_s)):
                 return await conn.next_event()
         except TimeoutError as exc:
             # After a pause of the process, the part may have arrived in time.
             part = conn.next_received_event()
             if part is not None:
+                self._record_progress()
                 return part
-            raise ConnectionBroken(f"silent for {limit_s:.1f} s") from exc
+            raise ConnectionBroken(f"no progress for {limit_s:.1f} s") from exc
+
+    def _record_progress(self) -> None:
+        assert self._lease is not None
+        self._progress_at = time.monotonic()
+        self._progress_bytes = self._lease.conn.received_bytes
 
     async def _read_head(self) -> tuple[h11.Response, ResponseInfo]:
         """Returns the head of this request's response.
@@ -281,6 +300,7 @@
             if info.request_id in {self._request.request_id, ""}:
                 self._response_started = True
                 self._info = info
+                self._record_progress()
                 return part, info
             await self._skip_body()
             conn.skip_response()
@@ -379,6 +399,8 @@
                     self._sink.on_event_gap(now - last_event_at)
                 last_event_at = now
                 await self._sink.on_event(event.data, event.id)
+                # The time that a slow client took is not the server's.
+                self._record_progress()
             self._hold(splitter.size)
         if splitter.partial or not self._forwarding:
             raise ConnectionBroken("the stream ended within an event")
--- a/cornelpin/tests/test_gateway_path.py
+++ b/cornelpin/tests/test_gateway_path.py
@@ -9,7 +9,7 @@
 from cornelpin.scheduling.decisions import Placement, Refused
 from cornelpin.scheduling.jobs import Job
 from cornelpin.tests.fleet_client import connect, fetch, request
-from cornelpin.tests.gateway_harness import Harness, config, run_harness, until
+from cornelpin.tests.gateway_harness import Harness, config, route, run_harness, until
 from standins.fleet.server import FleetServer
 
 STREAM = b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in (1, 2, 3))
@@ -362,6 +362,72 @@
     asyncio.run(scenario())
 
 
+LONG_ROUTES = [
+    route("/safe/", "safe", timeout_ms=8000),
+    route("/stream/resumable/", "stream", resumable=True, timeout_ms=8000),
+]
+LONG = {"Deadline-Ms": "8000"}
+
+
+async def learn_speeds(harness: Harness) -> None:
+    """Serves requests until response time-outs apply at all servers."""
+    for _ in range(12):
+        assert (await fetch(entry_address(harness), "/safe/x")).status == 200
+    for server in harness.servers:
+        listed = harness.entries[0].state.servers.get(server.id)
+        assert listed is not None
+        harness.entries[0].scheduler.dispatcher.speed(listed).samples = 9
+
+
+@pytest.mark.parametrize("target", ["/safe/x", "/stream/resumable/x"])
+def test_response_that_stalls_but_for_a_byte_now_and_then_is_given_up(
+    target: str,
+) -> None:
+    async def scenario() -> None:
+        async with run_harness(servers=2, routes=LONG_ROUTES) as harness:
+            stalled = await stream_server(harness)
+            await learn_speeds(harness)
+            stalled.runs.clear()
+            stalled.behaviour.fault = "drip"
+            loop = asyncio.get_running_loop()
+            for number in range(3):
+                began = loop.time()
+                response = await fetch(
+                    entry_address(harness),
+                    target,
+                    method="POST",
+                    request_id=f"d{number}",
+                    headers=LONG,
+                )
+                assert (response.status, response.complete) == (200, True)
+                # The time-out of a gap is 2 s, that of a plain response 0.6 s or more.
+                assert loop.time() - began < 4.0
+            assert stalled.runs
+            assert set(stalled.cancelled) == set(stalled.runs)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("fault", "gap_s"), [("large", 0.0), ("", 0.5)])
+def test_slow_but_sound_stream_is_not_cut(fault: str, gap_s: float) -> None:
+    async def scenario() -> None:
+        async with run_harness(servers=2, routes=LONG_ROUTES) as harness:
+            await learn_speeds(harness)
+            for server in harness.servers:
+                server.behaviour.fault, server.behaviour.gap_s = fault, gap_s
+                server.behaviour.events = 3 if fault else 6
+            response = await fetch(
+                entry_address(harness),
+                "/stream/resumable/x",
+                method="POST",
+                headers=LONG,
+            )
+            assert (response.status, response.complete) == (200, True)
+            assert sum(sum(s.runs.values()) for s in harness.servers) == 13
+
+    asyncio.run(scenario())
+
+
 def test_route_timeout_takes_precedence_over_a_longer_deadline() -> None:
     async def scenario() -> None:
         fields = config()
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -34,8 +34,10 @@
             response at once),
             ``late_extra`` (a second response while the connection is idle),
             ``no_length`` (a body that ends with the connection),
-            ``partial_no_length`` (such a stream that ends within an event), or a key of
-            ``ENDLESS`` (bytes until the caller closes).
+            ``partial_no_length`` (such a stream that ends within an event), ``drip``
+            (a byte each ``DRIP_S`` after the head or the first event), ``large`` (a
+            last event of 16 KB, in a part each ``DRIP_S``), or a key of ``ENDLESS``
+            (bytes until the caller closes).
         status: Status of plain responses.
         leaving: Whether all responses say that the server leaves.
         pause: Retry-After of a ``full`` server; none if empty.
@@ -55,6 +57,8 @@
     crash_part: str = ""
 
 
+DRIP_S = 0.2
+"""Time between two parts of a response that arrives slowly, in seconds."""
 ENDLESS = {
     "endless_line": (b"", b"x" * 4_096),
     "endless_head": (b"HTTP/1.1 200 X\r\n", b"X-Junk: junk\r\n" * 200),
@@ -234,6 +238,8 @@
             return False
         headers = {"Request-Id": request_id, "Response-Seal": f"{self.id}.1"}
         headers |= self._state_headers()
+        if fault == "drip":
+            await self._drip(req, headers, writer)
         if fault in ENDLESS:
             await self._write_without_end(fault, headers, writer)
         if fault == "unsealed":
@@ -245,6 +251,21 @@
         data = format_response(status, headers, req.target.encode() + b"|" + req.body)
         return await self._write_plain(fault, headers, data, writer)
 
+    async def _drip(
+        self, req: RawRequest, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        """Sends the beginning of a response, then a byte now and then."""
+        lines = "\r\n".join(f"{name}: {value}" for name, value in headers.items())
+        head = f"HTTP/1.1 200 X\r\n{lines}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        if req.target.startswith("/stream/"):
+            event = b"id: 1\ndata: piece 1\n\n"
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        while True:
+            writer.write(b"1\r\nx\r\n")
+            await writer.drain()
+            await asyncio.sleep(DRIP_S)
+
     async def _write_without_end(
         self, fault: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
@@ -286,6 +307,17 @@
             await writer.drain()
         return True
 
+    async def _write_large_event(
+        self, number: int, writer: asyncio.StreamWriter
+    ) -> bytes:
+        """Writes most of an event of 16 KB slowly; returns the rest of it."""
+        writer.write(b"10\r\nid: %03d\ndata: xx\r\n" % number)
+        for _ in range(8):
+            writer.write(b"800\r\n" + b"x" * 0x800 + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(DRIP_S)
+        return b"\n\n"
+
     async def _stream(
         self, req: RawRequest, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> bool:
@@ -307,6 +339,8 @@
                 self._crash()
                 return False
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if fault == "large" and number == self.behaviour.events:
+                event = await self._write_large_event(number, writer)
             cut = self.behaviour.fault == "cut" and number == self.behaviour.events - 1
             if cut:
                 writer.write(f"{len(event):x}\r\n".encode() + event[:5])
