Tell entries that start which servers leave

A server that says in its responses that it leaves may be listed as ready for a while, by a stale or restored store. Entries told each other once; one that started later sent to it again, until its own first response. The relays of a data centre now repeat these notices to entries that start, with the limits. Repeated notices are not passed on between data centres: their bytes would have grown with the number of data centres.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -100,7 +100,10 @@
                 time.monotonic()
             ),
             speeds=lambda: self.scheduler.dispatcher.speeds.export(time.monotonic()),
-            all_limits=lambda: self.server_limits.limits.export(time.monotonic()),
+            server_notices=lambda: {
+                "limits": self.server_limits.limits.export(time.monotonic()),
+                "leaving": self.state.servers.known_leaving(),
+            },
             on_message=self._on_peer_message,
             on_permits=lambda host, message: self.server_limits.receive(host, message),
         )
@@ -255,6 +258,7 @@
             incarnation: Incarnation of the entry; empty for a data centre.
             message: The message.
         """
+        message = message | message.get("notices", {})
         used = message.get("used")
         if used:
             now = time.monotonic()
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -13,6 +13,7 @@
 * ``paces``: estimates of server speeds
 * ``digest``: a relay's reports on the entries of its data centre
 * ``poison``: quarantined parts of prompts
+* ``notices``: repeated ``limits`` and ``leaving``, which relays do not pass on
 * ``permits``: permits to send to servers with limits; a message has this field alone
 * ``refused``, ``broken``, ``leaving``, ``crashed``, ``sound``, ``limits``: see
   ONE_TIME_UPDATES
@@ -39,9 +40,6 @@
 )
 from cornelpin.gateway.summary_exchange import SummaryExchange
 from cornelpin.scheduling.quota import FleetView
-from cornelpin.scheduling.server_limits import (
-    MAX_PER_MESSAGE as MAX_LIMITS_PER_MESSAGE,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -66,6 +64,8 @@
 """A message due within this time is sent now instead of by another timer."""
 PEER_EXPIRY_S = 15.0
 """Time without a message after which a peer is removed: longer than a restart."""
+MAX_NOTICES_PER_MESSAGE = 200
+"""Most notices of servers in one message, of about 30 bytes each."""
 ONE_TIME_UPDATES = ("refused", "broken", "leaving", "crashed", "sound", "limits")
 """Fields that are sent once and not repeated in full-state messages: refused requests,
 runs with an incomplete response (``exchange.Broken``), servers that said that they
@@ -89,8 +89,9 @@
         class_counts: Returns the counts of offered and served requests by service and
             request class (``scheduling.request_classes``).
         speeds: Returns this entry's estimates of server speeds.
-        all_limits: Returns the limits that servers have named, for entries that start
-            or have missed an update.
+        server_notices: Returns what servers have said of themselves, as lists by field:
+            their limits, and that they leave. For entries that start or have missed an
+            update.
         ages: Returns the seconds since the store's last response by kind; sent with
             each message.
         on_message: Called after a message is merged, with the host and incarnation of
@@ -117,7 +118,7 @@
         one_time_updates: Callable[[], dict[str, Any]],
         class_counts: Callable[[], dict[str, dict[str, list[float]]]],
         speeds: Callable[[], dict[str, list[float]]],
-        all_limits: Callable[[], list[Any]],
+        server_notices: Callable[[], dict[str, list[Any]]],
         ages: Callable[[], dict[str, float]],
         on_message: Callable[[str, str, dict[str, Any]], None],
         on_permits: Callable[[str, dict[str, Any]], None],
@@ -132,7 +133,7 @@
         self._one_time_updates = one_time_updates
         self._class_counts = class_counts
         self._speeds = speeds
-        self._all_limits = all_limits
+        self._server_notices = server_notices
         self._ages = ages
         self._on_message = on_message
         self._on_permits = on_permits
@@ -152,8 +153,8 @@
         self._sequence = 0
         self._full_state_sent_at = 0.0
         self._hello_sent_at = 0.0
-        # Whether the next full state is followed by the limits of servers.
-        self._limits_due = True
+        # Whether the next full state is followed by the notices of servers.
+        self._notices_due = True
         self._timer: asyncio.TimerHandle | None = None
         self.slots_scarce = False
         self.malformed = 0
@@ -333,7 +334,7 @@
     def send_full_state(self) -> None:
         """Sends the full state to the own data centre and hellos to all others."""
         self._hello_sent_at = time.monotonic()
-        self._limits_due = True
+        self._notices_due = True
         self._send_full_local_state()
         self._send_hello(self._remote_or_unknown)
 
@@ -341,9 +342,9 @@
         self._full_state_sent_at = time.monotonic()
         full_state = dict(self._state(), full=True, ips=sorted(self.addresses))
         self._send_local(full_state)
-        if self._limits_due:
-            self._limits_due = False
-            self._send_limits(self._local.addresses)
+        if self._notices_due:
+            self._notices_due = False
+            self._send_server_notices(self._local.addresses)
 
     def _send_hello(self, addresses: Iterable[str]) -> None:
         """Sends all known addresses and what an entry that starts must know."""
@@ -351,20 +352,18 @@
         hello = {name: state[name] for name in ("versions", "poison")}
         self._send(hello | {"ips": sorted(self.addresses)}, addresses)
 
-    def _send_limits(self, addresses: Iterable[str]) -> None:
-        """Sends all limits of servers if this entry is a relay of its data centre.
+    def _send_server_notices(self, addresses: Iterable[str]) -> None:
+        """Sends the notices of servers if this entry is a relay of its data centre.
 
         So what an entry receives does not grow with the number of entries.
         """
-        limits = self._all_limits()
-        if not limits:
-            return
         rank = self._summary_exchange.rank(self._live_local(), time.monotonic())
         if rank is None:
             return
-        for first in range(0, len(limits), MAX_LIMITS_PER_MESSAGE):
-            some = limits[first : first + MAX_LIMITS_PER_MESSAGE]
-            self._send({"limits": some}, addresses)
+        for name, notices in self._server_notices().items():
+            for first in range(0, len(notices), MAX_NOTICES_PER_MESSAGE):
+                some = notices[first : first + MAX_NOTICES_PER_MESSAGE]
+                self._send({"notices": {name: some}}, addresses)
 
     def send_permits(self, host: str, message: dict[str, Any]) -> None:
         """Sends a message about permits to one entry."""
@@ -506,10 +505,10 @@
         if local:
             # The next tick sends a full state, for the new peer.
             self._full_state_sent_at = 0.0
-            self._limits_due = True
+            self._notices_due = True
         elif self._transport is not None:
             self._send_hello([ip])
-            self._send_limits([ip])
+            self._send_server_notices([ip])
         return peer
 
     def _merge(
--- a/cornelpin/scheduling/servers.py
+++ b/cornelpin/scheduling/servers.py
@@ -192,6 +192,10 @@
             del self._removed[incarnation[0]]
         return True
 
+    def known_leaving(self) -> list[tuple[str, int]]:
+        """Returns the registered incarnations that are known to leave."""
+        return [s.incarnation for s in self._listed.values() if s.leaving]
+
     def _remember_leaving(self, incarnation: tuple[str, int]) -> None:
         self._leaving[incarnation] = None
         if len(self._leaving) > MAX_LEAVING:
--- a/cornelpin/tests/test_server_notices.py
+++ b/cornelpin/tests/test_server_notices.py
@@ -84,6 +84,29 @@
     asyncio.run(scenario())
 
 
+def test_entry_that_starts_later_knows_which_servers_leave() -> None:
+    """Guards against requests to a server that leaves, after a restart of an entry.
+
+    The store may list the server as ready for a while.
+    """
+
+    async def scenario() -> None:
+        async with run_harness(entries=2, servers=2) as harness:
+            await wait_until_connected(harness)
+            leaving, stays = harness.servers
+            stays.behaviour.answer_s = 0.02
+            leaving.behaviour.leaving = True
+            await reach(harness.entries[0], leaving)
+            before = len(leaving.requests)
+            started = await harness.add_entry()
+            await wait_until_connected(harness)
+            await until(lambda: is_known_to_leave(started, leaving.id), 0.5)
+            assert await ask(started, 20) == [200] * 20
+            assert len(leaving.requests) == before
+
+    asyncio.run(scenario())
+
+
 def test_request_is_not_sent_to_a_server_that_left_while_it_connected(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
