--- a/benchmarks/fault_soak/faults.py
+++ b/benchmarks/fault_soak/faults.py
@@ -7,7 +7,14 @@
 import signal
 from typing import TYPE_CHECKING, Any
 
-from benchmarks.fault_soak.fleet import GRACE_S, EntryProcess, Fleet, Limit
+from benchmarks.fault_soak.fleet import (
+    COLD_PER_S,
+    DATA_CENTRES,
+    GRACE_S,
+    EntryProcess,
+    Fleet,
+    Limit,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -15,6 +22,8 @@
 FAULTS: dict[str, Callable[[Fleet, random.Random], Coroutine[Any, Any, None]]] = {}
 PLANNED: set[str] = set()
 """Names of planned operations, during which no request may be lost."""
+STORE_RECOVERY_S = 3.0
+"""Time after a fault of the store until all entries know its objects again."""
 RECOVERY_S = 4.0
 """Time after a fault in which requests may still fail until connections time out."""
 
@@ -187,9 +196,46 @@
     behaviour.limits = ()
 
 
+@register(planned=True)
+async def cold(fleet: Fleet, rng: random.Random) -> None:
+    """Makes a server cold, for a time that it registers with each heartbeat."""
+    server = rng.choice(fleet.servers)
+    loop = asyncio.get_running_loop()
+    if server.cold_left_ms:
+        return
+    begin = loop.time()
+    end = begin + rng.uniform(2.0, 4.0)
+    while (left_s := end - loop.time()) > 0:
+        server.cold_left_ms = 1e3 * left_s
+        fleet.register_server(server)
+        await asyncio.sleep(min(left_s, 1.2))
+    server.cold_left_ms = 0
+    fleet.register_server(server)
+    fleet.cold_spells.append(Limit(server, COLD_PER_S, begin, end))
+
+
+@register(planned=True)
+async def evacuate(fleet: Fleet, rng: random.Random) -> None:
+    """Evacuates a data centre, rarely all of them, and takes the order back."""
+    names = DATA_CENTRES if rng.random() < 0.1 else [rng.choice(DATA_CENTRES)]
+    if fleet.evacuated:
+        return
+    begin = asyncio.get_running_loop().time()
+    fleet.evacuated = set(names)
+    for name in names:
+        fleet.evacuate(name)
+    await asyncio.sleep(rng.uniform(1.0, 8.0))
+    end = asyncio.get_running_loop().time()
+    fleet.evacuations += [(name, begin, end) for name in names]
+    for name in names:
+        fleet.end_evacuation(name)
+    fleet.evacuated = set()
+
+
 @register()
 async def store(fleet: Fleet, rng: random.Random) -> None:
     """Makes the store fail, stall, lose responses, drop its history or be cut off."""
+    begin = asyncio.get_running_loop().time()
     match rng.choice(["busy", "silent", "lost", "forget", "cut"]):
         case "silent":
             fleet.store.go_silent()
@@ -205,6 +251,8 @@
             fleet.store.mode = mode
     await asyncio.sleep(rng.uniform(0.5, 3.0))
     fleet.store.mode = "up"
+    end = asyncio.get_running_loop().time()
+    fleet.store_faults.append((begin, end + STORE_RECOVERY_S))
 
 
 @register(planned=True)
@@ -233,6 +281,7 @@
 @register(planned=True)
 async def restore(fleet: Fleet, rng: random.Random) -> None:
     """Restores the store from a copy; what others wrote since is written again."""
+    begin = asyncio.get_running_loop().time()
     fleet.store.keep_copy()
     fleet.configure()
     await asyncio.sleep(rng.uniform(0.2, 2.0))
@@ -243,3 +292,5 @@
     fleet.store.restore()
     await asyncio.sleep(rng.uniform(0.0, 1.5))
     fleet.write_again()
+    end = asyncio.get_running_loop().time()
+    fleet.store_faults.append((begin, end + STORE_RECOVERY_S))
--- a/benchmarks/fault_soak/fleet.py
+++ b/benchmarks/fault_soak/fleet.py
@@ -29,6 +29,11 @@
 LINK_SLACK_S = 0.5
 """Time around the fault of a link in which responses may be lost or late."""
 DATA_CENTRES = ("north", "south")
+COLD_PER_S = 6.0
+"""Requests per second that a cold server takes from all entries."""
+EVACUATION_S = 5.0
+"""Time within which an evacuated data centre must get no more requests, as on the
+platform."""
 
 
 @attrs.define
@@ -112,6 +117,11 @@
     Attributes:
         version: Version of the configuration in the store.
         limits: Limits that servers have named.
+        cold_spells: Times for which servers were cold, as limits of cold servers.
+        store_faults: Begin and end of each time in loop time in which entries may not
+            have known what the store holds.
+        evacuated: Data centres that are evacuated.
+        evacuations: Data centre, begin and end of each evacuation, in loop time.
         never_ready: Log files of entries that did not become ready in time.
     """
 
@@ -128,6 +138,10 @@
         # What the operator and the servers wrote last, by kind and name.
         self._written: dict[tuple[str, str], Any] = {}
         self.limits: list[Limit] = []
+        self.cold_spells: list[Limit] = []
+        self.store_faults: list[tuple[float, float]] = []
+        self.evacuated: set[str] = set()
+        self.evacuations: list[tuple[str, float, float]] = []
         self.never_ready: list[str] = []
         self._count = entries
         self._port = port
@@ -179,7 +193,18 @@
             route("/stream/", "stream", max_attempts=1, allow_anonymous=False),
             route("/stream/resumable/", "stream", resumable=True),
         ]
-        self._put("config", "main", config(self.version, routes=routes, **fields))
+        services = [{"name": "app", "health_path": "/h", "cold_per_s": COLD_PER_S}]
+        fields = {"routes": routes, "services": services} | fields
+        self._put("config", "main", config(self.version, **fields))
+
+    def evacuate(self, data_centre: str) -> None:
+        """Orders that the servers of a data centre get no requests."""
+        self._put("evacuations", data_centre, {})
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Takes such an order back."""
+        self._written.pop(("evacuations", data_centre), None)
+        self.store.remove("evacuations", data_centre)
 
     def _put(self, kind: str, name: str, spec: Any) -> None:
         self._written[kind, name] = spec
@@ -191,6 +216,10 @@
             if self.store.objects(kind).get(name) != spec:
                 self.store.put(kind, name, spec)
 
+    def store_faulty(self, begin: float, end: float) -> bool:
+        """Returns whether entries may have missed objects of the store in a time."""
+        return any(b < end and begin < e for b, e in self.store_faults)
+
     def link_faulty(self, server: FleetServer, at: float) -> bool:
         """Returns whether the link to a server had a fault around a loop time."""
         return any(
@@ -217,7 +246,8 @@
             # Entries use only the IP address of a seed, not its port.
             "seeds": [f"127.0.1.10:{port + 3}", f"127.0.1.11:{port + 3}"],
             "provider": {"address": f"{store_ip}:{store_port}"},
-            "bounds": {"grace_s": GRACE_S},
+            "bounds": {"grace_s": GRACE_S, "evacuate_ms": 1e3 * EVACUATION_S},
+            "zones": dict.fromkeys(DATA_CENTRES, "region"),
         }
         entry.settings.write_text(json.dumps(document | fields))
 
--- a/benchmarks/fault_soak/soak.py
+++ b/benchmarks/fault_soak/soak.py
@@ -10,7 +10,7 @@
 
 from benchmarks.fault_soak.clients import Clients
 from benchmarks.fault_soak.faults import FAULTS, PLANNED
-from benchmarks.fault_soak.fleet import Fleet
+from benchmarks.fault_soak.fleet import EVACUATION_S, Fleet
 
 SETTLE_S = 2.5
 """Time for recovery after the last fault, and duration of the check after it."""
@@ -25,6 +25,10 @@
 own first response, which takes a moment at little load."""
 
 
+COLD_KNOWN_S = 0.5
+"""Time after which all entries know a registration."""
+
+
 @attrs.frozen
 class Result:
     """Outcome of a run.
@@ -93,6 +97,10 @@
         clients_run.check_runs()
         clients_run.violations += [f"READY: {log}" for log in fleet.never_ready]
         clients_run.violations += _check_limits(fleet)
+        clients_run.violations += _check_cold(fleet)
+        # A paused entry, or one without the store, may not know of an order in time.
+        if planned_only:
+            clients_run.violations += _check_evacuations(fleet)
         _check_recovery(clients_run, first_recent)
     finally:
         await _cancel(client_tasks)
@@ -130,6 +138,36 @@
     return violations
 
 
+def _check_cold(fleet: Fleet) -> list[str]:
+    """Returns the cold servers that got more than they take from all entries."""
+    violations = []
+    for spell in fleet.cold_spells:
+        if fleet.store_faulty(spell.begin, spell.end):
+            continue
+        first = spell.begin + COLD_KNOWN_S
+        times = [at for at, _ in spell.server.arrivals if first <= at < spell.end]
+        most = max(
+            (sum(1 for t in times if at <= t < at + 1.0) for at in times), default=0
+        )
+        if most > 1.5 * spell.per_s + 5:
+            violations.append(
+                f"FAILBACK: cold {spell.server.id} got {most} requests in a second"
+            )
+    return violations
+
+
+def _check_evacuations(fleet: Fleet) -> list[str]:
+    """Returns the servers that got requests long after their evacuation."""
+    return [
+        f"EVAC: {server.id} in {name} got a request {at - begin:.1f} s after the order"
+        for name, begin, end in fleet.evacuations
+        for server in fleet.servers
+        for at, _ in server.arrivals
+        if server.zone == name and begin + EVACUATION_S < at < end
+        if not fleet.store_faulty(begin, end)
+    ]
+
+
 def _check_recovery(clients_run: Clients, first_recent: int) -> None:
     """Checks that requests are served again once the faults are over.
 
--- a/benchmarks/replay/limit_exchange.py
+++ b/benchmarks/replay/limit_exchange.py
@@ -5,6 +5,8 @@
 import functools
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from cornelpin.gateway.limit_coordinator import LimitCoordinator
 from cornelpin.platform import read_response
 from cornelpin.scheduling.quota import FleetView
@@ -79,6 +81,18 @@
             coordinator.on_permits = functools.partial(sim.call_later, 0.0, use)
             self.coordinators.append(coordinator)
 
+    def restrict_cold(self, per_s: float) -> None:
+        """Lets all entries know what a cold server takes, requests per second."""
+        for coordinator in self.coordinators:
+            coordinator.cold.configure({"engines": per_s})
+
+    def register_cold(self, server: BackendServer, cold_s: float) -> None:
+        """Registers a server that is cold; the entries know it after a delay."""
+        registered = attrs.evolve(server, cold_s=cold_s)
+        for coordinator in self.coordinators:
+            register = functools.partial(coordinator.register, registered)
+            self._sim.call_later(self._hop_s, register)
+
     def observe(
         self,
         entry: int,
--- a/benchmarks/replay/patterns.py
+++ b/benchmarks/replay/patterns.py
@@ -158,6 +158,25 @@
     per_s: float
 
 
+@attrs.frozen
+class ColdStart:
+    """Servers, by their indices, that come back together and are cold for a while.
+
+    Attributes:
+        start_s: Time at which they come back.
+        duration_s: Time for which they are cold.
+        servers: The servers.
+        per_s: Requests per second that each of them takes meanwhile.
+        slowness: Factor on the time of their steps meanwhile.
+    """
+
+    start_s: float
+    duration_s: float
+    servers: tuple[int, ...]
+    per_s: float
+    slowness: float = 3.0
+
+
 @attrs.frozen
 class Pattern:
     """One load pattern.
@@ -167,6 +186,7 @@
         surges: Changes of the arrival rate.
         crashes: Servers that go down.
         limits: Limits that servers name.
+        cold_start: Servers that come back cold.
         entries: Entries that share the servers.
         slots: Maximum number of running requests of a server.
         duration_s: Time during which requests arrive.
@@ -179,6 +199,7 @@
     surges: tuple[Surge, ...] = ()
     crashes: tuple[Crash, ...] = ()
     limits: tuple[Limit, ...] = ()
+    cold_start: ColdStart | None = None
     entries: int = 6
     slots: int = 8
     duration_s: float = 20.0
@@ -273,6 +294,29 @@
     return Pattern(limits=tuple(Limit(3.0, 12.0, n, 2.8) for n in range(5)))
 
 
+@register
+def one_cold() -> Pattern:
+    """One of the fastest servers comes back cold under normal load."""
+    return Pattern(cold_start=ColdStart(4.0, 6.0, (0,), 3.0))
+
+
+@register
+def half_cold() -> Pattern:
+    """Half of the servers come back cold during 1.3 times the load."""
+    return Pattern(
+        slowness=(0.55, 1.0, 1.0, 0.55),
+        surges=(Surge(2.0, 12.0, 1.3),),
+        crashes=(Crash(2.0, 2.0, 0), Crash(2.0, 2.0, 1)),
+        cold_start=ColdStart(4.0, 6.0, (0, 1), 3.0),
+    )
+
+
+@register
+def all_cold() -> Pattern:
+    """All servers are cold at once, and together take a third of the load."""
+    return Pattern(cold_start=ColdStart(4.0, 6.0, (0, 1, 2, 3, 4), 2.0))
+
+
 def sample(rng: random.Random, mean: float, sigma: float, limit: float) -> int:
     """Draws a length from a log-normal distribution with a mean and an upper limit."""
     mu = math.log(mean) - sigma * sigma / 2
--- a/benchmarks/replay/replay.py
+++ b/benchmarks/replay/replay.py
@@ -11,10 +11,10 @@
 from benchmarks.replay.clients import MAX_WAIT_SHARE, Call, draw
 from benchmarks.replay.engine import Engine
 from benchmarks.replay.simulation import Simulation
-from benchmarks.replay.systems import Forwarder, Gateway, System
+from benchmarks.replay.systems import HOP_LATENCY_S, Forwarder, Gateway, System
 
 if TYPE_CHECKING:
-    from benchmarks.replay.patterns import Pattern, RequestKind
+    from benchmarks.replay.patterns import ColdStart, Pattern, RequestKind
 
 DRAIN_S = 16.0
 """Time after the last arrival, longer than every route's time-out."""
@@ -48,6 +48,8 @@
             multiple of what the limit allows in that time; zero without limits.
         limits_used: Requests that servers with limits got, as a part of what their
             limits allow; zero without limits.
+        cold_per_s: Most requests that a cold server got in one second.
+        cold_used: Requests that cold servers got, as a part of what they take.
     """
 
     in_time: dict[str, float]
@@ -61,6 +63,8 @@
     refused_early: float
     over_limit: float = 0.0
     limits_used: float = 0.0
+    cold_per_s: int = 0
+    cold_used: float = 0.0
 
 
 class _Clients:
@@ -156,11 +160,54 @@
         sim.call_later(limit.start_s, functools.partial(name, limit.per_s))
         end_s = limit.start_s + limit.duration_s
         sim.call_later(end_s, functools.partial(name, None))
+    if pattern.cold_start is not None and isinstance(under_test, Gateway):
+        _schedule_cold(sim, pattern.cold_start, engines, under_test)
     clients.start(under_test)
     sim.run_until(pattern.duration_s + DRAIN_S)
     result = _summarise(clients, pattern)
     over_limit, limits_used = _limits_kept(pattern, engines)
-    return attrs.evolve(result, over_limit=over_limit, limits_used=limits_used)
+    cold_per_s, cold_used = _cold_kept(pattern, engines)
+    return attrs.evolve(
+        result,
+        over_limit=over_limit,
+        limits_used=limits_used,
+        cold_per_s=cold_per_s,
+        cold_used=cold_used,
+    )
+
+
+def _schedule_cold(
+    sim: Simulation, cold: ColdStart, engines: list[Engine], gateway: Gateway
+) -> None:
+    def slow_down(factor: float) -> None:
+        for index in cold.servers:
+            engines[index].slowness *= factor
+
+    def start() -> None:
+        slow_down(cold.slowness)
+        gateway.start_cold(cold.servers, cold.per_s, cold.duration_s)
+
+    sim.call_later(cold.start_s, start)
+    end_s = cold.start_s + cold.duration_s
+    sim.call_later(end_s, lambda: slow_down(1 / cold.slowness))
+
+
+def _cold_kept(pattern: Pattern, engines: list[Engine]) -> tuple[int, float]:
+    """Returns ``cold_per_s`` and ``cold_used``."""
+    cold = pattern.cold_start
+    if cold is None:
+        return 0, 0.0
+    most = arrived = 0
+    for index in cold.servers:
+        times = [
+            at
+            for at in engines[index].arrivals
+            if cold.start_s + HOP_LATENCY_S <= at < cold.start_s + cold.duration_s
+        ]
+        counts = [sum(1 for t in times if at <= t < at + 1.0) for at in times]
+        most = max(most, max(counts, default=0))
+        arrived += len(times)
+    return most, arrived / (len(cold.servers) * cold.per_s * cold.duration_s)
 
 
 def _limits_kept(pattern: Pattern, engines: list[Engine]) -> tuple[float, float]:
--- a/benchmarks/replay/systems.py
+++ b/benchmarks/replay/systems.py
@@ -175,6 +175,12 @@
             first = DISPATCH_INTERVAL_S * (1 + entry / entries)
             sim.call_later(first, functools.partial(self._tick, entry))
 
+    def start_cold(self, indices: tuple[int, ...], per_s: float, cold_s: float) -> None:
+        """Tells the entries of servers, by their indices, that come back cold."""
+        self._limits.restrict_cold(per_s)
+        for index in indices:
+            self._limits.register_cold(self._servers[index], cold_s)
+
     def submit(self, call: Call, job: Job, entry: int) -> None:
         """Queues a request at an entry and dispatches the queue."""
         refused = self._dispatchers[entry].offer(job, self._sim.now)
@@ -242,7 +248,7 @@
                     entry, placement.server, engine.limit_per_s, sent_at
                 )
                 dispatcher.first_bytes(job, placement, now - sent_at, now)
-            else:
+            elif not placement.cold:
                 speed = dispatcher.speed(placement.server)
                 speed.record_gap(now - last_event_at, job.route.max_event_gap_s)
             last_event_at = now
--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -128,6 +128,7 @@
             settings.data_centre,
             valuation or Valuation(),
             self.server_limits,
+            self.state.evacuations,
         )
         self.store = Store(settings.store)
         self.rollout_controller = RolloutController(
@@ -369,6 +370,21 @@
             "Servers that name a limit",
             lambda: self.server_limits.limits.limited,
         )
+        self.state.metrics.gauge(
+            "cold_servers",
+            "Servers that count as cold",
+            lambda: len(self.server_limits.cold),
+        )
+        self.state.metrics.gauge(
+            "bad_cold_times",
+            "Warm-up times over the bound",
+            lambda: self.server_limits.cold.invalid,
+        )
+        self.state.metrics.gauge(
+            "evacuated_data_centres",
+            "Data centres whose servers get no requests",
+            lambda: len(self.state.evacuations),
+        )
         self.state.metrics.gauge(
             "bad_limits",
             "Responses with an invalid limit",
@@ -389,6 +405,7 @@
             self.scheduler.dispatcher.forget(alive, now)
             self.server_limits.forget(alive, now)
             self.state.expire_poison_parts()
+            self.state.expire_evacuations()
 
     def _reload_if_changed(self) -> None:
         """Reloads the settings file if its modification time has changed."""
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -296,6 +296,7 @@
         now = time.monotonic()
         return (
             self.state.servers.is_usable(placement.server, now)
+            and placement.server.data_centre not in self.state.evacuations
             and not self.state.quarantine_reason(self.job, now)
             and self._within_limit(placement, now)
         )
@@ -323,6 +324,8 @@
         route = self.job.route
         if not route.idempotent or self.progress.runs + 1 >= route.max_attempts:
             return None
+        if placement.cold:
+            return None
         if self.scheduler.dispatcher.speed(placement.server).samples < MIN_SAMPLES:
             return None
         min_timeout_s = MIN_TIMEOUT_OBJECTIVES * route.objective_s
@@ -344,7 +347,8 @@
                 placement.server,
                 self.job.route.name,
                 failed=failed,
-                took_s=None if failed else self._relative_time(),
+                # A cold server is slow whatever its version.
+                took_s=None if failed or placement.cold else self._relative_time(),
             )
         match outcome:
             case Answered(response=response):
@@ -495,6 +499,6 @@
         self.progress.max_event_gap_ms = max(
             self.progress.max_event_gap_ms, round(1e3 * took_s)
         )
-        if self.placement is not None:
+        if self.placement is not None and not self.placement.cold:
             speed = self.scheduler.dispatcher.speed(self.placement.server)
             speed.record_gap(took_s, self.job.route.max_event_gap_s)
--- a/cornelpin/gateway/limit_coordinator.py
+++ b/cornelpin/gateway/limit_coordinator.py
@@ -1,8 +1,10 @@
-"""Keeps all entries together within the limits that servers name.
+"""Keeps all entries together within the rates that servers take.
 
-Connects the decisions (``scheduling.server_limits``, ``scheduling.permits``) to the
-messages between entries. The issuer of a server's permits is the live entry with the
-highest rendezvous weight, in the server's data centre if any entry is live there.
+These are the limits that servers name, and those of cold servers. Connects the
+decisions (``scheduling.server_limits``, ``scheduling.restrictions``,
+``scheduling.permits``) to the messages between entries. The issuer of a server's
+permits is the live entry with the highest rendezvous weight, in the server's data
+centre if any entry is live there.
 """
 
 from __future__ import annotations
@@ -11,8 +13,10 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from cornelpin.core.subsetting import highest_weighted
+from cornelpin.gateway import logs
 from cornelpin.gateway.limit_log import LimitLog
 from cornelpin.gateway.permit_messages import (
+    Ask,
     ask_message,
     read_asks,
     read_replies,
@@ -21,10 +25,11 @@
     unused_message,
 )
 from cornelpin.scheduling.permits import PermitHolder, PermitIssuer
+from cornelpin.scheduling.restrictions import ColdServers
 from cornelpin.scheduling.server_limits import ServerLimits
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from cornelpin.gateway.permit_messages import Message
     from cornelpin.platform import ResponseInfo
@@ -70,6 +75,7 @@
 
     Attributes:
         limits: Limits as known here.
+        cold: Cold servers as known here.
         on_permits: Called when permits have arrived.
         invalid: Number of responses with an invalid limit.
     """
@@ -89,6 +95,7 @@
         self._flush = flush
         self._on_change = on_change
         self.limits = ServerLimits()
+        self.cold = ColdServers()
         self.on_permits: Callable[[], None] = lambda: None
         self.invalid = 0
         self._log = LimitLog()
@@ -113,6 +120,8 @@
             sent_at: Monotonic time at which the request was sent.
         """
         now = self._clock()
+        if info.cold_s and self.cold.learn(server.incarnation, info.cold_s, now):
+            self._log_cold([server], "its response", now)
         if info.bad_limit:
             self.invalid += 1
             self._log.invalid(server.id, info.bad_limit, now)
@@ -159,6 +168,40 @@
                 now=now,
             )
 
+    def register(self, server: BackendServer) -> None:
+        """Records a server's registration, which says whether it is cold."""
+        now = self._clock()
+        if self.cold.register(server, now):
+            self._log_cold([server], "its registration", now)
+
+    def suspect(
+        self, servers: Iterable[BackendServer], reason: str, *, from_s: float = 0.0
+    ) -> None:
+        """Treats servers as cold that may have turned cold without notice.
+
+        Args:
+            servers: The servers.
+            reason: Why, for the log.
+            from_s: Seconds until they may be used again at the earliest.
+        """
+        now = self._clock()
+        self._log_cold(self.cold.suspect(servers, now, from_s=from_s), reason, now)
+
+    def _log_cold(
+        self, servers: Iterable[BackendServer], source: str, now: float
+    ) -> None:
+        for server in servers:
+            limit_per_s = self.cold.rate_per_s(server, now)
+            if limit_per_s is None:
+                continue
+            logs.event(
+                "server.cold",
+                server=server.id,
+                for_s=round(self.cold.left_s(server.incarnation, now), 2),
+                limit_per_s=limit_per_s,
+                source=source,
+            )
+
     def forget(self, alive: set[Incarnation], now: float) -> None:
         """Drops what is known of servers that are gone or have no limit any more.
 
@@ -167,15 +210,31 @@
             now: Monotonic time in seconds.
         """
         self.limits.forget(alive, now)
-        self._holder.forget(self.limits.incarnations())
-        for incarnation in self._issuers.keys() - self.limits.incarnations():
+        for server_id, _ in self.cold.expire(now):
+            logs.event("server.warm", server=server_id)
+        restricted = self.limits.incarnations() | self.cold.incarnations()
+        self._holder.forget(restricted)
+        for incarnation in self._issuers.keys() - restricted:
             del self._issuers[incarnation]
 
     # What the dispatcher asks.
 
     def limit_per_s(self, server: BackendServer) -> float | None:
-        """Returns a server's limit in requests per second; None if it has none."""
-        return self.limits.limit_per_s(server)
+        """Returns a server's limit in requests per second; None if it has none.
+
+        It is the one that the server names or, if lower, that of a cold server.
+        """
+        named = self.limits.limit_per_s(server)
+        if not self.cold:
+            return named
+        cold = self.cold.rate_per_s(server, self._clock())
+        return min((rate for rate in (named, cold) if rate is not None), default=None)
+
+    def cold_rate_per_s(self, server: BackendServer) -> float | None:
+        """Returns a cold server's limit; None if it is warm or has none while cold."""
+        if not self.cold:
+            return None
+        return self.cold.rate_per_s(server, self._clock())
 
     def permits(self, server: BackendServer, now: float) -> int:
         """Returns the requests that may be sent to a server with a limit now."""
@@ -195,8 +254,11 @@
         if issuer == self._transport.host:
             self._issue(issuer, request, now)
             return
-        known = self.limits.packed(server.incarnation, now)
-        self._transport.send_permits(issuer, ask_message(request, known))
+        known = None
+        if self.limits.limit_per_s(server) is not None:
+            known = self.limits.packed(server.incarnation, now)
+        cold_s = self.cold.left_s(server.incarnation, now)
+        self._transport.send_permits(issuer, ask_message(Ask(request, known, cold_s)))
 
     def take(self, server: BackendServer, now: float) -> None:
         """Uses a permit for a send."""
@@ -211,11 +273,14 @@
     def receive(self, host: str, message: Mapping[str, Any]) -> None:
         """Handles a message about permits of another entry."""
         now = self._clock()
-        for request, known in read_asks(message):
-            self.merge({"limits": [known]})
+        for ask in read_asks(message):
+            incarnation = ask.request.incarnation
+            if ask.known is not None:
+                self.merge({"limits": [ask.known]})
+            self.cold.learn(incarnation, ask.cold_s, now)
             # Another entry may still issue these permits, or issue them already.
-            if self.issuer_of(request.incarnation, now) == self._transport.host:
-                self._issue(host, request, now)
+            if self.issuer_of(incarnation, now) == self._transport.host:
+                self._issue(host, ask.request, now)
         for reply in read_replies(message):
             self._accept(reply, now)
         for incarnation, count in read_unused(message):
@@ -235,14 +300,18 @@
                 self._transport.send_permits(issuer, message)
 
     def _issue(self, host: str, request: PermitRequest, now: float) -> None:
-        known = self.limits.get(request.incarnation)
-        if known is None or known.limit_per_s is None:
+        incarnation = request.incarnation
+        if self._known_limit(incarnation) is None:
             return
+        known = self.limits.get(incarnation)
+        learned_at = self.cold.since(incarnation)
+        if known is not None and known.limit_per_s is not None:
+            learned_at = max(learned_at, known.learned_at)
         replies = self._issuer.request(
             host,
             request,
-            self._rate(request.incarnation),
-            since=max(known.learned_at, self._members_since),
+            self._rate(incarnation),
+            since=max(learned_at, self._members_since),
             now=now,
         )
         for receiver, reply in replies:
@@ -260,11 +329,16 @@
 
     # Rates and members.
 
-    def _limit(self, incarnation: Incarnation) -> float:
+    def _known_limit(self, incarnation: Incarnation) -> float | None:
+        """Returns the limit of an incarnation, listed or not; None if it has none."""
+        server = self._server(incarnation[0])
+        if server is not None and server.incarnation == incarnation:
+            return self.limit_per_s(server)
         known = self.limits.get(incarnation)
-        if known is None or known.limit_per_s is None:
-            return ZERO_LIMIT_PER_S
-        return known.limit_per_s or ZERO_LIMIT_PER_S
+        return known.limit_per_s if known is not None else None
+
+    def _limit(self, incarnation: Incarnation) -> float:
+        return self._known_limit(incarnation) or ZERO_LIMIT_PER_S
 
     def _rate(self, incarnation: Incarnation) -> float:
         """Returns the rate that the entries heard may use together."""
@@ -272,8 +346,7 @@
 
     def _issued_rate(self, incarnation: Incarnation) -> float | None:
         """Returns the rate of the permits issued here; None if none are."""
-        known = self.limits.get(incarnation)
-        if known is None or known.limit_per_s is None:
+        if self._known_limit(incarnation) is None:
             return None
         if self.issuer_of(incarnation, self._clock()) != self._transport.host:
             return None
--- a/cornelpin/gateway/permit_messages.py
+++ b/cornelpin/gateway/permit_messages.py
@@ -1,13 +1,15 @@
 """Messages between entries about permits, as lists for msgpack.
 
 A message has one of these fields: ``asks`` (requests for permits, with what the sender
-knows of the limit), ``replies``, and ``unused`` (permits that come back).
+knows of the server), ``replies``, and ``unused`` (permits that come back).
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from cornelpin.scheduling.permits import PermitReply, PermitRequest
 
 if TYPE_CHECKING:
@@ -18,24 +20,46 @@
 Message = dict[str, Any]
 
 
-def ask_message(request: PermitRequest, known: PackedObservation) -> Message:
-    """Returns a request for permits as a message.
+NO_LIMIT: tuple[None, float, int] = (None, 0.0, 0)
+"""Limit, age and missing responses in a request for permits of a server that has named
+no limit, but is cold."""
+
 
-    Args:
+@attrs.frozen
+class Ask:
+    """A request for permits, with what its entry knows of the server.
+
+    Attributes:
         request: The request.
-        known: Observation of the server's limit as of ``ServerLimits.packed``.
+        known: Observation of the server's limit as of ``ServerLimits.packed``; None if
+            the entry knows of no limit.
+        cold_s: Remaining warm-up time of the server in seconds; zero if it is warm.
     """
-    score = round(request.score, 5)
-    return {"asks": [[*known, request.number, request.count, score]]}
+
+    request: PermitRequest
+    known: PackedObservation | None
+    cold_s: float = 0.0
 
 
-def read_asks(
-    message: Mapping[str, Any],
-) -> Iterator[tuple[PermitRequest, PackedObservation]]:
-    """Yields the requests of a message, with the observations of the limits."""
-    for *known, number, count, score in message.get("asks", ()):
+def ask_message(ask: Ask) -> Message:
+    """Returns a request for permits as a message."""
+    request = ask.request
+    known = ask.known or [*request.incarnation, *NO_LIMIT]
+    score, cold_s = round(request.score, 5), round(ask.cold_s, 3)
+    return {"asks": [[*known, request.number, request.count, score, cold_s]]}
+
+
+def read_asks(message: Mapping[str, Any]) -> Iterator[Ask]:
+    """Yields the requests for permits of a message."""
+    for packed in message.get("asks", ()):
+        known, (number, count, score, *rest) = packed[:5], packed[5:]
         incarnation = (str(known[0]), int(known[1]))
-        yield PermitRequest(incarnation, int(number), int(count), float(score)), known
+        yield Ask(
+            PermitRequest(incarnation, int(number), int(count), float(score)),
+            None if known[2] is None else known,
+            # Earlier builds know nothing of cold servers.
+            float(rest[0]) if rest else 0.0,
+        )
 
 
 def reply_message(reply: PermitReply) -> Message:
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -130,6 +130,7 @@
             max_output_tokens=info.max_output_tokens,
             event_tokens=cfg.event_tokens(service),
             workspace=name,
+            data_centres=self._allowed_data_centres(route, workspace),
             fingerprint=content_fingerprint,
             shared_parts=info.shared_parts,
             first_attempt_at=req.received
@@ -137,6 +138,23 @@
             else min(first_attempt_at, req.received),
         )
 
+    def _allowed_data_centres(
+        self, route: Route, workspace: Workspace | None
+    ) -> frozenset[str] | None:
+        """Returns the data centres in which a request may run; None for all.
+
+        Where the route and the workspace both name regions, both bind.
+        """
+        named = [route.regions, workspace.regions if workspace else frozenset()]
+        bounds = [regions for regions in named if regions]
+        if not bounds:
+            return None
+        return frozenset(
+            data_centre
+            for data_centre, region in self._state.settings.regions.items()
+            if all(region in regions for regions in bounds)
+        )
+
     async def _within_deadline(
         self,
         job: Job,
--- a/cornelpin/gateway/request_trace.py
+++ b/cornelpin/gateway/request_trace.py
@@ -19,9 +19,24 @@
 """Key of the last copy of any kind; a failed one has no kind."""
 PART_EVENTS = {"part.quarantined", "part.released"}
 LIMIT_EVENTS = {"server.limit_named", "server.limit_changed", "server.limit_ended"}
+COLD_EVENTS = {"server.cold", "server.warm"}
+DATA_CENTRE_EVENTS = {"data_centre.evacuated", "data_centre.in_use"}
 PROCESS_EVENTS = {"entry.started", "entry.stopping", "entry.stopped"}
-STATE_EVENTS = STORE_EVENTS | PART_EVENTS | PROCESS_EVENTS | {"config.in_force"}
+STATE_EVENTS = (
+    STORE_EVENTS
+    | PART_EVENTS
+    | PROCESS_EVENTS
+    | DATA_CENTRE_EVENTS
+    | {"config.in_force"}
+)
 """Events that tell the state of an entry, until the next one of the same kind."""
+ENDED_EVENTS = {
+    "part.released",
+    "server.limit_ended",
+    "server.warm",
+    "data_centre.in_use",
+}
+"""Events after which a trace no longer shows the state before."""
 
 
 def parse_lines(lines: Iterable[str]) -> Iterator[LogLine]:
@@ -49,7 +64,9 @@
       kind of store objects and about the process;
     * a failed copy from another entry, if no copy has succeeded since;
     * the parts of prompts that are quarantined at the end of the request;
-    * the limits of servers that it was sent to, or that limits kept it from.
+    * the data centres that are evacuated at the end of the request;
+    * the limits of servers that it was sent to, or that limits kept it from, and which
+      of them are cold.
 
     Args:
         lines: Log lines of all entries.
@@ -79,7 +96,7 @@
         elif line["at"] > ended:
             continue
         elif event in STATE_EVENTS or (
-            event in LIMIT_EVENTS and line.get("server") in limited
+            event in LIMIT_EVENTS | COLD_EVENTS and line.get("server") in limited
         ):
             last[_state_key(line)] = line
         if event in COPY_EVENTS:
@@ -96,7 +113,7 @@
 
 def _is_about_server(event: str) -> bool:
     """Returns whether events of this name are shown around a request's time."""
-    return event.startswith("server.") and event not in LIMIT_EVENTS
+    return event.startswith("server.") and event not in LIMIT_EVENTS | COLD_EVENTS
 
 
 def _state_key(line: LogLine) -> str:
@@ -106,6 +123,10 @@
         return f"store {line.get('kind')}"
     if event in LIMIT_EVENTS:
         return f"limit {line.get('server')}"
+    if event in COLD_EVENTS:
+        return f"cold {line.get('server')}"
+    if event in DATA_CENTRE_EVENTS:
+        return f"data centre {line.get('data_centre')}"
     if event in PART_EVENTS:
         return f"part {line.get('part')}"
     return "process" if event in PROCESS_EVENTS else event
@@ -115,7 +136,7 @@
     """Returns whether a trace shows the last line about a part of the state."""
     if key == COPY_KEY:
         return line["event"] == "store.copy_failed"
-    return line["event"] not in {"part.released", "server.limit_ended"}
+    return line["event"] not in ENDED_EVENTS
 
 
 def format_line(line: LogLine) -> str:
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -10,6 +10,7 @@
 from cornelpin.gateway import logs
 from cornelpin.scheduling.decisions import Placement, Refused
 from cornelpin.scheduling.dispatcher import Dispatcher
+from cornelpin.scheduling.restrictions import Evacuations
 from cornelpin.scheduling.review_gate import (
     RECOVERY_STEP_S,
     RECOVERY_STEPS,
@@ -50,6 +51,7 @@
         data_centre: Data centre of this entry.
         valuation: Relative values of responses.
         limits: Permits to send to servers with limits.
+        evacuations: Data centres whose servers get no requests.
     """
 
     def __init__(
@@ -61,9 +63,12 @@
         data_centre: str,
         valuation: Valuation,
         limits: LimitCoordinator,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._servers = servers
         self._rollouts = rollouts
+        self._limits = limits
+        self._evacuations = Evacuations() if evacuations is None else evacuations
         self._subsets = ServerSubsets(peers.host, data_centre)
         self._peers = peers
         self._queued: dict[Job, asyncio.Future[Placement | Refused]] = {}
@@ -78,6 +83,7 @@
             valuation=valuation,
             needs_traffic=rollouts.needs_traffic,
             permits=limits,
+            evacuated=self._all_evacuated,
         )
         limits.on_permits = self._on_permits
 
@@ -196,6 +202,8 @@
             for_s=round(health.ejected_until - now, 2),
             failure_rate=round(health.failure_rate, 3),
         )
+        # It may have crashed, and be back before its registration says that it is cold.
+        self._limits.suspect([server], reason, from_s=health.ejected_until - now)
 
     def pause(
         self, server: BackendServer, pause_s: float | None, bad_value: str
@@ -216,5 +224,25 @@
             logs.event("server.paused", server=server.id, for_s=round(pause_s, 2))
 
     def _usable_servers(self, service: str, now: float) -> list[BackendServer]:
-        servers = self._subsets.of_service(service, self._servers.all(now))
-        return self._rollouts.usable(service, servers, now)
+        servers = self._servers.all(now)
+        if self._evacuations:
+            servers = {
+                server_id: server
+                for server_id, server in servers.items()
+                if server.data_centre not in self._evacuations
+            }
+        chosen = self._subsets.of_service(service, servers)
+        return self._rollouts.usable(service, chosen, now)
+
+    def _all_evacuated(self, service: str, now: float) -> bool:
+        """Returns whether only evacuated data centres have servers of a service."""
+        if not self._evacuations:
+            return False
+        data_centres = [
+            server.data_centre
+            for server in self._servers.all(now).values()
+            if server.service == service and not server.leaving
+        ]
+        return bool(data_centres) and all(
+            name in self._evacuations for name in data_centres
+        )
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -16,6 +16,7 @@
 from cornelpin.scheduling.poison_parts import PoisonParts
 from cornelpin.scheduling.poison_requests import PoisonDetector
 from cornelpin.scheduling.quota import FleetView, Quotas, QuotaTolerance
+from cornelpin.scheduling.restrictions import Evacuations
 from cornelpin.scheduling.rollouts import Rollouts
 from cornelpin.scheduling.servers import ServerList
 
@@ -47,6 +48,7 @@
 
     Attributes:
         metrics: The metrics; None until they are created during the start.
+        evacuations: Data centres whose servers get no requests.
         servers_listed: Whether the store's list of servers was received.
         get_servers_confirmed_at: Returns the monotonic time at which that list was last
             known to be current. Set by StoreView, which is created later.
@@ -85,6 +87,7 @@
         self.poison_detector = PoisonDetector()
         self.poison_parts = PoisonParts()
         self.limits = limits
+        self.evacuations = Evacuations()
         self.metrics: Metrics | None = None
         self.servers_listed = False
         self.get_servers_confirmed_at: Callable[[], float] = lambda: 0.0
@@ -110,6 +113,9 @@
             return
         before = self.config.version if self.config is not None else None
         self.config = config
+        self.limits.cold.configure(
+            {s.name: s.cold_rate_per_s for s in config.services.values()}
+        )
         self._configured.set()
         logs.event(
             "config.in_force",
@@ -120,6 +126,62 @@
         )
         self._on_change()
 
+    def evacuate(self, data_centre: str, source: str) -> None:
+        """Sends the servers of a data centre nothing more, by order of an operator."""
+        if self.evacuations.begin(data_centre):
+            self._log_evacuation(data_centre, source)
+
+    def end_evacuation(self, data_centre: str, source: str) -> None:
+        """Uses the servers of a data centre again; they may have turned cold."""
+        if self.evacuations.end(data_centre):
+            self._on_evacuation_end(data_centre, source)
+
+    def replace_evacuations(
+        self, data_centres: Iterable[str], source: str, *, restored: bool
+    ) -> None:
+        """Replaces the orders to evacuate data centres by those of a list.
+
+        Args:
+            data_centres: The data centres for which the store lists an order.
+            source: Where the list is from, for the log.
+            restored: Whether the store was restored from a copy since the last list.
+        """
+        began, ended = self.evacuations.replace(
+            data_centres, time.monotonic(), restored=restored
+        )
+        for data_centre in began:
+            self._log_evacuation(data_centre, source)
+        for data_centre in ended:
+            self._on_evacuation_end(data_centre, source)
+
+    def expire_evacuations(self) -> None:
+        """Ends the orders that nobody wrote again after a restore of the store."""
+        for data_centre in self.evacuations.expire(time.monotonic()):
+            self._on_evacuation_end(data_centre, "not written again")
+
+    def _log_evacuation(self, data_centre: str, source: str) -> None:
+        logs.event(
+            "data_centre.evacuated",
+            data_centre=data_centre,
+            known=data_centre in self.settings.regions,
+            servers=len(self._servers_in(data_centre)),
+            source=source,
+        )
+
+    def _on_evacuation_end(self, data_centre: str, source: str) -> None:
+        servers = self._servers_in(data_centre)
+        logs.event(
+            "data_centre.in_use",
+            data_centre=data_centre,
+            servers=len(servers),
+            source=source,
+        )
+        self.limits.suspect(servers, "its data centre was evacuated")
+
+    def _servers_in(self, data_centre: str) -> list[BackendServer]:
+        servers = self.servers.all(time.monotonic()).values()
+        return [server for server in servers if server.data_centre == data_centre]
+
     async def wait_for_config(self, timeout_s: float) -> None:
         """Waits until there is a configuration, or the time has passed."""
         if self.config is None:
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -13,12 +13,14 @@
 from cornelpin.gateway.watcher_selection import (
     ROLLOUT_TIMING,
     default_timing,
+    evacuation_timing,
     is_fresh,
     watch_wait_s,
 )
 from cornelpin.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
+    EVACUATION_KIND,
     ROLLOUT_KIND,
     SERVER_KIND,
     BadValue,
@@ -71,7 +73,10 @@
         self._state = state
         self._peers = peers
         self._dispatch = dispatch
-        self._timing = default_timing(state.settings.bounds.contact_s)
+        bounds = state.settings.bounds
+        self._timings = {ROLLOUT_KIND: ROLLOUT_TIMING}
+        self._timing = default_timing(bounds.contact_s)
+        self._evacuations_era = 0
         # The configuration in force as it was stored.
         self._config_spec: Any = None
         # Names of malformed servers; each is logged once.
@@ -96,6 +101,14 @@
                 on_recovery=lambda: None,
             ),
         }
+        if bounds.evacuation_s is not None:
+            self._timings[EVACUATION_KIND] = evacuation_timing(bounds.evacuation_s)
+            self._caches[EVACUATION_KIND] = self._make_cache(
+                EVACUATION_KIND,
+                on_list=self._on_evacuation_list,
+                on_change=self._on_evacuation,
+                on_recovery=lambda: None,
+            )
         self.snapshot_source = SnapshotSource(
             self._caches, lambda: (self._version_in_force(), self._config_spec)
         )
@@ -201,7 +214,7 @@
 
     def _watch_wait_s(self, kind: str) -> float | None:
         host = self._state.settings.host
-        timing = ROLLOUT_TIMING if kind == ROLLOUT_KIND else self._timing
+        timing = self._timings.get(kind, self._timing)
         return watch_wait_s(
             host,
             kind,
@@ -236,6 +249,11 @@
         servers = [s for o in objects if (s := self._decode_server(o)) is not None]
         current_at = self._caches[SERVER_KIND].replaced_from
         self._state.servers.replace(servers, time.monotonic(), current_at)
+        for server in servers:
+            self._state.limits.register(server)
+        if not self._state.servers_listed:
+            # What this process knew before its start is lost.
+            self._state.limits.suspect(servers, "this entry started")
         self._state.servers_listed = True
         logs.event("servers.listed", count=len(servers))
         self._dispatch()
@@ -252,6 +270,7 @@
         if server is None:
             return
         self._state.servers.put(server)
+        self._state.limits.register(server)
         logs.event(
             "server.changed",
             server=server.id,
@@ -261,6 +280,25 @@
         )
         self._dispatch()
 
+    def _on_evacuation_list(self, objects: list[StoreObject]) -> None:
+        revision = self._caches[EVACUATION_KIND].revision
+        restored = 0 < self._evacuations_era < revision.era
+        self._evacuations_era = revision.era
+        self._state.replace_evacuations(
+            [o.name for o in objects],
+            f"list of revision {revision.number}",
+            restored=restored,
+        )
+        self._dispatch()
+
+    def _on_evacuation(self, change: StoreObject) -> None:
+        source = f"revision {change.revision.number}"
+        if change.removed:
+            self._state.end_evacuation(change.name, source)
+        else:
+            self._state.evacuate(change.name, source)
+        self._dispatch()
+
     def _decode_server(self, change: StoreObject) -> BackendServer | None:
         try:
             return decode_server(change.name, change.spec)
--- a/cornelpin/gateway/watcher_selection.py
+++ b/cornelpin/gateway/watcher_selection.py
@@ -64,6 +64,19 @@
     )
 
 
+def evacuation_timing(evacuation_s: float) -> WatchTiming:
+    """Returns the timing for orders to evacuate data centres.
+
+    A watch returns at once with a change. Its length only bounds how long a silent
+    connection goes unnoticed, which leaves half of the time for the change itself.
+
+    Args:
+        evacuation_s: Time within which such an order must be in force, seconds.
+    """
+    wait_s = max(MIN_WAIT_S, min(WATCH_S, evacuation_s / 2 - WATCH_SLACK_S))
+    return WatchTiming(wait_s=wait_s, short_wait_s=wait_s, fresh_s=wait_s + 0.8)
+
+
 DEFAULT_TIMING = default_timing(Bounds().contact_s)
 ROLLOUT_TIMING = WatchTiming(wait_s=10.0, short_wait_s=10.0, fresh_s=12.0)
 """For roll-out orders: the platform charges for each call, roll-outs take longer than
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -14,6 +14,7 @@
     decode_config,
 )
 from cornelpin.platform._decoding import BadValue
+from cornelpin.platform._evacuation import EVACUATION_KIND
 from cornelpin.platform._headers import (
     RequestInfo,
     ResponseInfo,
@@ -43,6 +44,7 @@
 __all__ = [
     "CONFIG_KIND",
     "CONFIG_NAME",
+    "EVACUATION_KIND",
     "ROLLOUT_KIND",
     "SERVER_KIND",
     "SETTINGS_VARIABLE",
--- a/cornelpin/platform/_config.py
+++ b/cornelpin/platform/_config.py
@@ -75,9 +75,14 @@
         anonymous=value(table, "allow_anonymous", bool, False),
         resumable=value(table, "resumable", bool, False),
         max_event_gap_s=None if gap_ms is None else gap_ms * MS,
+        regions=_regions(table),
     )
 
 
+def _regions(table: Mapping[str, Any]) -> frozenset[str]:
+    return frozenset(map(str, value(table, "allowed_regions", list, [])))
+
+
 def _backends(table: Mapping[str, Any]) -> tuple[tuple[str, float], ...]:
     # A route names one service, or several with weights under "backends".
     weighted = value(table, "backends", list, [])
@@ -95,6 +100,7 @@
         max_conns=value(table, "max_conns", int, defaults.max_conns),
         # "stride" is the number of tokens in one event of a server's stream.
         event_tokens=max(1, value(table, "engine.stride", int, defaults.event_tokens)),
+        cold_rate_per_s=value(table, "cold_per_s", float, defaults.cold_rate_per_s),
     )
 
 
@@ -120,4 +126,5 @@
         plain_tokens=value(table, "plain_tokens", int, 0),
         rate_per_s=value(table, "rate_per_s", float, 0.0),
         burst=value(table, "burst", float, 0.0),
+        regions=_regions(table),
     )
--- a/cornelpin/platform/_headers.py
+++ b/cornelpin/platform/_headers.py
@@ -41,6 +41,8 @@
 RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
 """Header of a response of a server that leaves and wants no further requests."""
+COLD_MS = b"cold-ms"
+"""Header with the milliseconds for which a server remains cold."""
 SERVER_LIMIT = b"server-limit"
 """Header with the requests per second that a server takes from all hosts together."""
 
@@ -77,7 +79,7 @@
 }
 """Headers that apply to a single connection. Content-Length and Expect are among them,
 because the body is framed again for the next one."""
-INTERNAL_RESPONSE_HEADERS = {SERVER_LOAD, INSTANCE_ID}
+INTERNAL_RESPONSE_HEADERS = {SERVER_LOAD, INSTANCE_ID, COLD_MS}
 """Headers of a response that are not for the client: state and id of the server."""
 MISDIRECTED_REQUEST = 421
 UNAVAILABLE = 503
@@ -144,6 +146,7 @@
         limit_per_s: Requests per second that the server takes from all hosts together;
             None if it names no valid limit.
         bad_limit: Values in place of ``limit_per_s`` that are not a single valid one.
+        cold_s: Seconds for which the server remains cold; zero if it does not say so.
     """
 
     request_id: str
@@ -158,6 +161,7 @@
     bad_pause: str = ""
     limit_per_s: float | None = None
     bad_limit: str = ""
+    cold_s: float = 0.0
 
 
 def read_request(headers: Headers) -> RequestInfo:
@@ -198,9 +202,15 @@
         bad_pause=bad_pause,
         limit_per_s=limit_per_s,
         bad_limit=bad_limit,
+        cold_s=_cold_s(fields.get(COLD_MS, b"")),
     )
 
 
+def _cold_s(raw: bytes) -> float:
+    text = _text(raw).strip()
+    return float(text) * MS if DECIMAL.fullmatch(text) else 0.0
+
+
 def _limit_per_s(headers: Headers) -> tuple[float | None, str]:
     """Returns a server's limit, and what it named if that is not one valid value.
 
--- a/cornelpin/platform/_settings.py
+++ b/cornelpin/platform/_settings.py
@@ -38,6 +38,8 @@
         new_version_share: Largest share of the requests that a bad new version may
             receive.
         new_version_extra: Requests that it may receive beyond that share.
+        evacuation_s: Time within which an evacuated data centre must get no more
+            requests, seconds; None if operators can't evacuate data centres.
     """
 
     config_s: float = 2.0
@@ -52,6 +54,7 @@
     quota_window_s: float = 8.0
     new_version_share: float = 0.1
     new_version_extra: float = 50.0
+    evacuation_s: float | None = None
 
 
 @attrs.frozen
@@ -74,6 +77,7 @@
         memory_mb: Memory limit of the process, MB.
         max_fds: Limit of open file descriptors.
         bounds: Limits that the platform sets for the system.
+        regions: Region of each data centre.
     """
 
     host: str
@@ -89,6 +93,7 @@
     memory_mb: float
     max_fds: int
     bounds: Bounds
+    regions: Mapping[str, str] = attrs.field(factory=dict)
 
 
 def load_host_settings(path: str | Path) -> HostSettings:
@@ -139,6 +144,10 @@
         memory_mb=value(document, "limits.memory_mb", float, 128.0),
         max_fds=value(document, "limits.max_fds", int, 1024),
         bounds=_bounds(value(document, "bounds", dict, {})),
+        regions={
+            str(data_centre): str(region)
+            for data_centre, region in value(document, "zones", dict, {}).items()
+        },
     )
 
 
@@ -149,6 +158,7 @@
 
 def _bounds(table: Mapping[str, Any]) -> Bounds:
     defaults = Bounds()
+    evacuation_ms = value(table, "evacuate_ms", float, None)
     return Bounds(
         config_s=value(table, "config_ms", float, defaults.config_s / MS) * MS,
         drain_s=value(table, "drain_ms", float, defaults.drain_s / MS) * MS,
@@ -170,4 +180,5 @@
         new_version_extra=value(
             table, "canary_slack", float, defaults.new_version_extra
         ),
+        evacuation_s=None if evacuation_ms is None else evacuation_ms * MS,
     )
--- a/cornelpin/scheduling/decisions.py
+++ b/cornelpin/scheduling/decisions.py
@@ -10,6 +10,8 @@
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.servers import BackendServer
 
+EVACUATED = "all servers of its service are in evacuated data centres"
+OUTSIDE_REGIONS = "no server of its service in the regions of its route or workspace"
 NO_SLOT = "no slot in time worth having"
 TOO_LONG = "its answer would not end in time"
 WAITED = "waited in vain"
@@ -25,12 +27,14 @@
         limit_per_s: Its limit in requests per second.
         rate_per_s: Requests per second from all entries, as last reported here.
         age_s: Age of that report in seconds; None without a report.
+        cold: Whether the limit is that of a cold server.
     """
 
     server: str
     limit_per_s: float
     rate_per_s: float
     age_s: float | None
+    cold: bool = False
 
 
 @attrs.frozen
@@ -72,6 +76,9 @@
             a stream, or to the whole response if it is not streamed.
         free_local: Free slots in the own data centre when it was granted.
         permitted: Whether a permit was taken, since the server has a limit.
+        cold: Whether the server is slow and restricted because it is cold. Its times
+            say nothing about it once it is warm.
+        slowdown: Factor on the server's times that ``expected_s`` contains.
         held_back: Servers with free slots that their limits kept from the request.
     """
 
@@ -83,6 +90,8 @@
     expected_s: float
     free_local: int = 0
     permitted: bool = False
+    cold: bool = False
+    slowdown: float = 1.0
     held_back: tuple[HeldBackServer, ...] = ()
 
 
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -22,7 +22,9 @@
     prospects,
 )
 from cornelpin.scheduling.decisions import (
+    EVACUATED,
     NO_SLOT,
+    OUTSIDE_REGIONS,
     TOO_LONG,
     WAITED,
     Decision,
@@ -69,6 +71,10 @@
 PRIOR_FIRST_S = 0.03
 """Initial mean response time of a service: the time from the send to the first event
 of a stream, or to the whole response if it is not streamed."""
+PRIOR_COLD_SLOWDOWN = 2.0
+"""Initial factor on the times of a service's cold servers."""
+MAX_COLD_SLOWDOWN = 10.0
+"""Upper bound of that factor."""
 SLOT_TURNOVER_S = 1.0
 """Slots of a server in another data centre count as taken by other entries at a rate of
 all its slots per this time since its last report, but at most half of them do."""
@@ -110,6 +116,7 @@
         gap_s: Mean gap between two events of a stream, seconds.
         mean_output: Mean output tokens by route name.
         free_share: Share of its slots that were free after the last grant.
+        cold_slowdown: Mean factor on the response times of its cold servers.
     """
 
     queue: RequestQueue
@@ -119,6 +126,7 @@
     gap_s: float = PRIOR_GAP_S
     mean_output: dict[str, float] = attrs.field(factory=dict)
     free_share: float = 1.0
+    cold_slowdown: float = PRIOR_COLD_SLOWDOWN
 
 
 @attrs.frozen
@@ -144,6 +152,8 @@
         peers: State of the other entries.
         connected: Returns whether an idle connection to a server exists.
         needs_traffic: Returns whether a server's version is below its traffic share.
+        evacuated: Returns whether all servers of a service are in evacuated data
+            centres.
         data_centre: Data centre of this entry.
         valuation: Relative values of responses.
         permits: Limits of servers, and permits to send to those that have one.
@@ -161,6 +171,7 @@
         connected: Callable[[BackendServer], bool],
         data_centre: str,
         needs_traffic: Callable[[BackendServer], bool] = lambda server: False,
+        evacuated: Callable[[str, float], bool] = lambda service, now: False,
         valuation: Valuation | None = None,
         permits: PermitSource | None = None,
         rng: Callable[[], float] = random.random,
@@ -171,6 +182,7 @@
         self._peers = peers
         self._connected = connected
         self._needs_traffic = needs_traffic
+        self._evacuated = evacuated
         self._data_centre = data_centre
         self._rng = rng
         self.speeds = FleetSpeeds()
@@ -245,7 +257,8 @@
         service.queue.count_request(job, now)
         snapshot = self._snapshot(job.service, service, now)
         outcome: Forecast | Refused
-        if job.run_failed:
+        closed = self._closed(job, snapshot, now)
+        if job.run_failed and not closed:
             outcome = self._forecast(service, job, snapshot, now, score_at=now)
         else:
             outcome = self._assess(service, job, snapshot, now)
@@ -276,6 +289,10 @@
             strictness: Factor on the safety margin.
         """
         reason = NO_SLOT
+        closed = self._closed(job, snapshot, now)
+        if closed:
+            forecast = self._forecast(service, job, snapshot, now, score_at=now)
+            return self._refuse(service, job, snapshot, now, closed, forecast)
         for at, until in prospects(job, now, service.first_s):
             forecast = self._forecast(service, job, snapshot, now, score_at=at)
             if service.admission.admits(forecast, until, now, strictness=strictness):
@@ -286,6 +303,14 @@
                 reason = TOO_LONG
         return self._refuse(service, job, snapshot, now, reason, forecast)
 
+    def _closed(self, job: Job, snapshot: _Snapshot, now: float) -> str:
+        """Returns why no server is open to a job, however long it waits; else empty."""
+        if snapshot.candidates:
+            if any(job.may_run_at(c.server) for c in snapshot.candidates):
+                return ""
+            return OUTSIDE_REGIONS
+        return EVACUATED if self._evacuated(job.service, now) else ""
+
     def _forecast(
         self,
         service: _Service,
@@ -455,6 +480,8 @@
             expected_s=expected_response_s(job, chosen),
             free_local=sum(c.free for c in candidates if not c.remote),
             permitted=chosen.limited,
+            cold=chosen.cold,
+            slowdown=chosen.slowdown,
             held_back=held_back(candidates, self._permits, now),
         )
         if chosen.limited:
@@ -470,6 +497,8 @@
         refused: list[Decision] = []
         for job in service.queue:
             review = due_review(job, now, service.first_s)
+            if review is None and self._closed(job, snapshot, now):
+                review = Review.LATE
             if review is None:
                 continue
             job.reviewed_at = now
@@ -500,6 +529,13 @@
         """
         placement.pending_tokens = 0
         service = self._service(job.service)
+        self.health(placement.server).received(job.request_id, now)
+        if placement.cold:
+            factor = placement.slowdown * took_s / placement.expected_s
+            service.cold_slowdown = DECAY * service.cold_slowdown + (1 - DECAY) * min(
+                MAX_COLD_SLOWDOWN, max(1.0, factor)
+            )
+            return
         if job.stream:
             self.speed(placement.server).record_first_event(
                 placement.tokens_ahead, took_s, now
@@ -507,7 +543,6 @@
         else:
             self.speed(placement.server).record_response(took_s, now)
         service.first_s = DECAY * service.first_s + (1 - DECAY) * took_s
-        self.health(placement.server).received(job.request_id, now)
 
     def record_output(self, job: Job, events: int) -> None:
         """Updates the mean output of a route, given the events of a complete stream."""
@@ -556,12 +591,20 @@
             if not server.leaving
         ]
 
+    def _cold_slowdown(self, service: str) -> float:
+        """Returns the factor on the response times of a service's cold servers."""
+        return self._service(service).cold_slowdown
+
     def _candidate(self, server: BackendServer, now: float) -> Candidate:
         running, pending_tokens = self._peers.in_flight(server.id)
         placements = self._placements.get(server.id, ())
         remote = server.data_centre != self._data_centre
         age_s = self._peers.remote_age_s() if remote else 0.0
         limit_per_s = self._permits.limit_per_s(server)
+        cold = (
+            limit_per_s is not None
+            and self._permits.cold_rate_per_s(server) is not None
+        )
         return Candidate(
             server=server,
             speed=self.speeds.merged(server, now),
@@ -578,6 +621,8 @@
             paused=self.health(server).is_paused(now),
             limit_per_s=limit_per_s,
             permits=0 if limit_per_s is None else self._permits.permits(server, now),
+            cold=cold,
+            slowdown=self._cold_slowdown(server.service) if cold else 1.0,
         )
 
     def _snapshot(self, name: str, service: _Service, now: float) -> _Snapshot:
--- a/cornelpin/scheduling/jobs.py
+++ b/cornelpin/scheduling/jobs.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from cornelpin.scheduling.routing import Route
+    from cornelpin.scheduling.servers import BackendServer
 
 OUTPUT_TOKEN_COST = 40
 """Cost of an output token in prompt tokens, at a full batch of 8 or 9 requests."""
@@ -65,6 +66,7 @@
             run" is no longer true of it, so its caller gains nothing from an early
             refusal.
         workspace: Name of the caller's workspace; empty if there is none.
+        data_centres: Data centres in which it may run; None for all.
         first_attempt_at: Monotonic time of its first attempt; before its arrival if
             this is a client retry.
         queued_since: Monotonic time at which it was last put in the queue.
@@ -84,6 +86,7 @@
     typical_tokens: float = 0.0
     event_tokens: int = 1
     workspace: str = ""
+    data_centres: frozenset[str] | None = None
     fingerprint: bytes = b""
     shared_parts: tuple[str, ...] = ()
     avoid: set[str] = attrs.field(factory=set)
@@ -97,6 +100,10 @@
     reviewed_at: float = float("-inf")
     forecast_wait_s: float = 0.0
 
+    def may_run_at(self, server: BackendServer) -> bool:
+        """Returns whether it may run in a server's data centre."""
+        return self.data_centres is None or server.data_centre in self.data_centres
+
     @property
     def objective(self) -> float:
         """Monotonic time until which a response has full value.
--- a/cornelpin/scheduling/permit_demand.py
+++ b/cornelpin/scheduling/permit_demand.py
@@ -25,6 +25,9 @@
     def limit_per_s(self, server: BackendServer) -> float | None:
         """Returns a server's limit in requests per second; None if it has none."""
 
+    def cold_rate_per_s(self, server: BackendServer) -> float | None:
+        """Returns a cold server's limit; None if it is warm or has none while cold."""
+
     def permits(self, server: BackendServer, now: float) -> int:
         """Returns the requests that may be sent to a server with a limit now."""
 
@@ -48,6 +51,10 @@
         """Returns None for every server."""
         return None
 
+    def cold_rate_per_s(self, server: BackendServer) -> float | None:
+        """Returns None for every server."""
+        return None
+
     def permits(self, server: BackendServer, now: float) -> int:
         """Returns zero."""
         return 0
@@ -102,6 +109,11 @@
     if not limited:
         return []
     usable = [c for c in limited if not c.health.is_ejected(now)] or limited
+    first = jobs[0] if jobs else last[0] if last is not None else None
+    if first is not None:
+        usable = [c for c in usable if first.may_run_at(c.server)]
+    if not usable:
+        return []
     if jobs:
         return _for_queued(jobs, usable, source, now)
     if last is None or last[1].limited:
@@ -140,7 +152,9 @@
             continue
         rate_per_s, age_s = source.known_rate(c.server, now)
         age = round(age_s, 3) if age_s < math.inf else None
-        servers.append(HeldBackServer(c.server.id, c.limit_per_s, rate_per_s, age))
+        servers.append(
+            HeldBackServer(c.server.id, c.limit_per_s, rate_per_s, age, cold=c.cold)
+        )
         if len(servers) == MAX_HELD_BACK:
             break
     return tuple(servers)
--- a/cornelpin/scheduling/routing.py
+++ b/cornelpin/scheduling/routing.py
@@ -44,6 +44,7 @@
         resumable: Whether a stream may continue at another backend server.
         max_event_gap_s: Objective for the gap between two events of a stream, seconds;
             an event after a longer gap is late. None if there is no objective.
+        regions: Regions in which its requests may run; empty for all.
     """
 
     name: str
@@ -58,6 +59,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_event_gap_s: float | None = None
+    regions: frozenset[str] = frozenset()
 
     @property
     def idempotent(self) -> bool:
@@ -76,11 +78,14 @@
         max_conns: Connections that one backend server accepts from all entries
             together; the scheduler does not use it.
         event_tokens: Tokens in one event of a stream.
+        cold_rate_per_s: Requests per second that a cold backend server takes from all
+            entries together; zero for no limit.
     """
 
     name: str
     max_conns: int = 100
     event_tokens: int = 1
+    cold_rate_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -98,6 +103,7 @@
         rate_per_s: Refill rate of its bucket, tokens or requests per second; zero if it
             has no limit.
         burst: Capacity of its bucket, tokens or requests.
+        regions: Regions in which its requests may run; empty for all.
     """
 
     name: str
@@ -107,6 +113,7 @@
     plain_tokens: int = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/cornelpin/scheduling/server_selection.py
+++ b/cornelpin/scheduling/server_selection.py
@@ -79,6 +79,8 @@
         limit_per_s: Requests per second that it takes from all entries together; None
             if it names no limit.
         permits: Requests that this entry may send to it now if it has a limit.
+        cold: Whether it is slow and restricted because it is cold.
+        slowdown: Factor on its times at the moment.
     """
 
     server: BackendServer
@@ -93,6 +95,8 @@
     paused: bool = False
     limit_per_s: float | None = None
     permits: int = 0
+    cold: bool = False
+    slowdown: float = 1.0
 
     @property
     def limited(self) -> bool:
@@ -121,9 +125,9 @@
     """
     speed = candidate.speed
     if not job.prompt_tokens:
-        return speed.response_s
+        return candidate.slowdown * speed.response_s
     ahead = candidate.pending_tokens + job.prompt_tokens
-    return speed.expected_first_s(ahead) + speed.gap_s
+    return candidate.slowdown * (speed.expected_first_s(ahead) + speed.gap_s)
 
 
 def finish_probability(job: Job, candidate: Candidate, now: float) -> float:
@@ -132,7 +136,8 @@
     The output length has a log-logistic distribution with the expected output as its
     median: the odds to end in time grow with a power of the time left.
     """
-    output_s = job.output_tokens / job.event_tokens * candidate.speed.gap_s
+    gap_s = candidate.slowdown * candidate.speed.gap_s
+    output_s = job.output_tokens / job.event_tokens * gap_s
     if not job.stream or output_s <= 0:
         return 1.0
     left_s = job.deadline - now - expected_response_s(job, candidate)
@@ -190,7 +195,10 @@
     later = now + NEXT_FREE_SLOT_S
     # The next permit of a server with a limit may go to another entry.
     healthy = [
-        c for c in candidates if not (c.paused or c.limited or c.health.is_ejected(now))
+        c
+        for c in candidates
+        if not (c.paused or c.limited or c.health.is_ejected(now))
+        and job.may_run_at(c.server)
     ]
     best = min((late_risk(job, c, later) for c in healthy), default=1.0)
     return risk - best > MIN_RISK_DECREASE
@@ -221,7 +229,9 @@
         contested: Whether other jobs wait for the slots. Servers on which the job would
             not end in time are then left to them.
     """
-    usable = [c for c in candidates if not c.server.leaving]
+    usable = [
+        c for c in candidates if not c.server.leaving and job.may_run_at(c.server)
+    ]
     untried = [c for c in usable if c.server.id not in job.avoid] or usable
     healthy = [c for c in untried if not c.health.is_ejected(now)] or untried
     free = [c for c in healthy if c.free > 0]
--- a/cornelpin/tests/test_explain.py
+++ b/cornelpin/tests/test_explain.py
@@ -40,6 +40,10 @@
     return {"at": at, "host": host, "event": event, "part": part}
 
 
+def zone_line(at: float, event: str, name: str) -> dict[str, object]:
+    return {"at": at, "host": "a", "event": event, "data_centre": name}
+
+
 def limit_line(at: float, event: str, server: str) -> dict[str, object]:
     return {"at": at, "host": "a", "event": event, "server": server}
 
@@ -93,6 +97,32 @@
         ],
         [],
     ),
+    (
+        "its server is cold and limited",
+        [
+            limit_line(0.5, "server.limit_named", "i-1"),
+            limit_line(0.6, "server.cold", "i-1"),
+            limit_line(0.7, "server.cold", "i-3"),
+        ],
+        [0.5, 0.6],
+    ),
+    (
+        "its server is warm again",
+        [
+            limit_line(0.5, "server.cold", "i-1"),
+            limit_line(0.6, "server.warm", "i-1"),
+        ],
+        [],
+    ),
+    (
+        "evacuated data centres",
+        [
+            zone_line(0.3, "data_centre.evacuated", "south"),
+            zone_line(0.4, "data_centre.evacuated", "north"),
+            zone_line(0.5, "data_centre.in_use", "north"),
+        ],
+        [0.3],
+    ),
     (
         "crash of its server",
         [{"at": 4.6, "host": "a", "event": "server.disconnected", "server": "i-1"}],
--- a/cornelpin/tests/test_fault_soak.py
+++ b/cornelpin/tests/test_fault_soak.py
@@ -49,6 +49,8 @@
         "drain",
         "leave",
         "limit",
+        "cold",
+        "evacuate",
         "restore",
     }
     assert planned.violations == [], f"logs in {planned.logs}"
--- a/cornelpin/tests/test_replay.py
+++ b/cornelpin/tests/test_replay.py
@@ -76,6 +76,28 @@
     assert sum(r.false_refusals for r in served) == 0
 
 
+COLD_ROWS = [
+    # Pattern, least part of what cold servers take that is used, and least earned
+    # share. With one cold server the others have room.
+    ("one_cold", 0.0, 0.98),
+    ("half_cold", 0.8, 0.85),
+    ("all_cold", 0.8, 0.80),
+]
+
+
+@pytest.mark.parametrize(("name", "used", "earned"), COLD_ROWS)
+def test_cold_servers_get_what_they_take(name: str, used: float, earned: float) -> None:
+    pattern = PATTERNS[name]()
+    cold = pattern.cold_start
+    assert cold is not None
+    served = [play(pattern, "gateway", seed) for seed in SEEDS]
+    # Those of a second, one that had accumulated, and a burst of 0.2 s.
+    assert max(r.cold_per_s for r in served) <= cold.per_s + 1 + 0.2 * cold.per_s
+    assert mean([r.cold_used for r in served]) >= used
+    assert mean([r.earned for r in served]) >= earned
+    assert sum(r.false_refusals for r in served) == 0
+
+
 def test_servers_with_limits_serve_more_than_none() -> None:
     """Limits of two servers cost less than their loss would."""
     limited = PATTERNS["two_limited"]()
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -113,6 +113,8 @@
         cancelled: Ids of requests whose caller disconnected during the run.
         misdirected: Number of requests rejected because they were addressed to
             another server.
+        cold_left_ms: Remaining warm-up time that it registers, in ms; of another type
+            to register an invalid one.
         born: Number of its incarnation (the platform's field of that name).
         restarts: Loop times of the restarts.
         arrivals: Loop time and id of each request, rejected ones included.
@@ -143,6 +145,7 @@
         self.cancelled: list[str] = []
         self.misdirected = 0
         self.born = 0
+        self.cold_left_ms: Any = 0
         self.restarts: list[float] = []
         self.arrivals: list[tuple[float, str]] = []
         self.notices: list[Notice] = []
@@ -168,7 +171,7 @@
             "slots": self.slots,
             "state": state,
             "born": self.born,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "seq": 1,
         }
 
