Place requests by how long work takes on servers at the moment

Callers of servers that share their hosts: a neighbour slows a server down for half a second, which speed estimates over many responses average away, so requests were sent to it as before.

Servers state in Server-Load how long work takes at the moment, in percent of the usual time; the figure was dropped unread. Speed estimates are now kept without it, and placements multiply them with the factor expected now: the last statement, fading to the server's mean. Entries of a data centre tell each other statements that changed. A response that is overdue counts before the next statement. Servers that state no such figure are placed as before.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -100,6 +100,9 @@
                 time.monotonic()
             ),
             speeds=lambda: self.scheduler.dispatcher.speeds.export(time.monotonic()),
+            slowdowns=lambda: self.scheduler.dispatcher.slowdowns.take_unsent(
+                time.monotonic()
+            ),
             server_notices=lambda: {
                 "limits": self.server_limits.limits.export(time.monotonic()),
                 "leaving": self.state.servers.known_leaving(),
@@ -286,6 +289,8 @@
         dispatcher = self.scheduler.dispatcher
         if "shares" in message:
             dispatcher.merge_class_counts(sender, message["shares"], time.monotonic())
+        if "slowdowns" in message:
+            dispatcher.slowdowns.merge(message["slowdowns"], time.monotonic())
         if "paces" in message:
             dispatcher.speeds.merge_from(sender, message["paces"], time.monotonic())
 
@@ -370,6 +375,17 @@
             "Servers that name a limit",
             lambda: self.server_limits.limits.limited,
         )
+        slowdowns = self.scheduler.dispatcher.slowdowns
+        self.state.metrics.gauge(
+            "slow_servers",
+            "Servers that state that work takes half as long again as usual, or more",
+            lambda: slowdowns.slow(1.5, time.monotonic()),
+        )
+        self.state.metrics.gauge(
+            "bad_slowdowns",
+            "Responses with an invalid slowdown",
+            lambda: slowdowns.invalid,
+        )
         self.state.metrics.gauge(
             "cold_servers",
             "Servers that count as cold",
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -236,8 +236,18 @@
             servers_age_ms=self.state.servers_age_ms(),
             entries=self.state.live_entry_count(),
             **self._held_back(placement.held_back, "placed"),
+            **self._slowdown(placement),
         )
 
+    def _slowdown(self, placement: Placement) -> dict[str, object]:
+        """Returns what the server has stated of its slowdown, for a log."""
+        if placement.slowdown_age_s is None:
+            return {}
+        return {
+            "slowdown": round(placement.slowdown, 2),
+            "slowdown_age_ms": round(1e3 * placement.slowdown_age_s),
+        }
+
     def _held_back(
         self, servers: tuple[HeldBackServer, ...], outcome: str
     ) -> dict[str, list[dict[str, object]]]:
@@ -318,6 +328,12 @@
         # A surplus response may be an old one.
         if info.request_id in {self.job.request_id, ""}:
             self.state.limits.observe(server, info, self.sent_at)
+            slowdowns = self.scheduler.dispatcher.slowdowns
+            slowdowns.invalid += info.bad_slowdown
+            if info.slowdown is not None:
+                self.placement.stated_slowdown = slowdowns.record(
+                    server, info.slowdown, time.monotonic()
+                )
 
     def _idle_timeouts(self, placement: Placement) -> IdleTimeouts | None:
         """Returns the time-outs of a send, or None if it has only its deadline."""
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -11,6 +11,7 @@
 * ``ages``: seconds since the store's last response
 * ``shares``: counts of offered and served requests by request class
 * ``paces``: estimates of server speeds
+* ``slowdowns``: how long work takes on servers at this moment, as they state it
 * ``digest``: a relay's reports on the entries of its data centre
 * ``poison``: quarantined parts of prompts
 * ``notices``: repeated ``limits`` and ``leaving``, which relays do not pass on
@@ -89,6 +90,9 @@
         class_counts: Returns the counts of offered and served requests by service and
             request class (``scheduling.request_classes``).
         speeds: Returns this entry's estimates of server speeds.
+        slowdowns: Returns what servers have stated of their momentary slowdowns and
+            other entries do not know yet. It is old soon, so it is sent once, and in
+            the own data centre only.
         server_notices: Returns what servers have said of themselves, as lists by field:
             their limits, and that they leave. For entries that start or have missed an
             update.
@@ -118,6 +122,7 @@
         one_time_updates: Callable[[], dict[str, Any]],
         class_counts: Callable[[], dict[str, dict[str, list[float]]]],
         speeds: Callable[[], dict[str, list[float]]],
+        slowdowns: Callable[[], list[list[str | float]]],
         server_notices: Callable[[], dict[str, list[Any]]],
         ages: Callable[[], dict[str, float]],
         on_message: Callable[[str, str, dict[str, Any]], None],
@@ -133,6 +138,7 @@
         self._one_time_updates = one_time_updates
         self._class_counts = class_counts
         self._speeds = speeds
+        self._slowdowns = slowdowns
         self._server_notices = server_notices
         self._ages = ages
         self._on_message = on_message
@@ -398,6 +404,9 @@
             self._statistics_sent_at = now
             message["shares"] = self._class_counts()
             message["paces"] = self._speeds()
+        slowdowns = self._slowdowns()
+        if slowdowns:
+            message["slowdowns"] = slowdowns
         self._send(message, self._local.addresses)
 
     def _send(self, message: dict[str, Any], addresses: Iterable[str]) -> None:
--- a/cornelpin/platform/_headers.py
+++ b/cornelpin/platform/_headers.py
@@ -37,6 +37,10 @@
 NOT_EXECUTED = b"not-executed"
 """Header of a response that states that the request was not run."""
 SERVER_LOAD = b"server-load"
+"""Header with a server's running requests, waiting requests and slots. A fourth figure
+says how long work takes there at this moment, in percent of the usual time."""
+SLOWDOWN_FIELD = 3
+"""Index of that figure."""
 INSTANCE_ID = b"instance-id"
 RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
@@ -90,6 +94,7 @@
 DECIMAL = re.compile(r"\d{1,12}(\.\d{0,12})?|\.\d{1,12}", re.ASCII)
 MS = 1e-3
 """Seconds per millisecond."""
+PERCENT = 1e-2
 MAX_DEADLINE_S = 86_400.0
 """Deadlines at or above this count as missing."""
 
@@ -147,6 +152,9 @@
             None if it names no valid limit.
         bad_limit: Values in place of ``limit_per_s`` that are not a single valid one.
         cold_s: Seconds for which the server remains cold; zero if it does not say so.
+        slowdown: Factor on the usual time of work at the server at this moment; None if
+            it states no valid one.
+        bad_slowdown: Whether it states one that is not valid.
     """
 
     request_id: str
@@ -162,6 +170,8 @@
     limit_per_s: float | None = None
     bad_limit: str = ""
     cold_s: float = 0.0
+    slowdown: float | None = None
+    bad_slowdown: bool = False
 
 
 def read_request(headers: Headers) -> RequestInfo:
@@ -189,6 +199,7 @@
     if status == UNAVAILABLE and RETRY_AFTER in fields:
         pause_s, bad_pause = _pause_s(_text(fields[RETRY_AFTER]))
     limit_per_s, bad_limit = _limit_per_s(headers)
+    slowdown, bad_slowdown = _slowdown(_text(fields.get(SERVER_LOAD, b"")))
     return ResponseInfo(
         request_id=_text(fields.get(REQUEST_ID, b"")),
         sealed=SEAL in fields,
@@ -203,9 +214,22 @@
         limit_per_s=limit_per_s,
         bad_limit=bad_limit,
         cold_s=_cold_s(fields.get(COLD_MS, b"")),
+        slowdown=slowdown,
+        bad_slowdown=bad_slowdown,
     )
 
 
+def _slowdown(load: str) -> tuple[float | None, bool]:
+    """Returns the slowdown that a load states, and whether one is there but invalid."""
+    figures = load.split(",")
+    if len(figures) <= SLOWDOWN_FIELD:
+        return None, False
+    text = figures[SLOWDOWN_FIELD].strip()
+    if not DECIMAL.fullmatch(text) or not float(text):
+        return None, True
+    return float(text) * PERCENT, False
+
+
 def _cold_s(raw: bytes) -> float:
     text = _text(raw).strip()
     return float(text) * MS if DECIMAL.fullmatch(text) else 0.0
--- a/cornelpin/scheduling/decisions.py
+++ b/cornelpin/scheduling/decisions.py
@@ -79,6 +79,8 @@
         cold: Whether the server is slow and restricted because it is cold. Its times
             say nothing about it once it is warm.
         slowdown: Factor on the server's times that ``expected_s`` contains.
+        slowdown_age_s: Age of the server's statement of it; None if it stated none.
+        stated_slowdown: Factor that the response states.
         held_back: Servers with free slots that their limits kept from the request.
     """
 
@@ -92,6 +94,8 @@
     permitted: bool = False
     cold: bool = False
     slowdown: float = 1.0
+    slowdown_age_s: float | None = None
+    stated_slowdown: float = 1.0
     held_back: tuple[HeldBackServer, ...] = ()
 
 
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -52,6 +52,7 @@
     should_wait,
     success_probability,
 )
+from cornelpin.scheduling.slowdowns import Slowdowns
 from cornelpin.scheduling.speed import PRIOR_GAP_S, SpeedEstimate
 from cornelpin.scheduling.valuation import Valuation
 
@@ -161,6 +162,7 @@
 
     Attributes:
         speeds: Speed estimates of the servers.
+        slowdowns: How long work takes on the servers at this moment, as they state it.
     """
 
     def __init__(
@@ -186,6 +188,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self.speeds = FleetSpeeds()
+        self.slowdowns = Slowdowns()
         self._services: dict[str, _Service] = {}
         self._health: dict[tuple[str, int], ServerHealth] = {}
         self._placements: dict[str, set[Placement]] = {}
@@ -482,6 +485,7 @@
             permitted=chosen.limited,
             cold=chosen.cold,
             slowdown=chosen.slowdown,
+            slowdown_age_s=self.slowdowns.age_s(chosen.server, now),
             held_back=held_back(candidates, self._permits, now),
         )
         if chosen.limited:
@@ -536,12 +540,13 @@
                 MAX_COLD_SLOWDOWN, max(1.0, factor)
             )
             return
+        usual_s = took_s / placement.stated_slowdown
         if job.stream:
             self.speed(placement.server).record_first_event(
-                placement.tokens_ahead, took_s, now
+                placement.tokens_ahead, usual_s, now
             )
         else:
-            self.speed(placement.server).record_response(took_s, now)
+            self.speed(placement.server).record_response(usual_s, now)
         service.first_s = DECAY * service.first_s + (1 - DECAY) * took_s
 
     def record_output(self, job: Job, events: int) -> None:
@@ -573,6 +578,7 @@
             now: Monotonic time in seconds.
         """
         self.speeds.forget(alive, now)
+        self.slowdowns.forget(alive)
         for incarnation in self._health.keys() - alive:
             del self._health[incarnation]
 
@@ -591,9 +597,18 @@
             if not server.leaving
         ]
 
-    def _cold_slowdown(self, service: str) -> float:
-        """Returns the factor on the response times of a service's cold servers."""
-        return self._service(service).cold_slowdown
+    def _slowdown(self, server: BackendServer, now: float, *, cold: bool) -> float:
+        """Returns the factor on a server's times at the moment.
+
+        Of a server that states it, a response that is overdue says so before the next
+        statement does.
+        """
+        if cold:
+            return self._service(server.service).cold_slowdown
+        if self.slowdowns.age_s(server, now) is None:
+            return 1.0
+        overdue = self.health(server).overdue_factor(now)
+        return max(self.slowdowns.expected(server, now), overdue)
 
     def _candidate(self, server: BackendServer, now: float) -> Candidate:
         running, pending_tokens = self._peers.in_flight(server.id)
@@ -622,7 +637,7 @@
             limit_per_s=limit_per_s,
             permits=0 if limit_per_s is None else self._permits.permits(server, now),
             cold=cold,
-            slowdown=self._cold_slowdown(server.service) if cold else 1.0,
+            slowdown=self._slowdown(server, now, cold=cold),
         )
 
     def _snapshot(self, name: str, service: _Service, now: float) -> _Snapshot:
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -42,6 +42,7 @@
         leaving: Whether all responses say that the server leaves.
         pause: Retry-After of a ``full`` server; none if empty.
         limits: Values of ``Server-Limit`` in all responses, by turns.
+        load: Value of ``Server-Load`` in all responses; none if empty.
         crash_part: Shared part of a prompt at whose first event the server crashes: it
             resets all connections and becomes another incarnation. None if empty.
     """
@@ -54,6 +55,7 @@
     leaving: bool = False
     pause: str = ""
     limits: tuple[str, ...] = ()
+    load: str = ""
     crash_part: str = ""
 
 
@@ -225,6 +227,8 @@
 
     def _state_headers(self) -> dict[str, str]:
         headers = {"Server-Leaving": "1"} if self.behaviour.leaving else {}
+        if self.behaviour.load:
+            headers["Server-Load"] = self.behaviour.load
         limits = self.behaviour.limits
         if limits:
             headers["Server-Limit"] = limits[len(self.arrivals) % len(limits)]
