Split candidates, matching and the state of services from the dispatcher

The dispatcher had grown to 690 lines with what builds candidates, matches jobs with slots and keeps estimates of services. These are modules of their own now; no decision changes.

--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import bisect
 import random
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -21,6 +20,7 @@
     due_review,
     prospects,
 )
+from cornelpin.scheduling.candidates import Candidates, PeerView
 from cornelpin.scheduling.decisions import (
     EVACUATED,
     NO_SLOT,
@@ -31,54 +31,32 @@
     Placement,
     Refused,
 )
-from cornelpin.scheduling.fleet_speeds import FleetSpeeds
 from cornelpin.scheduling.jobs import Review
+from cornelpin.scheduling.matching import best_pair
 from cornelpin.scheduling.permit_demand import (
     NoPermits,
     PermitSource,
-    after_peers,
     held_back,
     may_get_permit,
     permits_wanted,
 )
 from cornelpin.scheduling.request_queue import RequestQueue
-from cornelpin.scheduling.server_health import ServerHealth
 from cornelpin.scheduling.server_selection import (
     Candidate,
     can_finish,
     expected_response_s,
-    finish_probability,
-    rank_candidates,
-    should_wait,
-    success_probability,
 )
-from cornelpin.scheduling.slowdowns import Slowdowns
-from cornelpin.scheduling.speed import PRIOR_GAP_S, SpeedEstimate
+from cornelpin.scheduling.service_state import ServiceState
 from cornelpin.scheduling.valuation import Valuation
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from cornelpin.scheduling.jobs import Job
+    from cornelpin.scheduling.server_health import ServerHealth
     from cornelpin.scheduling.servers import BackendServer
+    from cornelpin.scheduling.speed import SpeedEstimate
 
-PRIOR_HOLD_S = 0.5
-"""Initial mean time for which a request of a service holds a slot."""
-DECAY = 0.95
-"""Weight of the old value in the moving averages of hold times, response times and
-output tokens."""
-PRIOR_OUTPUT_TOKENS = 200.0
-"""Initial mean output of a route's requests, in tokens."""
-PRIOR_FIRST_S = 0.03
-"""Initial mean response time of a service: the time from the send to the first event
-of a stream, or to the whole response if it is not streamed."""
-PRIOR_COLD_SLOWDOWN = 2.0
-"""Initial factor on the times of a service's cold servers."""
-MAX_COLD_SLOWDOWN = 10.0
-"""Upper bound of that factor."""
-SLOT_TURNOVER_S = 1.0
-"""Slots of a server in another data centre count as taken by other entries at a rate of
-all its slots per this time since its last report, but at most half of them do."""
 SCARCE_SHARE = 0.5
 """Share of free slots at or below which an entry sends updates to its peers at shorter
 intervals (``Dispatcher.slots_scarce``)."""
@@ -89,47 +67,6 @@
 """Queued requests of a service whose scores are sent to peers."""
 
 
-class PeerView(Protocol):
-    """State of the other entries as last received."""
-
-    def in_flight(self, server_id: str) -> tuple[int, int]:
-        """Returns their requests in flight and pending prompt tokens at a server."""
-
-    def queue_scores(self, service: str) -> list[float]:
-        """Returns the scores of their queued requests, ascending.
-
-        An entry sends at most its ``MAX_SCORES`` highest ones per service.
-        """
-
-    def remote_age_s(self) -> float:
-        """Returns the expected age of a report from another data centre, seconds."""
-
-
-@attrs.define
-class _Service:
-    """State of one service at this entry.
-
-    Attributes:
-        queue: Its queued requests.
-        admission: Decides which requests may queue.
-        hold_s: Mean time for which a request holds a slot, seconds.
-        first_s: Mean response time, seconds.
-        gap_s: Mean gap between two events of a stream, seconds.
-        mean_output: Mean output tokens by route name.
-        free_share: Share of its slots that were free after the last grant.
-        cold_slowdown: Mean factor on the response times of its cold servers.
-    """
-
-    queue: RequestQueue
-    admission: AdmissionControl
-    hold_s: float = PRIOR_HOLD_S
-    first_s: float = PRIOR_FIRST_S
-    gap_s: float = PRIOR_GAP_S
-    mean_output: dict[str, float] = attrs.field(factory=dict)
-    free_share: float = 1.0
-    cold_slowdown: float = PRIOR_COLD_SLOWDOWN
-
-
 @attrs.frozen
 class _Snapshot:
     """What one decision on the requests of a service is based on.
@@ -179,19 +116,21 @@
         rng: Callable[[], float] = random.random,
     ) -> None:
         self._valuation = valuation or Valuation()
-        self._permits = permits or NoPermits()
-        self._servers = servers
         self._peers = peers
-        self._connected = connected
-        self._needs_traffic = needs_traffic
         self._evacuated = evacuated
-        self._data_centre = data_centre
         self._rng = rng
-        self.speeds = FleetSpeeds()
-        self.slowdowns = Slowdowns()
-        self._services: dict[str, _Service] = {}
-        self._health: dict[tuple[str, int], ServerHealth] = {}
-        self._placements: dict[str, set[Placement]] = {}
+        self._services: dict[str, ServiceState] = {}
+        self._candidates = Candidates(
+            servers=servers,
+            peers=peers,
+            connected=connected,
+            data_centre=data_centre,
+            needs_traffic=needs_traffic,
+            permits=permits or NoPermits(),
+            cold_slowdown=lambda service: self._service(service).cold_slowdown,
+        )
+        self.speeds = self._candidates.speeds
+        self.slowdowns = self._candidates.slowdowns
 
     def speed(self, server: BackendServer) -> SpeedEstimate:
         """Returns the speed of a server as estimated at this entry."""
@@ -199,7 +138,7 @@
 
     def health(self, server: BackendServer) -> ServerHealth:
         """Returns the health of a server as observed at this entry."""
-        return self._health.setdefault(server.incarnation, ServerHealth())
+        return self._candidates.health(server)
 
     def services(self) -> list[str]:
         """Returns the services for which requests have arrived."""
@@ -219,11 +158,7 @@
 
     def in_flight(self) -> dict[str, tuple[int, int]]:
         """Returns this entry's requests in flight and pending tokens by server id."""
-        return {
-            server_id: (len(placements), sum(p.pending_tokens for p in placements))
-            for server_id, placements in self._placements.items()
-            if placements
-        }
+        return self._candidates.in_flight()
 
     def queue_scores(self) -> dict[str, list[float]]:
         """Returns the highest scores of the requests queued here, by service."""
@@ -254,9 +189,7 @@
         """
         service = self._service(job.service)
         job.queued_since = now
-        job.typical_tokens = service.mean_output.get(
-            job.route.name, PRIOR_OUTPUT_TOKENS
-        )
+        job.typical_tokens = service.typical_tokens(job.route.name)
         service.queue.count_request(job, now)
         snapshot = self._snapshot(job.service, service, now)
         outcome: Forecast | Refused
@@ -276,7 +209,7 @@
 
     def _assess(
         self,
-        service: _Service,
+        service: ServiceState,
         job: Job,
         snapshot: _Snapshot,
         now: float,
@@ -316,7 +249,7 @@
 
     def _forecast(
         self,
-        service: _Service,
+        service: ServiceState,
         job: Job,
         snapshot: _Snapshot,
         now: float,
@@ -331,7 +264,7 @@
 
     def _refuse(
         self,
-        service: _Service,
+        service: ServiceState,
         job: Job,
         snapshot: _Snapshot,
         now: float,
@@ -339,28 +272,20 @@
         forecast: Forecast,
     ) -> Refused:
         load = snapshot.load
-        retry_after_s = service.admission.retry_after_s(
-            job, self._run_s(service, job), now
-        )
+        retry_after_s = service.admission.retry_after_s(job, service.run_s(job), now)
         if load.limited_slots:
             # Limits allow no earlier start, however soon slots are free.
             retry_after_s = max(retry_after_s, min(forecast.wait_s, MAX_RETRY_S))
         return Refused(
             reason,
             retry_after_s,
-            held_back=held_back(snapshot.candidates, self._permits, now),
+            held_back=held_back(snapshot.candidates, self._candidates.permits, now),
             slots=load.slots,
             free=load.free,
             ahead=forecast.ahead,
             forecast_wait_s=forecast.wait_s,
         )
 
-    def _run_s(self, service: _Service, job: Job) -> float:
-        """Returns the expected duration of a run of a job, seconds."""
-        if not job.stream:
-            return service.first_s
-        return service.first_s + job.output_tokens / job.event_tokens * service.gap_s
-
     def withdraw(self, job: Job) -> None:
         """Removes a queued job whose client has disconnected."""
         self._service(job.service).queue.remove(job)
@@ -384,14 +309,14 @@
         jobs = service.queue.ordered(now, service.first_s)
         last: tuple[Job, Candidate] | None = None
         while granted < free:
-            compared = jobs[:MAX_COMPARED_JOBS]
-            pair = self._pick(
-                service,
-                compared,
+            pair = best_pair(
+                jobs[:MAX_COMPARED_JOBS],
                 candidates,
                 snapshot.peer_scores,
                 free - granted,
                 now,
+                score=lambda job: service.queue.score(job, now, service.first_s),
+                late_value=self._valuation.late,
             )
             if pair is None:
                 break
@@ -402,72 +327,22 @@
             granted += 1
             last = pair
             candidates = [
-                self._candidate(c.server, now) if c is chosen else c for c in candidates
+                self._candidates.candidate(c.server, now) if c is chosen else c
+                for c in candidates
             ]
         service.free_share = (free - granted) / max(1, snapshot.load.slots)
         score = service.queue.score(jobs[0], now, service.first_s) if jobs else 0.0
         for chosen, count in permits_wanted(
-            jobs[:MAX_COMPARED_JOBS], last, candidates, self._permits, now
+            jobs[:MAX_COMPARED_JOBS], last, candidates, self._candidates.permits, now
         ):
-            self._permits.ask(chosen.server, count, score, now)
+            self._candidates.permits.ask(chosen.server, count, score, now)
         if review:
             decisions += self._review_queue(service, snapshot, now)
         return decisions
 
-    def _pick(
-        self,
-        service: _Service,
-        jobs: list[Job],
-        candidates: list[Candidate],
-        peer_scores: list[float],
-        free: int,
-        now: float,
-    ) -> tuple[Job, Candidate] | None:
-        """Returns the job of highest expected value for a free slot, and its server.
-
-        Args:
-            service: State of the service.
-            jobs: Queued jobs to compare, by descending score.
-            candidates: Servers of the service.
-            peer_scores: Scores of the jobs queued at other entries, ascending.
-            free: Number of free slots.
-            now: Monotonic time in seconds.
-        """
-        best, best_value = None, 0.0
-        contested = len(jobs) + len(peer_scores) > 1
-        limited = [c for c in candidates if c.limited]
-        for job in jobs:
-            score = service.queue.score(job, now, service.first_s)
-            # Each request of a peer with a higher score is assumed to take one free
-            # slot first, at the best server left.
-            ahead = len(peer_scores) - bisect.bisect_right(peer_scores, score)
-            # The expected value of a job is at most its score, and scores descend.
-            if score <= best_value:
-                break
-            # Permits are for this entry alone, whatever waits at others.
-            open_to_job = candidates if ahead < free else limited
-            if not open_to_job:
-                break
-            ranked = rank_candidates(job, open_to_job, now, contested=contested)
-            if not ranked:
-                continue
-            chosen = after_peers(ranked, ahead)
-            if should_wait(job, chosen, candidates, now):
-                continue
-            # The score contains the factor for lateness from ``first_s`` before the
-            # objective on. Until the objective, the probability applies as well.
-            value = score
-            if now <= job.objective:
-                probability = success_probability(job, chosen, now)
-                value *= probability + self._valuation.late * (1.0 - probability)
-            value *= finish_probability(job, chosen, now)
-            if value > best_value:
-                best, best_value = (job, chosen), value
-        return best
-
     def _grant(
         self,
-        service: _Service,
+        service: ServiceState,
         job: Job,
         chosen: Candidate,
         candidates: list[Candidate],
@@ -486,16 +361,16 @@
             cold=chosen.cold,
             slowdown=chosen.slowdown,
             slowdown_age_s=self.slowdowns.age_s(chosen.server, now),
-            held_back=held_back(candidates, self._permits, now),
+            held_back=held_back(candidates, self._candidates.permits, now),
         )
         if chosen.limited:
-            self._permits.take(chosen.server, now)
-        self._placements.setdefault(chosen.server.id, set()).add(placement)
+            self._candidates.permits.take(chosen.server, now)
+        self._candidates.hold(placement)
         chosen.health.sent(job.request_id, now, placement.expected_s)
         return placement
 
     def _review_queue(
-        self, service: _Service, snapshot: _Snapshot, now: float
+        self, service: ServiceState, snapshot: _Snapshot, now: float
     ) -> list[Decision]:
         """Refuses queued jobs that are no longer expected to be served in time."""
         refused: list[Decision] = []
@@ -535,9 +410,8 @@
         service = self._service(job.service)
         self.health(placement.server).received(job.request_id, now)
         if placement.cold:
-            factor = placement.slowdown * took_s / placement.expected_s
-            service.cold_slowdown = DECAY * service.cold_slowdown + (1 - DECAY) * min(
-                MAX_COLD_SLOWDOWN, max(1.0, factor)
+            service.record_cold_response(
+                placement.slowdown * took_s / placement.expected_s
             )
             return
         usual_s = took_s / placement.stated_slowdown
@@ -547,26 +421,19 @@
             )
         else:
             self.speed(placement.server).record_response(usual_s, now)
-        service.first_s = DECAY * service.first_s + (1 - DECAY) * took_s
+        service.record_response(took_s)
 
     def record_output(self, job: Job, events: int) -> None:
         """Updates the mean output of a route, given the events of a complete stream."""
-        mean_output = self._service(job.service).mean_output
-        tokens = float(events * job.event_tokens)
-        old = mean_output.get(job.route.name, tokens)
-        mean_output[job.route.name] = DECAY * old + (1 - DECAY) * tokens
+        self._service(job.service).record_output(job, events)
 
     def release(self, job: Job, placement: Placement, now: float) -> bool:
         """Releases the slot of an ended send; returns whether it was still held."""
-        placements = self._placements.get(placement.server.id)
-        if placements is None or placement not in placements:
+        if not self._candidates.release(placement):
             return False
-        placements.discard(placement)
-        service = self._service(job.service)
-        held_s = now - placement.held_since
-        service.hold_s = DECAY * service.hold_s + (1 - DECAY) * held_s
-        gap_s = self.speed(placement.server).gap_s
-        service.gap_s = DECAY * service.gap_s + (1 - DECAY) * gap_s
+        self._service(job.service).record_hold(
+            now - placement.held_since, self.speed(placement.server).gap_s
+        )
         self.health(placement.server).ended(job.request_id)
         return True
 
@@ -577,80 +444,28 @@
             alive: Incarnations of the servers that are believed to be running.
             now: Monotonic time in seconds.
         """
-        self.speeds.forget(alive, now)
-        self.slowdowns.forget(alive)
-        for incarnation in self._health.keys() - alive:
-            del self._health[incarnation]
+        self._candidates.forget(alive, now)
 
-    def _service(self, name: str) -> _Service:
+    def _service(self, name: str) -> ServiceState:
         service = self._services.get(name)
         if service is None:
-            service = self._services[name] = _Service(
+            service = self._services[name] = ServiceState(
                 RequestQueue(self._valuation), AdmissionControl(self._rng)
             )
         return service
 
-    def _candidates(self, service: str, now: float) -> list[Candidate]:
-        return [
-            self._candidate(server, now)
-            for server in self._servers(service, now)
-            if not server.leaving
-        ]
-
-    def _slowdown(self, server: BackendServer, now: float, *, cold: bool) -> float:
-        """Returns the factor on a server's times at the moment.
-
-        Of a server that states it, a response that is overdue says so before the next
-        statement does.
-        """
-        if cold:
-            return self._service(server.service).cold_slowdown
-        if self.slowdowns.age_s(server, now) is None:
-            return 1.0
-        overdue = self.health(server).overdue_factor(now)
-        return max(self.slowdowns.expected(server, now), overdue)
-
-    def _candidate(self, server: BackendServer, now: float) -> Candidate:
-        running, pending_tokens = self._peers.in_flight(server.id)
-        placements = self._placements.get(server.id, ())
-        remote = server.data_centre != self._data_centre
-        age_s = self._peers.remote_age_s() if remote else 0.0
-        limit_per_s = self._permits.limit_per_s(server)
-        cold = (
-            limit_per_s is not None
-            and self._permits.cold_rate_per_s(server) is not None
-        )
-        return Candidate(
-            server=server,
-            speed=self.speeds.merged(server, now),
-            health=self.health(server),
-            running=running + len(placements),
-            pending_tokens=pending_tokens
-            + sum(placement.pending_tokens for placement in placements),
-            remote=remote,
-            margin=min(
-                server.slots // 2, round(server.slots * age_s / SLOT_TURNOVER_S)
-            ),
-            connected=self._connected(server),
-            needs_traffic=self._needs_traffic(server),
-            paused=self.health(server).is_paused(now),
-            limit_per_s=limit_per_s,
-            permits=0 if limit_per_s is None else self._permits.permits(server, now),
-            cold=cold,
-            slowdown=self._slowdown(server, now, cold=cold),
-        )
-
-    def _snapshot(self, name: str, service: _Service, now: float) -> _Snapshot:
+    def _snapshot(self, name: str, service: ServiceState, now: float) -> _Snapshot:
         """Returns servers and load of a service and sets its ``free_share``.
 
         ``dispatch`` sets the share again after granting slots.
         """
-        candidates = self._candidates(name, now)
+        candidates = self._candidates.of_service(name, now)
         peer_scores = self._peers.queue_scores(name)
         healthy = [c for c in candidates if not c.health.is_ejected(now)] or candidates
         running = [c for c in healthy if not c.paused]
         slots = sum(c.server.slots for c in running)
-        free = sum(c.free or may_get_permit(c, self._permits, now) for c in healthy)
+        permits = self._candidates.permits
+        free = sum(c.free or may_get_permit(c, permits, now) for c in healthy)
         limited = [c for c in running if c.limited]
         service.free_share = free / max(1, slots)
         load = ServiceLoad(
--- a/cornelpin/tests/test_cold_servers.py
+++ b/cornelpin/tests/test_cold_servers.py
@@ -190,7 +190,7 @@
 def test_slow_responses_of_a_cold_server_do_not_spoil_its_speed() -> None:
     server = make_server("i-1")
     dispatcher = make_dispatcher([server])
-    dispatcher._permits = ColdPermits({"i-1"}, 5)
+    dispatcher._candidates.permits = ColdPermits({"i-1"}, 5)
     before = dispatcher.speed(server)
     for _ in range(5):
         job = make_job()
@@ -203,10 +203,10 @@
     assert dispatcher.speed(server) == before
     assert dispatcher.speed(server).samples == 0
     # Later requests to cold servers are expected to take as long.
-    (candidate,) = dispatcher._candidates("app", 102.0)
+    (candidate,) = dispatcher._candidates.of_service("app", 102.0)
     assert candidate.slowdown > 3.0
-    dispatcher._permits = ColdPermits(set(), 0)
-    (warm,) = dispatcher._candidates("app", 102.0)
+    dispatcher._candidates.permits = ColdPermits(set(), 0)
+    (warm,) = dispatcher._candidates.of_service("app", 102.0)
     assert expected_response_s(make_job(), warm) < 0.1
 
 
--- a/cornelpin/tests/test_slowdowns.py
+++ b/cornelpin/tests/test_slowdowns.py
@@ -215,7 +215,7 @@
         )
         dispatcher.first_bytes(job, placement, 0.05, now + 0.05)
         dispatcher.release(job, placement, now + 0.05)
-    first, second = dispatcher._candidates("app", 104.0)
+    first, second = dispatcher._candidates.of_service("app", 104.0)
     expected = [c.slowdown * c.speed.response_s for c in (first, second)]
     assert expected[0] == pytest.approx(expected[1], rel=0.2)
 
