--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -192,9 +192,11 @@
         job.typical_tokens = service.typical_tokens(job.route.name)
         service.queue.count_request(job, now)
         snapshot = self._snapshot(job.service, service, now)
+        closed = self._refuse_if_closed(service, job, snapshot, now)
+        if closed is not None:
+            return closed
         outcome: Forecast | Refused
-        closed = self._closed(job, snapshot, now)
-        if job.run_failed and not closed:
+        if job.run_failed:
             outcome = self._forecast(service, job, snapshot, now, score_at=now)
         else:
             outcome = self._assess(service, job, snapshot, now)
@@ -225,10 +227,6 @@
             strictness: Factor on the safety margin.
         """
         reason = NO_SLOT
-        closed = self._closed(job, snapshot, now)
-        if closed:
-            forecast = self._forecast(service, job, snapshot, now, score_at=now)
-            return self._refuse(service, job, snapshot, now, closed, forecast)
         for at, until in prospects(job, now, service.first_s):
             forecast = self._forecast(service, job, snapshot, now, score_at=at)
             if service.admission.admits(forecast, until, now, strictness=strictness):
@@ -239,13 +237,23 @@
                 reason = TOO_LONG
         return self._refuse(service, job, snapshot, now, reason, forecast)
 
-    def _closed(self, job: Job, snapshot: _Snapshot, now: float) -> str:
-        """Returns why no server is open to a job, however long it waits; else empty."""
+    def _refuse_if_closed(
+        self, service: ServiceState, job: Job, snapshot: _Snapshot, now: float
+    ) -> Refused | None:
+        """Refuses a job to which no server is open, however long it waits.
+
+        The safety margin of forecasts has nothing to learn from such a refusal.
+        """
+        if any(job.may_run_at(c.server) for c in snapshot.candidates):
+            return None
         if snapshot.candidates:
-            if any(job.may_run_at(c.server) for c in snapshot.candidates):
-                return ""
-            return OUTSIDE_REGIONS
-        return EVACUATED if self._evacuated(job.service, now) else ""
+            reason = OUTSIDE_REGIONS
+        elif self._evacuated(job.service, now):
+            reason = EVACUATED
+        else:
+            return None
+        forecast = self._forecast(service, job, snapshot, now, score_at=now)
+        return self._refuse(service, job, snapshot, now, reason, forecast)
 
     def _forecast(
         self,
@@ -375,9 +383,12 @@
         """Refuses queued jobs that are no longer expected to be served in time."""
         refused: list[Decision] = []
         for job in service.queue:
+            closed = self._refuse_if_closed(service, job, snapshot, now)
+            if closed is not None:
+                service.queue.remove(job)
+                refused.append((job, closed))
+                continue
             review = due_review(job, now, service.first_s)
-            if review is None and self._closed(job, snapshot, now):
-                review = Review.LATE
             if review is None:
                 continue
             job.reviewed_at = now
