Hedge slow requests that may be repeated, within a share that operators set

CORNELPIN_HEDGE_SHARE (off by default) lets a request be sent to a second server once it takes longer than the quantile 1 - share of its route's responses, relative to what was expected of its server; only while nobody waits, on a sound and free server, within half of the retry budget and the workspace's quota. The first response counts, the other send is cancelled and counts neither as success nor as failure.

--- a/cornelpin/gateway/__main__.py
+++ b/cornelpin/gateway/__main__.py
@@ -14,7 +14,7 @@
     """Runs one entry until SIGTERM; exits with 2 if its settings are invalid."""
     from cornelpin.gateway.app import Entry
     from cornelpin.gateway.logs import LineWriter, set_up_logs
-    from cornelpin.gateway.settings import load_valuation
+    from cornelpin.gateway.settings import load_hedging, load_valuation
     from cornelpin.platform import SETTINGS_VARIABLE, BadValue, load_host_settings
 
     path = os.environ.get(SETTINGS_VARIABLE, "")
@@ -27,6 +27,7 @@
         sys.exit(EXIT_INVALID_SETTINGS)
     try:
         valuation = load_valuation(os.environ)
+        hedging = load_hedging(os.environ)
     except BadValue as exc:
         sys.stderr.write(f"invalid environment variable {exc}\n")
         sys.exit(EXIT_INVALID_SETTINGS)
@@ -34,7 +35,7 @@
     set_up_logs(settings.host, lines)
 
     async def run() -> None:
-        await Entry(settings, path, lines, valuation).run()
+        await Entry(settings, path, lines, valuation, hedging).run()
 
     asyncio.run(run())
 
--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -42,6 +42,7 @@
     from collections.abc import Awaitable, Callable, Coroutine
 
     from cornelpin.platform import HostSettings
+    from cornelpin.scheduling.hedging import HedgingPolicy
 
 ENTRY_KIND = "cornelpin-entries"
 """Kind of the store objects with which entries register their IP addresses."""
@@ -75,6 +76,7 @@
         settings_path: Path of the settings file, for reloads.
         lines: Writer of the log lines.
         valuation: Relative values of responses.
+        hedging: Which part of the requests may be hedged.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         settings_path: str,
         lines: logs.LineWriter,
         valuation: Valuation | None = None,
+        hedging: HedgingPolicy | None = None,
     ) -> None:
         self._settings = settings
         self._settings_path = settings_path
@@ -132,6 +135,7 @@
             valuation or Valuation(),
             self.server_limits,
             self.state.evacuations,
+            hedging,
         )
         self.store = Store(settings.store)
         self.rollout_controller = RolloutController(
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -23,14 +23,19 @@
     NotRun,
     Outcome,
     OutgoingRequest,
+    ResponseSink,
     ServerResponse,
 )
+from cornelpin.gateway.hedged_send import HedgedSink, HedgeResult, hedged_send
 from cornelpin.gateway.scheduler import Placement, Refused, Scheduler
 from cornelpin.platform import backend_headers, resume_headers
+from cornelpin.scheduling.hedging import NO_BUDGET, OVER_QUOTA
 from cornelpin.scheduling.rollouts import MIN_TIME_S
 from cornelpin.scheduling.routing import RouteKind
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from cornelpin.gateway.rollouts import RolloutController
     from cornelpin.gateway.state import GatewayState
     from cornelpin.http1.client import Headers
@@ -101,6 +106,8 @@
         max_event_gap_ms: Longest gap between two events in milliseconds.
         waited_s: Seconds spent in the queue for slots.
         server: Id of the last server.
+        hedge: What came of the second send beside a slow one (``won`` or ``lost``), or
+            why there was none; empty if the first one was not slow.
         failure: A server's 5xx response, forwarded if no other send succeeds.
         reasons: Failure reason of each send.
     """
@@ -115,6 +122,7 @@
     max_event_gap_ms: int = 0
     waited_s: float = 0.0
     server: str = ""
+    hedge: str = ""
     failure: ServerResponse | None = None
     reasons: list[str] = attrs.field(factory=list)
 
@@ -165,6 +173,7 @@
     async def run(self) -> int:
         """Sends until there is a response; returns its status."""
         self.state.budget(self.job.service).note_request(time.monotonic())
+        self.scheduler.dispatcher.note_request(self.job)
         while True:
             queued_at = time.monotonic()
             self._reject_quarantined(queued_at)
@@ -178,7 +187,7 @@
                 self.job.forecast_wait_s, time.monotonic() - queued_at
             )
             self._log_placement(placement)
-            outcome = await self._send(placement)
+            placement, outcome = await self._send(placement)
             self._record_outcome(placement, outcome)
             status = self._finish_or_resend(outcome)
             if status is not None:
@@ -257,9 +266,124 @@
         self.state.count_held_back(outcome)
         return {"held_back": [attrs.asdict(server) for server in servers]}
 
-    async def _send(self, placement: Placement) -> Outcome:
-        job, req = self.job, self.req
+    async def _send(self, placement: Placement) -> tuple[Placement, Outcome]:
+        """Sends to a server, and perhaps to a second one while the first is slow.
+
+        Returns:
+            The placement of the send whose outcome counts, and the outcome.
+        """
+        delay_s = self.scheduler.dispatcher.hedge_delay_s(self.job, placement)
+        # Both sends may be runs.
+        if delay_s is not None and (
+            self.progress.runs + 2 <= self.job.route.max_attempts
+        ):
+            return await self._send_hedged(placement, delay_s)
         self.placement = placement
+        ran_before = self.progress.may_have_run
+        outcome = await self._run(placement, self)
+        if isinstance(outcome, NotRun):
+            self.progress.may_have_run = ran_before
+        return placement, outcome
+
+    async def _send_hedged(
+        self, first: Placement, delay_s: float
+    ) -> tuple[Placement, Outcome]:
+        ran_before = self.progress.may_have_run
+        sinks: dict[Placement, HedgedSink] = {}
+
+        async def start(placement: Placement) -> Outcome:
+            sink = sinks[placement] = HedgedSink(
+                placement, self._note_response_head, self._note_response_time
+            )
+            return await self._run(placement, sink)
+
+        result = await hedged_send(
+            first, start=start, second=lambda: self._second(first), delay_s=delay_s
+        )
+        for placement, outcome in result.failed:
+            self.placement, self.sent_at = placement, sinks[placement].sent_at
+            self._record_outcome(placement, outcome)
+            self._note_failed(placement, outcome)
+        self.placement = result.placement
+        self.sent_at = sinks[result.placement].sent_at
+        self.progress.server = result.placement.server.id
+        self.progress.may_have_run = (
+            ran_before
+            or bool(result.cancelled)
+            or any(not isinstance(outcome, NotRun) for _, outcome in result.failed)
+            or not isinstance(result.outcome, NotRun)
+        )
+        if len(sinks) > 1:
+            self._record_hedge(first, result, sinks)
+        return result.placement, result.outcome
+
+    def _second(self, first: Placement) -> Placement | None:
+        """Returns the placement of a second send beside a slow one, if there is any."""
+        job, now = self.job, time.monotonic()
+        job.avoid.add(first.server.id)
+        if self.state.quarantine_reason(job, now):
+            return None
+        placement = self.scheduler.hedge(job)
+        if isinstance(placement, Placement):
+            if not self.state.take_hedge(job.service, now):
+                reason = NO_BUDGET
+            elif not self._take_hedge_quota():
+                reason = OVER_QUOTA
+            else:
+                return placement
+            self.scheduler.release(job, placement)
+        else:
+            reason = placement
+        self.progress.hedge = reason
+        self.state.count_hedge(reason)
+        return None
+
+    def _take_hedge_quota(self) -> bool:
+        """Takes a second run from the quota of the caller's workspace."""
+        workspace = self.workspace
+        if workspace is None:
+            return True
+        amount = float(workspace.plain_tokens) if workspace.by_tokens else 1.0
+        return self.state.take_quota(workspace, amount) is None
+
+    def _note_failed(self, placement: Placement, outcome: Outcome) -> None:
+        """Takes note of a failed send beside which another one runs or ran."""
+        progress, server_id = self.progress, placement.server.id
+        self.job.avoid.add(server_id)
+        match outcome:
+            case Answered(response=response):
+                progress.runs += 1
+                progress.failure = response
+                progress.reasons.append(f"{server_id}: answered {response.status}")
+            case Broken(reason=reason):
+                progress.runs += 1
+                progress.reasons.append(f"{server_id}: {reason}")
+            case NotRun(reason=reason):
+                progress.reasons.append(f"{server_id}: {reason}")
+
+    def _record_hedge(
+        self,
+        first: Placement,
+        result: HedgeResult,
+        sinks: Mapping[Placement, HedgedSink],
+    ) -> None:
+        now = time.monotonic()
+        wasted_s = sum(now - sinks[p].sent_at for p in result.cancelled)
+        self.progress.hedge = "lost" if result.placement is first else "won"
+        self.state.count_hedge(self.progress.hedge, wasted_s)
+        logs.event(
+            "request.hedged",
+            id=self.job.request_id,
+            first=first.server.id,
+            outcome=self.progress.hedge,
+            server=result.placement.server.id,
+            expected_ms=round(1e3 * first.expected_s),
+            wasted_ms=round(1e3 * wasted_s),
+        )
+
+    async def _run(self, placement: Placement, sink: ResponseSink) -> Outcome:
+        """Sends to one server; releases its slot at the end."""
+        job, req = self.job, self.req
         self.progress.sends += 1
         self.progress.server = placement.server.id
         headers: Headers = list(req.headers)
@@ -283,23 +407,19 @@
             self.state.pool,
             placement.server,
             outgoing,
-            self,
+            sink,
             idle_timeouts,
             may_send=lambda: self._may_send(placement),
             memory=self.state.response_memory,
         )
-        ran_before = self.progress.may_have_run
         self.progress.may_have_run = True
-        self.sent_at = time.monotonic()
+        self.sent_at = sink.sent_at = time.monotonic()
         self.run_begun = False
         self.state.rollouts.record_send(placement.server)
         try:
-            outcome = await exchange.run(stream=stream)
+            return await exchange.run(stream=stream)
         finally:
             self.scheduler.release(job, placement)
-        if isinstance(outcome, NotRun):
-            self.progress.may_have_run = ran_before
-        return outcome
 
     def _may_send(self, placement: Placement) -> bool:
         """Returns whether what held when the slot was assigned still holds."""
@@ -318,20 +438,32 @@
         return placement.permitted and now - placement.held_since < PERMIT_USE_S
 
     def on_response_head(self, info: ResponseInfo) -> None:
-        """Takes note of a server that leaves, wants a pause, or names a limit."""
+        """Takes note of what a response says about its server."""
         assert self.placement is not None
-        server = self.placement.server
+        self._note_response_head(self.placement, self.sent_at, info)
+
+    def _note_response_head(
+        self, placement: Placement, sent_at: float, info: ResponseInfo
+    ) -> None:
+        """Takes note of a server that leaves, wants a pause, names a limit, or is slow.
+
+        Args:
+            placement: Placement of the send.
+            sent_at: Monotonic time of the send.
+            info: Decoded headers of the response.
+        """
+        server = placement.server
         if info.leaving:
             self.state.mark_leaving(server)
         if info.pause_s is not None or info.bad_pause:
             self.scheduler.pause(server, info.pause_s, info.bad_pause)
         # A surplus response may be an old one.
         if info.request_id in {self.job.request_id, ""}:
-            self.state.limits.observe(server, info, self.sent_at)
+            self.state.limits.observe(server, info, sent_at)
             slowdowns = self.scheduler.dispatcher.slowdowns
             slowdowns.invalid += info.bad_slowdown
             if info.slowdown is not None:
-                self.placement.stated_slowdown = slowdowns.record(
+                placement.stated_slowdown = slowdowns.record(
                     server, info.slowdown, time.monotonic()
                 )
 
@@ -503,12 +635,15 @@
 
     def on_response_time(self, took_s: float) -> None:
         """Records the response time of the current send."""
+        if self.placement is not None:
+            self._note_response_time(self.placement, took_s)
+
+    def _note_response_time(self, placement: Placement, took_s: float) -> None:
         if self.progress.first_ms is None:
             since = time.monotonic() - self.req.received
             self.progress.first_ms = round(1e3 * since)
-        if self.placement is not None:
-            self.scheduler.record_response_time(self.job, self.placement, took_s)
-            self.state.observe_response_time(self.placement.server, took_s)
+        self.scheduler.record_response_time(self.job, placement, took_s)
+        self.state.observe_response_time(placement.server, took_s)
 
     def on_event_gap(self, took_s: float) -> None:
         """Records the gap before an event."""
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -123,7 +123,13 @@
 
 
 class ResponseSink(Protocol):
-    """Receives the parts of a streamed response and the timing of all responses."""
+    """Receives the parts of a streamed response and the timing of all responses.
+
+    Attributes:
+        sent_at: Monotonic time of the send, set by the sender.
+    """
+
+    sent_at: float
 
     async def on_stream_start(self, status: int, headers: Headers) -> None:
         """Receives the head of a stream, right before its first event."""
--- a/cornelpin/gateway/metrics.py
+++ b/cornelpin/gateway/metrics.py
@@ -35,6 +35,9 @@
         rejections: Responses made by the entry itself instead of a server.
         held_back: Requests placed elsewhere or refused while servers with free slots
             were kept from them by their limits.
+        hedges: Requests that were slow and might be hedged: ``won`` and ``lost`` by the
+            second send, or the reason for which there was none.
+        hedge_wasted: Seconds for which sends ran that were cancelled for another one.
         sends: Requests sent to servers; the outcome is a class name of
             cornelpin.gateway.exchange.
     """
@@ -86,6 +89,17 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.hedges = Counter(
+            "cornelpin_hedges",
+            "Slow requests that might be hedged, by what came of it",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.hedge_wasted = Counter(
+            "cornelpin_hedge_wasted_seconds",
+            "Time of sends cancelled because a second one, or the first, was faster",
+            registry=self.registry,
+        )
         self.sends = Counter(
             "cornelpin_sends",
             "Sends to servers, by what came of them",
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -279,6 +279,7 @@
             "may_have_run": progress.may_have_run,
             "config": cfg.version if cfg is not None else None,
             "reason": reason,
+            "hedge": progress.hedge,
             "steps": progress.reasons,
         }
         logs.event("request.ended", **fields)
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -22,6 +22,7 @@
     from cornelpin.gateway.limit_coordinator import LimitCoordinator
     from cornelpin.gateway.peers import Peers
     from cornelpin.gateway.pool import ConnectionPool
+    from cornelpin.scheduling.hedging import HedgingPolicy
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.rollouts import Rollouts
     from cornelpin.scheduling.servers import BackendServer, ServerList
@@ -52,6 +53,7 @@
         valuation: Relative values of responses.
         limits: Permits to send to servers with limits.
         evacuations: Data centres whose servers get no requests.
+        hedging: Which part of the requests may be hedged.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         valuation: Valuation,
         limits: LimitCoordinator,
         evacuations: Evacuations | None = None,
+        hedging: HedgingPolicy | None = None,
     ) -> None:
         self._servers = servers
         self._rollouts = rollouts
@@ -84,6 +87,7 @@
             needs_traffic=rollouts.needs_traffic,
             permits=limits,
             evacuated=self._all_evacuated,
+            hedging=hedging,
         )
         limits.on_permits = self._on_permits
 
@@ -103,6 +107,13 @@
             self._cancel(job, fut)
             raise
 
+    def hedge(self, job: Job) -> Placement | str:
+        """Takes a slot for a second send of a job that runs; else returns why not."""
+        placement = self.dispatcher.hedge(job, time.monotonic())
+        if isinstance(placement, Placement):
+            self._changed()
+        return placement
+
     def _cancel(self, job: Job, fut: asyncio.Future[Placement | Refused]) -> None:
         self._queued.pop(job, None)
         self.dispatcher.withdraw(job)
--- a/cornelpin/gateway/settings.py
+++ b/cornelpin/gateway/settings.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cornelpin.platform import BadValue
+from cornelpin.scheduling.hedging import HedgingPolicy
 from cornelpin.scheduling.valuation import Valuation
 
 if TYPE_CHECKING:
@@ -16,6 +17,27 @@
 """Prefix of the variables for the fields of ``Valuation``, as in
 ``CORNELPIN_VALUE_LATE``."""
 
+HEDGE_PREFIX = "CORNELPIN_HEDGE_"
+"""Prefix of the variables for the fields of ``HedgingPolicy``."""
+
+
+def load_hedging(environ: Mapping[str, str]) -> HedgingPolicy:
+    """Reads which part of the requests may be hedged; none without the variable.
+
+    Raises:
+        BadValue: If a variable is unknown, not a number or out of range.
+    """
+    name = f"{HEDGE_PREFIX}SHARE"
+    unknown = sorted(v for v in environ if v.startswith(HEDGE_PREFIX) and v != name)
+    if unknown:
+        raise BadValue(f"{unknown[0]}: unknown setting; valid names: {name}")
+    if name not in environ:
+        return HedgingPolicy()
+    try:
+        return HedgingPolicy(share=float(environ[name]))
+    except ValueError as exc:
+        raise BadValue(f"{name}={environ[name]!r}: {exc}") from exc
+
 
 def load_valuation(environ: Mapping[str, str]) -> Valuation:
     """Reads the relative values of responses; fields not set keep their defaults.
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -13,6 +13,7 @@
 from cornelpin.gateway.response_memory import MEMORY_SHARE, ResponseMemory
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.client_retries import ClientRetries
+from cornelpin.scheduling.hedging import RETRY_BUDGET_PART
 from cornelpin.scheduling.poison_parts import PoisonParts
 from cornelpin.scheduling.poison_requests import PoisonDetector
 from cornelpin.scheduling.quota import FleetView, Quotas, QuotaTolerance
@@ -217,6 +218,12 @@
         """
         return self.budget(service).take(now, self.fleet_view().all_entries)
 
+    def take_hedge(self, service: str, now: float) -> bool:
+        """Takes a second send from a service's retry budget, after all retries."""
+        return self.budget(service).take(
+            now, self.fleet_view().all_entries, part=RETRY_BUDGET_PART
+        )
+
     def take_quota(self, workspace: Workspace, amount: float) -> float | None:
         """Takes an amount from a workspace's quota, or returns the wait in seconds."""
         wait_s = self.quotas.admit(
@@ -333,6 +340,12 @@
         if self.metrics is not None:
             self.metrics.held_back.labels(outcome).inc()
 
+    def count_hedge(self, outcome: str, wasted_s: float = 0.0) -> None:
+        """Counts what came of a slow request that may be hedged, and work in vain."""
+        if self.metrics is not None:
+            self.metrics.hedges.labels(outcome).inc()
+            self.metrics.hedge_wasted.inc(wasted_s)
+
     def record_queue_wait(self, forecast_s: float, measured_s: float) -> None:
         """Records how long a request waited for its slot, and the forecast of it."""
         if self.metrics is None:
--- a/cornelpin/scheduling/budget.py
+++ b/cornelpin/scheduling/budget.py
@@ -43,18 +43,19 @@
         self._requests.append(now)
         _expire(self._requests, now - self._bounds.window_s)
 
-    def take(self, now: float, entries: int) -> bool:
+    def take(self, now: float, entries: int, *, part: float = 1.0) -> bool:
         """Takes one retry from the budget; returns False if none is left.
 
         Args:
             now: Monotonic time in seconds.
             entries: Number of entries that share the budget.
+            part: Part of the budget that may be used up.
         """
         _expire(self._requests, now - self._bounds.window_s)
         _expire(self._retries, now - self._bounds.window_s)
         own = self._bounds.ratio * len(self._requests)
         limit = BUDGET_SHARE * (own + self._bounds.extra / max(1, entries))
-        if len(self._retries) + 1 > limit:
+        if len(self._retries) + 1 > part * limit:
             return False
         self._retries.append(now)
         return True
--- a/cornelpin/scheduling/candidates.py
+++ b/cornelpin/scheduling/candidates.py
@@ -151,8 +151,21 @@
             return self._cold_slowdown(server.service)
         if self.slowdowns.age_s(server, now) is None:
             return 1.0
-        overdue = self.health(server).overdue_factor(now)
-        return max(self.slowdowns.expected(server, now), overdue)
+        return max(self.slowdowns.expected(server, now), self._overdue(server, now))
+
+    def _overdue(self, server: BackendServer, now: float) -> float:
+        """Returns the longest time of a run as a multiple of the expected one.
+
+        Runs of prompts are left out: what they take varies too much to tell.
+        """
+        return max(
+            (
+                (now - placement.held_since) / placement.expected_s
+                for placement in self._placements.get(server.id, ())
+                if not placement.tokens_ahead
+            ),
+            default=0.0,
+        )
 
     def forget(self, alive: set[Incarnation], now: float) -> None:
         """Drops estimates of stopped servers, and old speeds received from peers.
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -31,6 +31,14 @@
     Placement,
     Refused,
 )
+from cornelpin.scheduling.hedging import (
+    BUSY,
+    MIN_FREE_SHARE,
+    NO_BUDGET,
+    NO_SERVER,
+    Hedging,
+    HedgingPolicy,
+)
 from cornelpin.scheduling.jobs import Review
 from cornelpin.scheduling.matching import best_pair
 from cornelpin.scheduling.permit_demand import (
@@ -45,6 +53,7 @@
     Candidate,
     can_finish,
     expected_response_s,
+    rank_candidates,
 )
 from cornelpin.scheduling.service_state import ServiceState
 from cornelpin.scheduling.valuation import Valuation
@@ -95,6 +104,7 @@
         data_centre: Data centre of this entry.
         valuation: Relative values of responses.
         permits: Limits of servers, and permits to send to those that have one.
+        hedging: Which part of the requests may be hedged; none if not given.
         rng: Source of randomness.
 
     Attributes:
@@ -113,9 +123,11 @@
         evacuated: Callable[[str, float], bool] = lambda service, now: False,
         valuation: Valuation | None = None,
         permits: PermitSource | None = None,
+        hedging: HedgingPolicy | None = None,
         rng: Callable[[], float] = random.random,
     ) -> None:
         self._valuation = valuation or Valuation()
+        self._hedging = hedging or HedgingPolicy()
         self._peers = peers
         self._evacuated = evacuated
         self._rng = rng
@@ -357,6 +369,12 @@
         now: float,
     ) -> Placement:
         service.queue.pop(job, now, service.first_s)
+        return self._place(job, chosen, candidates, now)
+
+    def _place(
+        self, job: Job, chosen: Candidate, candidates: list[Candidate], now: float
+    ) -> Placement:
+        """Takes a slot of a server for a job."""
         placement = Placement(
             server=chosen.server,
             pending_tokens=job.prompt_tokens,
@@ -377,6 +395,44 @@
         chosen.health.sent(job.request_id, now, placement.expected_s)
         return placement
 
+    def hedge_delay_s(self, job: Job, placement: Placement) -> float | None:
+        """Returns the seconds after which a send is slow; None if it is not hedged."""
+        if placement.cold or not job.route.idempotent or job.stream:
+            return None
+        hedging = self._service(job.service).hedging
+        return hedging.delay_s(job.route.name, placement.expected_s)
+
+    def hedge(self, job: Job, now: float) -> Placement | str:
+        """Takes a slot for a second send of a job that runs; else returns why not.
+
+        Only if nobody waits for the service, on a server that is sound and free, and
+        within the share of requests that may be hedged.
+
+        Args:
+            job: The job; the servers to which it was sent are avoided.
+            now: Monotonic time in seconds.
+        """
+        service = self._service(job.service)
+        snapshot = self._snapshot(job.service, service, now)
+        if snapshot.load.contested or service.free_share < MIN_FREE_SHARE:
+            return BUSY
+        sound = [
+            c
+            for c in snapshot.candidates
+            if not (c.limited or c.cold or c.health.is_ejected(now))
+            and c.server.id not in job.avoid
+        ]
+        ranked = rank_candidates(job, sound, now)
+        if not ranked:
+            return NO_SERVER
+        if not service.hedging.take():
+            return NO_BUDGET
+        return self._place(job, ranked[0], snapshot.candidates, now)
+
+    def note_request(self, job: Job) -> None:
+        """Counts a request towards the share that may be hedged."""
+        self._service(job.service).hedging.note_request()
+
     def _review_queue(
         self, service: ServiceState, snapshot: _Snapshot, now: float
     ) -> list[Decision]:
@@ -425,6 +481,10 @@
                 placement.slowdown * took_s / placement.expected_s
             )
             return
+        if not job.stream:
+            service.hedging.record_response(
+                job.route.name, took_s, placement.expected_s
+            )
         usual_s = took_s / placement.stated_slowdown
         if job.stream:
             self.speed(placement.server).record_first_event(
@@ -461,7 +521,9 @@
         service = self._services.get(name)
         if service is None:
             service = self._services[name] = ServiceState(
-                RequestQueue(self._valuation), AdmissionControl(self._rng)
+                RequestQueue(self._valuation),
+                AdmissionControl(self._rng),
+                Hedging(self._hedging),
             )
         return service
 
--- a/cornelpin/scheduling/server_health.py
+++ b/cornelpin/scheduling/server_health.py
@@ -104,20 +104,6 @@
         """Returns whether the server is ejected or silent."""
         return now < self.ejected_until or self.silent(now)
 
-    def overdue_factor(self, now: float) -> float:
-        """Returns the longest time for which a response is awaited.
-
-        It is a multiple of the time that was expected; zero if none is awaited.
-        """
-        return max(
-            (
-                (now - sent_at) / expected_response_s
-                for sent_at, expected_response_s in self._awaiting_response.values()
-                if expected_response_s > 0
-            ),
-            default=0.0,
-        )
-
     def silent(self, now: float) -> bool:
         """Returns whether the response to a send is long overdue.
 
--- a/cornelpin/scheduling/service_state.py
+++ b/cornelpin/scheduling/service_state.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from cornelpin.scheduling.admission import AdmissionControl
+    from cornelpin.scheduling.hedging import Hedging
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.request_queue import RequestQueue
 
@@ -45,10 +46,12 @@
         mean_output: Mean output tokens by route name.
         free_share: Share of its slots that were free after the last grant.
         cold_slowdown: Mean factor on the response times of its cold servers.
+        hedging: Decides when its requests are hedged.
     """
 
     queue: RequestQueue
     admission: AdmissionControl
+    hedging: Hedging
     hold_s: float = PRIOR_HOLD_S
     first_s: float = PRIOR_FIRST_S
     gap_s: float = PRIOR_GAP_S
