--- a/cornelpin/scheduling/hedging.py
+++ b/cornelpin/scheduling/hedging.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-MIN_SAMPLES = 50
+MIN_SAMPLES = 20
 """Responses of a route that are measured before any of its requests is hedged."""
 MAX_SAMPLES = 200
 """Last responses that are kept: the quantile follows the load within seconds."""
