Log what the store is asked, and when a call is left to a peer or waits

Lists, calls left to peers and calls that waited for 0.25 s are logged now; calls are counted by kind, operation and outcome; the version in force and its age are metrics. No decision is changed.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -364,6 +364,16 @@
         self.state.metrics.gauge(
             "store_calls", "Calls to the store", lambda: self.store.calls
         )
+        self.state.metrics.gauge(
+            "config_version",
+            "Version of the configuration in force, -1 without one",
+            lambda: self.state.config.version if self.state.config else -1,
+        )
+        self.state.metrics.gauge(
+            "config_age_seconds",
+            "Seconds since the configuration in force was known to be current",
+            lambda: self._view.config_age_s,
+        )
         self.state.metrics.gauge(
             "copied_bytes",
             "Bytes of snapshots copied from other entries",
--- a/cornelpin/gateway/metrics.py
+++ b/cornelpin/gateway/metrics.py
@@ -38,6 +38,8 @@
         hedges: Requests that were slow and might be hedged: ``won`` and ``lost`` by the
             second send, or the reason for which there was none.
         hedge_wasted: Seconds for which sends ran that were cancelled for another one.
+        store_calls: Calls of the store by kind of objects, operation and outcome:
+            ``answered`` or ``failed``.
         sends: Requests sent to servers; the outcome is a class name of
             cornelpin.gateway.exchange.
     """
@@ -100,6 +102,12 @@
             "Time of sends cancelled because a second one, or the first, was faster",
             registry=self.registry,
         )
+        self.store_calls = Counter(
+            "cornelpin_store_calls_by_kind",
+            "Calls of the store, by kind of objects",
+            ["kind", "operation", "outcome"],
+            registry=self.registry,
+        )
         self.sends = Counter(
             "cornelpin_sends",
             "Sends to servers, by what came of them",
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -26,7 +26,7 @@
 
     from cornelpin.gateway.limit_coordinator import LimitCoordinator
     from cornelpin.gateway.metrics import Metrics
-    from cornelpin.platform import HostSettings
+    from cornelpin.platform import CallReport, HostSettings
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.routing import RoutingConfig, Workspace
     from cornelpin.scheduling.servers import BackendServer
@@ -325,6 +325,14 @@
         self.poison_detector.record_failure(job.fingerprint, run_id, time.monotonic())
         self._flush()
 
+    def count_store_call(self, report: CallReport) -> None:
+        """Counts a call of the store by its kind, operation and outcome."""
+        if self.metrics is not None:
+            outcome = "failed" if report.reason else "answered"
+            self.metrics.store_calls.labels(
+                report.kind, report.operation, outcome
+            ).inc()
+
     def count_send(self, server: BackendServer, outcome: str) -> None:
         """Counts a send by its outcome."""
         if self.metrics is not None:
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -24,6 +24,7 @@
     ROLLOUT_KIND,
     SERVER_KIND,
     BadValue,
+    CallReport,
     Store,
     StoreObject,
     config_version,
@@ -46,6 +47,10 @@
 """Allowance for network delay: a peer's contact with the store may be older than its
 reported age by this much."""
 
+LONG_QUEUED_S = 0.25
+"""Time for which a call waits for earlier ones from which it is logged: several times
+that of a slow response."""
+
 
 class StoreView:
     """Watch caches of the store, decoded into the entry's state.
@@ -121,6 +126,7 @@
             apply_config=self._apply_config,
         )
         store.on_new_era = self._on_new_era
+        store.on_call = self._on_call
         state.get_servers_confirmed_at = lambda: self._caches[SERVER_KIND].confirmed_at
 
     def _make_cache(self, kind: str, **callbacks: Callable[..., None]) -> WatchCache:
@@ -131,7 +137,7 @@
             on_contact=self._peers.schedule_update,
             on_lost=self._refresh_all,
             watch_wait_s=lambda: self._watch_wait_s(kind),
-            peers_reach_store=self._peers_reach_store,
+            peer_at_store=self._peer_at_store,
             **callbacks,
         )
 
@@ -140,6 +146,19 @@
         logs.event("store.new_era", era=after, before=before)
         self._refresh_all()
 
+    def _on_call(self, report: CallReport) -> None:
+        """Counts a call of the store, and logs one that waited long for others."""
+        self._state.count_store_call(report)
+        if report.queued_s >= LONG_QUEUED_S:
+            logs.event(
+                "store.call_queued",
+                kind=report.kind,
+                operation=report.operation,
+                queued_ms=round(1e3 * report.queued_s),
+                took_ms=round(1e3 * report.took_s),
+                reason=report.reason,
+            )
+
     def _refresh_all(self) -> None:
         """Lists all kinds again: the connections of their watches may be silent."""
         for cache in self._caches.values():
@@ -150,6 +169,11 @@
         yield from (cache.run() for cache in self._caches.values())
         yield self._catch_up.run()
 
+    @property
+    def config_age_s(self) -> float:
+        """Seconds since the configuration in force was last known to be current."""
+        return time.monotonic() - self._caches[CONFIG_KIND].confirmed_at
+
     @property
     def copied_bytes(self) -> int:
         """Bytes received from peers in copies of their caches."""
@@ -196,8 +220,8 @@
             if cache.reachable
         }
 
-    def _peers_reach_store(self, since: float) -> bool:
-        """Returns whether a live peer has reached the store since this entry lost it.
+    def _peer_at_store(self, since: float) -> str | None:
+        """Returns a live peer that has reached the store since this entry lost it.
 
         Without that bound, entries that lost the store together would rely on each
         other's older reports.
@@ -207,10 +231,12 @@
         """
         now = time.monotonic()
         within_s = min(PEER_REPORT_TTL_S, now - since - PEER_REPORT_DELAY_S)
-        live = self._peers.live_peers().values()
         # Any kind shows that the store is reachable; the watches of servers are short,
         # while those of roll-out orders exceed PEER_REPORT_TTL_S.
-        return any(is_fresh(peer, SERVER_KIND, now, within_s) for peer in live)
+        for host, peer in self._peers.live_peers().items():
+            if is_fresh(peer, SERVER_KIND, now, within_s):
+                return host
+        return None
 
     def _watch_wait_s(self, kind: str) -> float | None:
         host = self._state.settings.host
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -47,8 +47,8 @@
         on_lost: Called when a call of the store fails for the first time.
         watch_wait_s: Returns the long-poll time of a watch in seconds; None if other
             entries watch.
-        peers_reach_store: Returns whether another entry has reached the store recently
-            and since the given monotonic time.
+        peer_at_store: Returns the host of another entry that has reached the store
+            recently and since the given monotonic time; None if there is none.
 
     Attributes:
         kind: Kind of the objects.
@@ -76,7 +76,7 @@
         on_contact: Callable[[], None] = lambda: None,
         on_lost: Callable[[], None] = lambda: None,
         watch_wait_s: Callable[[], float | None] = lambda: WATCH_S,
-        peers_reach_store: Callable[[float], bool] = lambda since: False,
+        peer_at_store: Callable[[float], str | None] = lambda since: None,
     ) -> None:
         self.kind = kind
         self.revision = NO_REVISION
@@ -94,7 +94,7 @@
         self._on_contact = on_contact
         self._on_lost = on_lost
         self._watch_wait_s = watch_wait_s
-        self._peers_reach_store = peers_reach_store
+        self._peer_at_store = peer_at_store
         self._down_since = 0.0
         self._refresh = asyncio.Event()
         self._backoff_s = FIRST_BACKOFF_S
@@ -156,6 +156,14 @@
 
     async def _list(self) -> None:
         listing = await self._store.list(self.kind)
+        logs.event(
+            "store.listed",
+            kind=self.kind,
+            revision=listing.revision.number,
+            age_s=round(time.monotonic() - self.confirmed_at, 1)
+            if self.revision != NO_REVISION
+            else None,
+        )
         self.replaced_from = self.confirmed_at
         self._contacted()
         if listing.revision >= self.revision:
@@ -260,5 +268,9 @@
         self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
         until = time.monotonic() + PEER_COPY_BACKOFF_S * random.uniform(0.5, 1.0)
         await asyncio.sleep(pause_s)
-        while self._peers_reach_store(self._down_since) and time.monotonic() < until:
+        peer = self._peer_at_store(self._down_since)
+        if peer is not None:
+            logs.event("store.left_to_peer", kind=self.kind, peer=peer)
+        while peer is not None and time.monotonic() < until:
             await asyncio.sleep(POLL_S)
+            peer = self._peer_at_store(self._down_since)
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -34,6 +34,7 @@
 )
 from cornelpin.platform._store import (
     WATCH_SLACK_S,
+    CallReport,
     Listing,
     Store,
     StoreObject,
@@ -51,6 +52,7 @@
     "WATCH_SLACK_S",
     "BadValue",
     "Bounds",
+    "CallReport",
     "StoreObject",
     "HostSettings",
     "Listing",
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import json
-from typing import TYPE_CHECKING, Any
+import time
+from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote
 
 import attrs
@@ -22,7 +23,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
+
+T = TypeVar("T")
 
 BASE = "/-/objects/"
 CALL_TIMEOUT_S = 1.0
@@ -80,6 +83,25 @@
     revision: Revision
 
 
+@attrs.frozen
+class CallReport:
+    """A call of the store that has ended.
+
+    Attributes:
+        kind: Kind of the objects.
+        operation: Name of the method of ``Store``.
+        reason: Why it failed; empty if the store responded.
+        queued_s: Seconds for which it waited for earlier calls.
+        took_s: Seconds from then to the end of the response.
+    """
+
+    kind: str
+    operation: str
+    reason: str
+    queued_s: float
+    took_s: float
+
+
 @attrs.frozen
 class WatchResult:
     """Changes since a revision.
@@ -106,12 +128,14 @@
         calls: Number of calls made; each call of ``watch`` counts as one.
         on_new_era: Called when a response shows that the store was restored, with the
             eras before and after.
+        on_call: Called after each call.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
         self._address = address
         self._eras = EraTracker()
         self.on_new_era: Callable[[int, int], None] = lambda before, after: None
+        self.on_call: Callable[[CallReport], None] = lambda report: None
         self._call_connection: HttpConnection | None = None
         self._watch_connections: dict[str, HttpConnection] = {}
         self._lock = asyncio.Lock()
@@ -136,7 +160,7 @@
             path = f"{BASE}{kind}" + (
                 f"?after={quote(after, safe='')}" if after else ""
             )
-            status, body = await self._call("GET", path)
+            status, body = await self._call(kind, "list", "GET", path)
             _expect(status, body, 200)
             if era is not None and era != self.era:
                 raise StoreUnavailable(f"restored while {kind} were listed")
@@ -152,7 +176,8 @@
 
     async def get(self, kind: str, name: str) -> StoreObject | None:
         """Returns one object, or None if it does not exist."""
-        status, body = await self._call("GET", f"{BASE}{kind}/{quote(name, safe='')}")
+        path = f"{BASE}{kind}/{quote(name, safe='')}"
+        status, body = await self._call(kind, "get", "GET", path)
         if status == NOT_FOUND:
             return None
         _expect(status, body, 200)
@@ -171,10 +196,9 @@
             StoreUnavailable: If the store does not respond or rejects the call.
         """
         path = f"{BASE}{kind}?watch={revision.number}&wait_ms={int(wait_s / MS)}"
-        conn = self._watch_connections.pop(kind, None)
-        status, body, conn = await self._exchange(
-            conn, "GET", path, None, wait_s + WATCH_SLACK_S
-        )
+        kept = self._watch_connections.pop(kind, None)
+        exchange = self._exchange(kept, "GET", path, None, wait_s + WATCH_SLACK_S)
+        status, body, conn = await self._reported(kind, "watch", 0.0, exchange)
         if conn.reusable:
             self._watch_connections[kind] = conn
         if status == GONE or self.era != revision.era:
@@ -209,7 +233,9 @@
     async def create(self, kind: str, name: str, spec: Any) -> bool:
         """Creates an object; returns False if one of that name exists."""
         body = {"metadata": {"name": name}, "spec": spec}
-        status, response = await self._call("POST", f"{BASE}{kind}", body)
+        status, response = await self._call(
+            kind, "create", "POST", f"{BASE}{kind}", body
+        )
         if status == CONFLICT:
             return False
         _expect(status, response, 200, 201)
@@ -219,7 +245,7 @@
         """Replaces an object at any revision; returns False if it does not exist."""
         body = {"metadata": {"name": name}, "spec": spec}
         path = f"{BASE}{kind}/{quote(name, safe='')}"
-        status, response = await self._call("PUT", path, body)
+        status, response = await self._call(kind, "replace", "PUT", path, body)
         if status == NOT_FOUND:
             return False
         _expect(status, response, 200)
@@ -241,7 +267,7 @@
         self._check_era(revision)
         body = {"metadata": {"name": name, "rev": revision.number}, "status": status}
         path = f"{BASE}{kind}/{quote(name, safe='')}/status"
-        code, response = await self._call("PUT", path, body)
+        code, response = await self._call(kind, "set_status", "PUT", path, body)
         self._check_era(revision)
         if code in {CONFLICT, NOT_FOUND}:
             return False
@@ -255,17 +281,35 @@
             )
 
     async def _call(
-        self, method: str, path: str, body: Any = None
+        self, kind: str, operation: str, method: str, path: str, body: Any = None
     ) -> tuple[int, dict[str, Any]]:
+        began = time.monotonic()
         async with self._lock:
-            conn, self._call_connection = self._call_connection, None
-            status, response, conn = await self._exchange(
-                conn, method, path, body, CALL_TIMEOUT_S
+            queued_s = time.monotonic() - began
+            kept, self._call_connection = self._call_connection, None
+            exchange = self._exchange(kept, method, path, body, CALL_TIMEOUT_S)
+            status, response, conn = await self._reported(
+                kind, operation, queued_s, exchange
             )
             if conn.reusable:
                 self._call_connection = conn
             return status, response
 
+    async def _reported(
+        self, kind: str, operation: str, queued_s: float, exchange: Awaitable[T]
+    ) -> T:
+        """Awaits a call and reports it, also if it is cancelled."""
+        began = time.monotonic()
+        reason = ""
+        try:
+            return await exchange
+        except StoreUnavailable as exc:
+            reason = str(exc)
+            raise
+        finally:
+            took_s = time.monotonic() - began
+            self.on_call(CallReport(kind, operation, reason, queued_s, took_s))
+
     async def _exchange(
         self,
         conn: HttpConnection | None,
