--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -31,6 +31,7 @@
             response for 60 s), ``lost`` (writes are applied, then the connection is
             reset).
         rejected_ips: IP addresses of callers that get 503.
+        rejected_kinds: Kinds of objects for which all calls get 503.
         calls: Number of calls received.
         era: Number of the era, sent with each response; None to send none.
     """
@@ -38,6 +39,7 @@
     def __init__(self) -> None:
         self.mode = "up"
         self.rejected_ips: set[str] = set()
+        self.rejected_kinds: set[str] = set()
         self.calls = 0
         self.era: int | None = 1
         self._copies: list[tuple[int, dict[str, dict[str, dict[str, Any]]]]] = []
@@ -131,7 +133,9 @@
         caller = writer.get_extra_info("peername")[0]
         if self.mode == "silent":
             await asyncio.sleep(60)
-        if self.mode == "busy" or caller in self.rejected_ips:
+        kind = urlsplit(req.target).path.removeprefix(BASE).split("/")[0]
+        rejected = caller in self.rejected_ips or kind in self.rejected_kinds
+        if self.mode == "busy" or rejected:
             writer.write(format_response(503, self._headers(), b""))
             return True
         status, body = await self._dispatch(req)
