Leave calls to peers only for objects that these have confirmed

Cause: an entry whose call for the configuration had failed waited for up to 4 s because others reached the store; but any kind of objects counted, and the servers' watch of each entry had recovered at once. So all six left the configuration to each other, and none asked for it.

An entry now leaves calls for a kind to its peers only while the age of its own confirmation shows that they follow that kind: a live peer has had a response about it after this entry's call failed, and none has a later change. That is a belief with an age; it ends if the peers stop. Roll-out orders, which change seldom, back off up to 4 s.

--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -14,7 +14,6 @@
     ROLLOUT_TIMING,
     default_timing,
     evacuation_timing,
-    is_fresh,
     watch_wait_s,
 )
 from cornelpin.platform import (
@@ -40,13 +39,6 @@
     from cornelpin.gateway.state import GatewayState
     from cornelpin.scheduling.servers import BackendServer
 
-PEER_REPORT_TTL_S = 3.5
-"""Age up to which another entry's contact with the store shows that the store is
-reachable: one watch and the messages that report it."""
-PEER_REPORT_DELAY_S = 0.2
-"""Allowance for network delay: a peer's contact with the store may be older than its
-reported age by this much."""
-
 LONG_QUEUED_S = 0.25
 """Time for which a call waits for earlier ones from which it is logged: several times
 that of a slow response."""
@@ -130,6 +122,7 @@
         state.get_servers_confirmed_at = lambda: self._caches[SERVER_KIND].confirmed_at
 
     def _make_cache(self, kind: str, **callbacks: Callable[..., None]) -> WatchCache:
+        timing = self._timings.get(kind, self._timing)
         return WatchCache(
             self._store,
             kind,
@@ -137,7 +130,8 @@
             on_contact=self._peers.schedule_update,
             on_lost=self._refresh_all,
             watch_wait_s=lambda: self._watch_wait_s(kind),
-            peer_at_store=self._peer_at_store,
+            follow_s=timing.follow_s,
+            max_backoff_s=timing.max_backoff_s,
             **callbacks,
         )
 
@@ -220,24 +214,6 @@
             if cache.reachable
         }
 
-    def _peer_at_store(self, since: float) -> str | None:
-        """Returns a live peer that has reached the store since this entry lost it.
-
-        Without that bound, entries that lost the store together would rely on each
-        other's older reports.
-
-        Args:
-            since: Monotonic time at which this entry lost the store.
-        """
-        now = time.monotonic()
-        within_s = min(PEER_REPORT_TTL_S, now - since - PEER_REPORT_DELAY_S)
-        # Any kind shows that the store is reachable; the watches of servers are short,
-        # while those of roll-out orders exceed PEER_REPORT_TTL_S.
-        for host, peer in self._peers.live_peers().items():
-            if is_fresh(peer, SERVER_KIND, now, within_s):
-                return host
-        return None
-
     def _watch_wait_s(self, kind: str) -> float | None:
         host = self._state.settings.host
         timing = self._timings.get(kind, self._timing)
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -22,11 +22,14 @@
 FIRST_BACKOFF_S = 0.1
 """First backoff while the store is unavailable; it doubles up to MAX_BACKOFF_S."""
 MAX_BACKOFF_S = 0.8
-"""Longest backoff while the store is unavailable: well under the platform's bound on
-configuration delay."""
+"""Longest backoff while the store is unavailable, for kinds whose changes must soon be
+in force: well under the platform's bound on configuration delay."""
 PEER_COPY_BACKOFF_S = 4.0
 """Longest backoff while other entries reach the store and this one copies from them:
 the platform charges for store calls, and no change is missed."""
+PEER_REPORT_DELAY_S = 0.2
+"""Allowance for network delay: a peer's contact with the store may be older than its
+reported age by this much."""
 BATCH_S = 0.1
 """Pause after changes before the next watch, so that one call returns several: a small
 part of the bounds on configuration delay and on draining servers."""
@@ -47,8 +50,9 @@
         on_lost: Called when a call of the store fails for the first time.
         watch_wait_s: Returns the long-poll time of a watch in seconds; None if other
             entries watch.
-        peer_at_store: Returns the host of another entry that has reached the store
-            recently and since the given monotonic time; None if there is none.
+        follow_s: Age of a peer's confirmation up to which this entry leaves calls to
+            its peers, in seconds.
+        max_backoff_s: Longest backoff while the store is unavailable, in seconds.
 
     Attributes:
         kind: Kind of the objects.
@@ -76,7 +80,8 @@
         on_contact: Callable[[], None] = lambda: None,
         on_lost: Callable[[], None] = lambda: None,
         watch_wait_s: Callable[[], float | None] = lambda: WATCH_S,
-        peer_at_store: Callable[[float], str | None] = lambda since: None,
+        follow_s: float = 0.0,
+        max_backoff_s: float = MAX_BACKOFF_S,
     ) -> None:
         self.kind = kind
         self.revision = NO_REVISION
@@ -94,7 +99,8 @@
         self._on_contact = on_contact
         self._on_lost = on_lost
         self._watch_wait_s = watch_wait_s
-        self._peer_at_store = peer_at_store
+        self._follow_s = follow_s
+        self._max_backoff_s = max_backoff_s
         self._down_since = 0.0
         self._refresh = asyncio.Event()
         self._backoff_s = FIRST_BACKOFF_S
@@ -265,12 +271,20 @@
             logs.warning("store.lost", kind=self.kind, reason=str(exc), age_s=age_s)
             self._on_lost()
         pause_s = self._backoff_s * random.uniform(0.5, 1.0)
-        self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
+        self._backoff_s = min(self._max_backoff_s, 2 * self._backoff_s)
         until = time.monotonic() + PEER_COPY_BACKOFF_S * random.uniform(0.5, 1.0)
         await asyncio.sleep(pause_s)
-        peer = self._peer_at_store(self._down_since)
-        if peer is not None:
-            logs.event("store.left_to_peer", kind=self.kind, peer=peer)
-        while peer is not None and time.monotonic() < until:
+        if self._confirmed_by_peers():
+            logs.event("store.left_to_peers", kind=self.kind)
+        while self._confirmed_by_peers() and time.monotonic() < until:
             await asyncio.sleep(POLL_S)
-            peer = self._peer_at_store(self._down_since)
+
+    def _confirmed_by_peers(self) -> bool:
+        """Returns whether peers have confirmed the objects since the call failed.
+
+        Contact of a peer for another kind, or before, says nothing about them: entries
+        that lost the store together would rely on each other.
+        """
+        age_s = time.monotonic() - self.confirmed_at
+        since_failure_s = time.monotonic() - self._down_since
+        return age_s < min(self._follow_s, since_failure_s - PEER_REPORT_DELAY_S)
--- a/cornelpin/gateway/watcher_selection.py
+++ b/cornelpin/gateway/watcher_selection.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from cornelpin.gateway.watch_cache import WATCH_S
+from cornelpin.gateway.watch_cache import MAX_BACKOFF_S, WATCH_S
 from cornelpin.platform import WATCH_SLACK_S, Bounds
 
 if TYPE_CHECKING:
@@ -31,6 +31,10 @@
 """Time from the time-out of a watch to the list of current objects: pauses before the
 next watch and the next call, a connection, and a response of a degraded store."""
 
+REPORT_S = 0.5
+"""Time from a response of the store to a watcher until the other entries know of it: a
+heartbeat and a report to the other data centres."""
+
 
 @attrs.frozen
 class WatchTiming:
@@ -42,11 +46,18 @@
             of the store are recent.
         fresh_s: Age of a watcher's last contact with the store after which the next
             entry takes over: one watch, the message that reports it and a heartbeat.
+        max_backoff_s: Longest backoff while the store is unavailable.
     """
 
     wait_s: float
     short_wait_s: float
     fresh_s: float
+    max_backoff_s: float = MAX_BACKOFF_S
+
+    @property
+    def follow_s(self) -> float:
+        """Longest age of a confirmation that peers with working watches report."""
+        return self.wait_s + WATCH_SLACK_S + REPORT_S
 
 
 def default_timing(contact_s: float) -> WatchTiming:
@@ -78,7 +89,9 @@
 
 
 DEFAULT_TIMING = default_timing(Bounds().contact_s)
-ROLLOUT_TIMING = WatchTiming(wait_s=10.0, short_wait_s=10.0, fresh_s=12.0)
+ROLLOUT_TIMING = WatchTiming(
+    wait_s=10.0, short_wait_s=10.0, fresh_s=12.0, max_backoff_s=4.0
+)
 """For roll-out orders: the platform charges for each call, roll-outs take longer than
 this, and an order received by one entry reaches the others at once."""
 
