Ask a silent store again beside calls that have got no response

Calls that are pending while the store is silent get no response after its return. They shared one connection, with 1 s each, and a backoff of up to 0.8 s followed: a configuration could be 1.8 s late at every entry (test_burst_of_changes_after_a_silent_outage..., two of eight failed). Now each call has a connection of its own; a list is called again after 0.4 s beside the earlier calls; the first kind that gets a response lets the others call at once; and while the store answers nothing, only the configuration is asked for often, by more entries each more seldom (0.4 s for up to three, at most 1.2 s), so that calls in an outage grow no faster than before. store.call_queued is gone with the queue.

All eight pass; 193 tests about the store, eras, roll-outs, evacuations pass.

--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -9,7 +9,12 @@
 from cornelpin.gateway import logs
 from cornelpin.gateway.catch_up import CatchUp
 from cornelpin.gateway.snapshot_source import IN_FORCE, SnapshotSource
-from cornelpin.gateway.watch_cache import POLL_S, WatchCache
+from cornelpin.gateway.watch_cache import (
+    LONGEST_BACKOFF_S,
+    POLL_S,
+    RESEND_S,
+    WatchCache,
+)
 from cornelpin.gateway.watcher_selection import (
     ROLLOUT_TIMING,
     default_timing,
@@ -23,7 +28,6 @@
     ROLLOUT_KIND,
     SERVER_KIND,
     BadValue,
-    CallReport,
     Store,
     StoreObject,
     config_version,
@@ -39,9 +43,12 @@
     from cornelpin.gateway.state import GatewayState
     from cornelpin.scheduling.servers import BackendServer
 
-LONG_QUEUED_S = 0.25
-"""Time for which a call waits for earlier ones from which it is logged: several times
-that of a slow response."""
+PROBING_ENTRIES = 3
+"""Number of entries that may each ask a store that does not respond every RESEND_S; if
+there are more, each asks less often."""
+MAX_PROBE_S = 1.2
+"""Longest time between two calls of an entry to a store that does not respond. A store
+may respond to this entry alone."""
 
 
 class StoreView:
@@ -118,7 +125,7 @@
             apply_config=self._apply_config,
         )
         store.on_new_era = self._on_new_era
-        store.on_call = self._on_call
+        store.on_call = state.count_store_call
         state.get_servers_confirmed_at = lambda: self._caches[SERVER_KIND].confirmed_at
 
     def _make_cache(self, kind: str, **callbacks: Callable[..., None]) -> WatchCache:
@@ -129,9 +136,10 @@
             on_revision=self._peers.flush,
             on_contact=self._peers.schedule_update,
             on_lost=self._refresh_all,
+            on_regained=self._refresh_lost,
             watch_wait_s=lambda: self._watch_wait_s(kind),
             follow_s=timing.follow_s,
-            max_backoff_s=timing.max_backoff_s,
+            max_backoff_s=lambda: self._max_backoff_s(kind),
             **callbacks,
         )
 
@@ -140,24 +148,31 @@
         logs.event("store.new_era", era=after, before=before)
         self._refresh_all()
 
-    def _on_call(self, report: CallReport) -> None:
-        """Counts a call of the store, and logs one that waited long for others."""
-        self._state.count_store_call(report)
-        if report.queued_s >= LONG_QUEUED_S:
-            logs.event(
-                "store.call_queued",
-                kind=report.kind,
-                operation=report.operation,
-                queued_ms=round(1e3 * report.queued_s),
-                took_ms=round(1e3 * report.took_s),
-                reason=report.reason,
-            )
-
     def _refresh_all(self) -> None:
         """Lists all kinds again: the connections of their watches may be silent."""
         for cache in self._caches.values():
             cache.refresh_now()
 
+    def _refresh_lost(self) -> None:
+        """Lists the kinds again that were lost: the store responds again."""
+        for cache in self._caches.values():
+            if not cache.reachable:
+                cache.refresh_now()
+
+    def _max_backoff_s(self, kind: str) -> float:
+        """Returns the longest time between two calls for a kind that is unavailable.
+
+        While the store answers for no kind, only the configuration is asked for often,
+        by all entries together about as often as by a small fleet.
+        """
+        timing = self._timings.get(kind, self._timing)
+        if any(cache.reachable for cache in self._caches.values()):
+            return timing.max_backoff_s
+        if kind != CONFIG_KIND:
+            return LONGEST_BACKOFF_S
+        share = self._peers.count / PROBING_ENTRIES
+        return min(MAX_PROBE_S, RESEND_S * max(1.0, share))
+
     def tasks(self) -> Iterator[Coroutine[Any, Any, None]]:
         """Returns the coroutines that keep the caches current, to be run as tasks."""
         yield from (cache.run() for cache in self._caches.values())
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -8,8 +8,7 @@
 
 import asyncio
 import json
-import time
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 import attrs
@@ -23,9 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
-T = TypeVar("T")
+    from collections.abc import Callable
 
 BASE = "/-/objects/"
 CALL_TIMEOUT_S = 1.0
@@ -39,6 +36,8 @@
 WATCH_SLACK_S = 0.5
 """Time that a watch may take beyond the requested wait: twice what a degraded store
 adds."""
+MAX_IDLE_CONNECTIONS = 4
+"""Connections kept for later calls: one for each watched kind."""
 MS = 1e-3
 """Seconds per millisecond."""
 ERA_HEADER = b"store-era"
@@ -91,15 +90,11 @@
         kind: Kind of the objects.
         operation: Name of the method of ``Store``.
         reason: Why it failed; empty if the store responded.
-        queued_s: Seconds for which it waited for earlier calls.
-        took_s: Seconds from then to the end of the response.
     """
 
     kind: str
     operation: str
     reason: str
-    queued_s: float
-    took_s: float
 
 
 @attrs.frozen
@@ -121,8 +116,8 @@
 class Store:
     """Client of the object store.
 
-    It has one connection for each watched kind and one for all other calls, which are
-    made one after another.
+    Each call has a connection of its own while it lasts, so that one without a response
+    is in the way of no other. Some connections are kept for later calls.
 
     Attributes:
         calls: Number of calls made; each call of ``watch`` counts as one.
@@ -136,9 +131,7 @@
         self._eras = EraTracker()
         self.on_new_era: Callable[[int, int], None] = lambda before, after: None
         self.on_call: Callable[[CallReport], None] = lambda report: None
-        self._call_connection: HttpConnection | None = None
-        self._watch_connections: dict[str, HttpConnection] = {}
-        self._lock = asyncio.Lock()
+        self._idle: list[HttpConnection] = []
         self.calls = 0
 
     @property
@@ -196,11 +189,9 @@
             StoreUnavailable: If the store does not respond or rejects the call.
         """
         path = f"{BASE}{kind}?watch={revision.number}&wait_ms={int(wait_s / MS)}"
-        kept = self._watch_connections.pop(kind, None)
-        exchange = self._exchange(kept, "GET", path, None, wait_s + WATCH_SLACK_S)
-        status, body, conn = await self._reported(kind, "watch", 0.0, exchange)
-        if conn.reusable:
-            self._watch_connections[kind] = conn
+        status, body = await self._call(
+            kind, "watch", "GET", path, timeout_s=wait_s + WATCH_SLACK_S
+        )
         if status == GONE or self.era != revision.era:
             return WatchResult((), revision, history_lost=True)
         _expect(status, body, 200)
@@ -214,21 +205,11 @@
         number = body.get("current_rev", revision.number)
         return WatchResult(tuple(changes), Revision(self.era, number))
 
-    def end_watch(self, kind: str) -> None:
-        """Closes the connection kept for the next watch of a kind.
-
-        A call of ``watch`` in progress is not affected.
-        """
-        conn = self._watch_connections.pop(kind, None)
-        if conn is not None:
+    def close_idle_connections(self) -> None:
+        """Closes the connections kept for later calls; calls are not affected."""
+        for conn in self._idle:
             conn.close()
-
-    def _close_idle_connections(self) -> None:
-        if self._call_connection is not None:
-            self._call_connection.close()
-            self._call_connection = None
-        for kind in list(self._watch_connections):
-            self.end_watch(kind)
+        self._idle.clear()
 
     async def create(self, kind: str, name: str, spec: Any) -> bool:
         """Creates an object; returns False if one of that name exists."""
@@ -281,48 +262,34 @@
             )
 
     async def _call(
-        self, kind: str, operation: str, method: str, path: str, body: Any = None
+        self,
+        kind: str,
+        operation: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, dict[str, Any]]:
-        began = time.monotonic()
-        async with self._lock:
-            queued_s = time.monotonic() - began
-            kept, self._call_connection = self._call_connection, None
-            exchange = self._exchange(kept, method, path, body, CALL_TIMEOUT_S)
-            status, response, conn = await self._reported(
-                kind, operation, queued_s, exchange
-            )
-            if conn.reusable:
-                self._call_connection = conn
-            return status, response
-
-    async def _reported(
-        self, kind: str, operation: str, queued_s: float, exchange: Awaitable[T]
-    ) -> T:
-        """Awaits a call and reports it, also if it is cancelled."""
-        began = time.monotonic()
+        """Makes a call on a kept or a new connection, and reports its outcome."""
         reason = ""
         try:
-            return await exchange
+            return await self._exchange(method, path, body, timeout_s)
         except StoreUnavailable as exc:
             reason = str(exc)
             raise
         finally:
-            took_s = time.monotonic() - began
-            self.on_call(CallReport(kind, operation, reason, queued_s, took_s))
+            self.on_call(CallReport(kind, operation, reason))
 
     async def _exchange(
-        self,
-        conn: HttpConnection | None,
-        method: str,
-        path: str,
-        body: Any,
-        timeout_s: float,
-    ) -> tuple[int, dict[str, Any], HttpConnection]:
+        self, method: str, path: str, body: Any, timeout_s: float
+    ) -> tuple[int, dict[str, Any]]:
         self.calls += 1
+        conn = self._take_idle()
         received_before = 0
         try:
             async with asyncio.timeout(timeout_s) as timeout:
-                if conn is None or not conn.reusable:
+                if conn is None:
                     conn = await HttpConnection.open(self._address)
                 received_before = conn.received_bytes
                 status, response = await self._request(
@@ -336,7 +303,7 @@
             ValueError,
         ) as exc:
             # The idle connections may be silent as well, which nothing shows.
-            self._close_idle_connections()
+            self.close_idle_connections()
             received = 0
             if conn is not None:
                 conn.abort()
@@ -351,7 +318,22 @@
             if conn is not None:
                 conn.abort()
             raise
-        return status, response, conn
+        self._keep(conn)
+        return status, response
+
+    def _take_idle(self) -> HttpConnection | None:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.reusable:
+                return conn
+            conn.close()
+        return None
+
+    def _keep(self, conn: HttpConnection) -> None:
+        if conn.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(conn)
+        else:
+            conn.close()
 
     async def _request(
         self,
--- a/cornelpin/tests/test_gateway_fleet.py
+++ b/cornelpin/tests/test_gateway_fleet.py
@@ -71,12 +71,11 @@
             # a new watch, so the store rejects all. Then the open connections are
             # cut, too, and only the first entry can reach the store.
             harness.store.rejected_ips.add("127.0.0.1")
-            harness.entries[1].store.end_watch("config")
+            harness.entries[1].store.close_idle_connections()
             cut = harness.entries[1]
             cut.store._address = ("127.0.0.1", 1)
             harness.store.rejected_ips.clear()
-            for conn in list(cut.store._watch_connections.values()):
-                conn.abort()
+            harness.store.reset_connections()
             harness.store.put("config", "main", config(9))
             await until(lambda: version(cut) == 9, 8.0)
 
--- a/properties/test_store_eras.py
+++ b/properties/test_store_eras.py
@@ -121,7 +121,7 @@
     @rule(number=entries)
     def list_all(self, number: int) -> None:
         try:
-            asyncio.run(self.caches[number]._list())
+            asyncio.run(self._list(self.caches[number]))
         except StoreUnavailable:
             return
 
@@ -130,10 +130,13 @@
         cache = self.caches[number]
         try:
             if asyncio.run(self._watch_once(cache)):
-                asyncio.run(cache._list())
+                asyncio.run(self._list(cache))
         except StoreUnavailable:
             return
 
+    async def _list(self, cache: WatchCache) -> None:
+        cache._handle_listing(await self.store.list("things"))
+
     async def _watch_once(self, cache: WatchCache) -> bool:
         result = await self.store.watch("things", cache.revision, 0.0)
         if result.history_lost:
