Know how old each copy of the store is, and have one entry ask often

- all watches silent at once: noticed after up to 2.6 s, since each entry waits 2.1 s at the store.
Now the entry of the first rank asks every fifth of the platform's bound on changes, the others wait 4 s in reserve; the time-out of a watch follows the store's measured latency.
- a message with a new revision is lost while later ones repeat contact with the store: the copy counted as confirmed.
Contact and revisions now go in one report.
- a watcher that has lost the store counted as fresh for 1.8 s, and then all entries of a large fleet watched at once.
Entries tell which kinds they have lost; as many others try as have lost it.
- responses from a copy of the store that lags confirmed the entry's own copy.
- a suspension of the host, which the monotonic clock does not count.
- a peer that accepts connections and sends no copy held up catching up for 1 s; now others are asked beside it after 0.2 s without a byte, and the store itself after 0.5 s.

Being behind is a state with an age: store.behind and store.caught_up (how long, by which way), metrics of version, age, kinds behind, outdated responses; config.in_force names the way.

--- a/benchmarks/fault_soak/proxy.py
+++ b/benchmarks/fault_soak/proxy.py
@@ -41,6 +41,7 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
 
     async def start(self, ip: str = "127.0.0.1") -> None:
         """Listens on a free port."""
@@ -58,6 +59,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Drops all that the open connections carry from now on; new ones work."""
+        self._silent |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -77,6 +82,7 @@
             )
         finally:
             self._writers -= {writer, server_writer}
+            self._silent -= {writer, server_writer}
             for open_writer in (writer, server_writer):
                 open_writer.close()
 
@@ -96,7 +102,7 @@
                     if to_server
                     else self.fault.drop_from_server
                 )
-                if dropped:
+                if dropped or writer in self._silent:
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -21,6 +21,7 @@
 from cornelpin.gateway.snapshots import SnapshotServer
 from cornelpin.gateway.state import GatewayState
 from cornelpin.gateway.store_view import StoreView
+from cornelpin.gateway.suspension import SuspensionDetector
 from cornelpin.http1.server import (
     BadRequest,
     ClientConnection,
@@ -98,7 +99,7 @@
             link_mbps=settings.link_mbps,
             state=self._full_state,
             one_time_updates=self._one_time_updates,
-            ages=lambda: self._view.ages(),
+            store_report=lambda: self._view.report(),
             class_counts=lambda: self.scheduler.dispatcher.export_class_counts(
                 time.monotonic()
             ),
@@ -239,7 +240,6 @@
             "in_flight": self.scheduler.dispatcher.in_flight(),
             "keys": self.scheduler.dispatcher.queue_scores(),
             "used": {k: round(v) for k, v in self.state.quotas.used.items()},
-            "versions": self._view.revisions(),
             "rollouts": self.state.rollouts.export(time.monotonic()),
             "poison": self.state.poison_parts.export(time.monotonic()),
         }
@@ -336,8 +336,14 @@
     # Background tasks.
 
     async def _tick(self) -> None:
+        suspensions = SuspensionDetector()
         while True:
             await asyncio.sleep(TICK_S)
+            suspended_s = suspensions.check()
+            if suspended_s:
+                logs.warning("entry.suspended", for_s=round(suspended_s, 2))
+                self.peers.age_reports(suspended_s)
+                self._view.age_copies(suspended_s)
             await self.scheduler.recover()
             self.scheduler.tick()
             self.server_limits.tick()
@@ -374,6 +380,16 @@
             "Seconds since the configuration in force was known to be current",
             lambda: self._view.config_age_s,
         )
+        self.state.metrics.gauge(
+            "behind_kinds",
+            "Kinds of the store's objects of which others have later changes",
+            lambda: len(self._view.behind),
+        )
+        self.state.metrics.gauge(
+            "outdated_responses",
+            "Responses of the store older than what other entries have",
+            lambda: self._view.outdated,
+        )
         self.state.metrics.gauge(
             "copied_bytes",
             "Bytes of snapshots copied from other entries",
@@ -486,6 +502,7 @@
         self._snapshots.close()
         self.peers.close()
         self.state.pool.close()
+        self.store.close()
 
     def _close_idle_connections(self) -> None:
         """Closes connections without a request; their clients reconnect elsewhere."""
--- a/cornelpin/gateway/peer.py
+++ b/cornelpin/gateway/peer.py
@@ -2,12 +2,32 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from cornelpin.core.revision import Revision
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@attrs.frozen
+class StoreReport:
+    """What an entry tells the others of its copies of the store's objects.
+
+    Both parts are of the same moment: a copy that is up to a revision shows that it was
+    current at the store's last response only together with that revision.
+
+    Attributes:
+        ages: Seconds since the store's last response, by kind. Kinds for which the last
+            call failed are left out.
+        revisions: Revision of the last change, by kind (``Revision.export``).
+    """
+
+    ages: dict[str, float]
+    revisions: dict[str, int]
+
 
 @attrs.define
 class Peer:
@@ -26,7 +46,8 @@
             is served first (``RequestQueue.score``).
         revisions: Revisions of the store's objects that it has in force, by kind, as
             received (``Revision.export``).
-        store_seen_at: Monotonic time of the store's last response to it, by kind.
+        store_seen_at: Monotonic time of the store's last response to it, by kind;
+            without the kinds for which its last call failed.
         used: Quota amounts used since its start, by workspace.
         rollouts: Its view of running roll-out orders as of ``Rollouts.export``, by
             service.
@@ -51,6 +72,16 @@
     class_counts: dict[str, dict[str, list[float]]] = attrs.field(factory=dict)
     speeds: dict[str, list[float]] = attrs.field(factory=dict)
 
+    def record_store(
+        self, ages: Mapping[str, float], revisions: Mapping[str, int], now: float
+    ) -> None:
+        """Records its store report, as received."""
+        self.revisions.update(revisions)
+        self.store_seen_at = {
+            kind: max(self.store_seen_at.get(kind, 0.0), now - age_s)
+            for kind, age_s in ages.items()
+        }
+
     def revision(self, kind: str) -> Revision:
         """Returns the revision that it has of a kind."""
         return Revision.decode(self.revisions, kind)
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -7,8 +7,9 @@
 Some fields of the messages have other names than the values they hold:
 
 * ``keys``: scores of the queued requests, the highest served first
-* ``versions``: revisions of the store's objects
-* ``ages``: seconds since the store's last response
+* ``versions``: revisions of the store's objects (``StoreReport.revisions``)
+* ``ages``: seconds since the store's last response (``StoreReport.ages``); in the same
+  messages as ``versions``
 * ``shares``: counts of offered and served requests by request class
 * ``paces``: estimates of server speeds
 * ``slowdowns``: how long work takes on servers at this moment, as they state it
@@ -31,7 +32,7 @@
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.broadcast_group import BroadcastGroup
-from cornelpin.gateway.peer import Peer
+from cornelpin.gateway.peer import Peer, StoreReport
 from cornelpin.gateway.summaries import (
     ENTRY_REPORT_INTERVAL_S,
     SUMMARY_FAST_INTERVAL_S,
@@ -61,6 +62,8 @@
 an entry report."""
 QUEUE_SCORES_TTL_S = 1.2
 """Time without a message after which a peer's queue scores no longer count."""
+STORE_REPORT_INTERVAL_S = 0.2
+"""Longest time between two messages with a store report, while there are messages."""
 TIMER_SLACK_S = 0.002
 """A message due within this time is sent now instead of by another timer."""
 PEER_EXPIRY_S = 15.0
@@ -96,8 +99,8 @@
         server_notices: Returns what servers have said of themselves, as lists by field:
             their limits, and that they leave. For entries that start or have missed an
             update.
-        ages: Returns the seconds since the store's last response by kind; sent with
-            each message.
+        store_report: Returns what the others are told of the copies of the store's
+            objects; sent after each change and every STORE_REPORT_INTERVAL_S.
         on_message: Called after a message is merged, with the host and incarnation of
             its sender and the message; for a summary with the name of its data centre,
             an empty incarnation and the message.
@@ -124,7 +127,7 @@
         speeds: Callable[[], dict[str, list[float]]],
         slowdowns: Callable[[], list[list[str | float]]],
         server_notices: Callable[[], dict[str, list[Any]]],
-        ages: Callable[[], dict[str, float]],
+        store_report: Callable[[], StoreReport],
         on_message: Callable[[str, str, dict[str, Any]], None],
         on_permits: Callable[[str, dict[str, Any]], None],
     ) -> None:
@@ -140,7 +143,9 @@
         self._speeds = speeds
         self._slowdowns = slowdowns
         self._server_notices = server_notices
-        self._ages = ages
+        self._store_report = store_report
+        self._store_report_sent_at = 0.0
+        self._store_reported: tuple[Any, Any] = (None, None)
         self._on_message = on_message
         self._on_permits = on_permits
         self._started = time.monotonic()
@@ -331,7 +336,8 @@
         updates = self._one_time_updates()
         self._send_local(updates=updates)
         state = self._state()
-        urgent = {name: state[name] for name in ("versions", "rollouts", "poison")}
+        urgent = {name: state[name] for name in ("rollouts", "poison")}
+        urgent |= self._store_fields(self._store_report())
         for name in URGENT_UPDATES:
             if name in updates:
                 urgent[name] = updates[name]
@@ -354,9 +360,8 @@
 
     def _send_hello(self, addresses: Iterable[str]) -> None:
         """Sends all known addresses and what an entry that starts must know."""
-        state = self._state()
-        hello = {name: state[name] for name in ("versions", "poison")}
-        self._send(hello | {"ips": sorted(self.addresses)}, addresses)
+        hello = {"poison": self._state()["poison"], "ips": sorted(self.addresses)}
+        self._send(hello | self._store_fields(self._store_report()), addresses)
 
     def _send_server_notices(self, addresses: Iterable[str]) -> None:
         """Sends the notices of servers if this entry is a relay of its data centre.
@@ -400,6 +405,7 @@
         self._local.add_one_time_updates(updates)
         self._summary_exchange.add_one_time_updates(updates, self._live_local(), now)
         message = self._local.next_message(self._state(), now) | (full_state or {})
+        message |= self._due_store_fields(now)
         if now >= self._statistics_sent_at + ENTRY_REPORT_INTERVAL_S:
             self._statistics_sent_at = now
             message["shares"] = self._class_counts()
@@ -413,7 +419,6 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._sequence += 1
-        message["ages"] = self._ages()
         message["from"] = [
             self.host,
             self.incarnation,
@@ -423,6 +428,21 @@
         ]
         self._send_datagrams(msgpack.packb(message, use_single_float=True), addresses)
 
+    def _due_store_fields(self, now: float) -> dict[str, Any]:
+        """Returns the fields of a store report if it is due, or has news."""
+        report = self._store_report()
+        state = (report.revisions, report.ages.keys())
+        if (
+            state == self._store_reported
+            and now < self._store_report_sent_at + STORE_REPORT_INTERVAL_S
+        ):
+            return {}
+        self._store_reported, self._store_report_sent_at = state, now
+        return self._store_fields(report)
+
+    def _store_fields(self, report: StoreReport) -> dict[str, Any]:
+        return {"ages": report.ages, "versions": report.revisions}
+
     def _send_datagrams(self, data: bytes, addresses: Iterable[str]) -> None:
         assert self._transport is not None
         for ip in addresses:
@@ -452,6 +472,7 @@
     def _as_peer(self) -> Peer:
         """Returns this entry as a peer of the others, for the entry reports."""
         state, now = self._state(), time.monotonic()
+        report = self._store_report()
         return Peer(
             self._ip,
             self._data_centre,
@@ -459,12 +480,19 @@
             link_mbps=self._link_mbps,
             sequence=self._sequence,
             received_at=now,
-            revisions=state["versions"],
-            store_seen_at={kind: now - age_s for kind, age_s in self._ages().items()},
+            revisions=report.revisions,
+            store_seen_at={kind: now - age_s for kind, age_s in report.ages.items()},
             used=state["used"],
             rollouts=state["rollouts"],
         )
 
+    def age_reports(self, suspended_s: float) -> None:
+        """Ages all reports by a time that the monotonic clock has not counted."""
+        for peer in self._peers.values():
+            peer.received_at -= suspended_s
+            for kind in peer.store_seen_at:
+                peer.store_seen_at[kind] -= suspended_s
+
     # Received messages.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -535,13 +563,14 @@
             self._set_in_flight(peer, server_id, int(count), int(tokens))
         for service, scores in message.get("keys", {}).items():
             peer.queue_scores[service] = sorted(float(score) for score in scores)
-        peer.revisions.update(message.get("versions", {}))
+        if "ages" in message:
+            peer.record_store(
+                message["ages"], message.get("versions", {}), peer.received_at
+            )
         peer.used.update(message.get("used", {}))
         peer.rollouts.update(message.get("rollouts", {}))
         peer.class_counts.update(message.get("shares", {}))
         peer.speeds = message.get("paces", peer.speeds)
-        for kind, age_s in message.get("ages", {}).items():
-            peer.store_seen_at[kind] = peer.received_at - age_s
         if peer.data_centre == self._data_centre:
             updates = {n: message[n] for n in ONE_TIME_UPDATES if n in message}
             self._summary_exchange.add_one_time_updates(
@@ -585,9 +614,5 @@
         peer.sequence = sequence
         peer.link_mbps = float(link)
         peer.received_at = max(peer.received_at, now - age_s)
-        peer.revisions.update(revisions)
-        for kind, seen_age_s in ages.items():
-            peer.store_seen_at[kind] = max(
-                peer.store_seen_at.get(kind, 0.0), now - seen_age_s
-            )
+        peer.record_store(ages, revisions, now)
         self._on_message(host, incarnation, {"used": used, "rollouts": rollouts})
--- a/cornelpin/gateway/snapshots.py
+++ b/cornelpin/gateway/snapshots.py
@@ -119,25 +119,33 @@
     Attributes:
         response: The response; None if the transfer failed.
         size: Bytes received.
+        progress_at: Monotonic time at which the transfer began, or bytes last arrived.
         took_s: Duration of the transfer in seconds.
         reason: Why it failed; empty if it did not.
     """
 
     response: dict[str, Any] | None = None
     size: int = 0
+    progress_at: float = attrs.field(factory=time.monotonic)
     took_s: float = 0.0
     reason: str = ""
 
 
-async def fetch_changes(ip: str, port: int, revisions: Mapping[str, Any]) -> Fetched:
+async def fetch_changes(
+    ip: str,
+    port: int,
+    revisions: Mapping[str, Any],
+    fetched: Fetched | None = None,
+) -> Fetched:
     """Fetches what another entry's caches have beyond some revisions.
 
     Args:
         ip: Address of the other entry.
         port: Port of its SnapshotServer.
         revisions: Revisions of this entry's caches (``Revision.export``).
+        fetched: Object to fill, which shows the progress meanwhile.
     """
-    fetched = Fetched()
+    fetched = Fetched() if fetched is None else fetched
     began = time.monotonic()
     writer = None
     request = msgpack.packb(dict(revisions))
@@ -172,6 +180,7 @@
         part = await _read_part(reader, min(READ_BYTES, size - fetched.size))
         parts.append(part)
         fetched.size += len(part)
+        fetched.progress_at = time.monotonic()
     return b"".join(parts)
 
 
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -6,8 +6,10 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+from cornelpin.core.revision import NO_REVISION, Revision
 from cornelpin.gateway import logs
 from cornelpin.gateway.catch_up import CatchUp
+from cornelpin.gateway.peer import StoreReport
 from cornelpin.gateway.snapshot_source import IN_FORCE, SnapshotSource
 from cornelpin.gateway.watch_cache import (
     LONGEST_BACKOFF_S,
@@ -17,9 +19,9 @@
 )
 from cornelpin.gateway.watcher_selection import (
     ROLLOUT_TIMING,
-    default_timing,
+    WatcherSelection,
+    config_timing,
     evacuation_timing,
-    watch_wait_s,
 )
 from cornelpin.platform import (
     CONFIG_KIND,
@@ -78,8 +80,8 @@
         self._peers = peers
         self._dispatch = dispatch
         bounds = state.settings.bounds
+        self._timing = config_timing(bounds.config_s)
         self._timings = {ROLLOUT_KIND: ROLLOUT_TIMING}
-        self._timing = default_timing(bounds.contact_s)
         self._evacuations_era = 0
         # The configuration in force as it was stored.
         self._config_spec: Any = None
@@ -120,7 +122,6 @@
             self._caches,
             peers,
             state.settings.peer_port,
-            watches=lambda kind: self._watch_wait_s(kind) is not None,
             version_in_force=self._version_in_force,
             apply_config=self._apply_config,
         )
@@ -130,29 +131,41 @@
 
     def _make_cache(self, kind: str, **callbacks: Callable[..., None]) -> WatchCache:
         timing = self._timings.get(kind, self._timing)
+        settings = self._state.settings
+        selection = WatcherSelection(settings.host, kind, timing, settings.link_mbps)
         return WatchCache(
             self._store,
             kind,
             on_revision=self._peers.flush,
             on_contact=self._peers.schedule_update,
-            on_lost=self._refresh_all,
+            on_lost=self._on_lost,
             on_regained=self._refresh_lost,
-            watch_wait_s=lambda: self._watch_wait_s(kind),
+            watch_wait_s=lambda: selection.wait_s(
+                self._peers.live_peers(), time.monotonic()
+            ),
             follow_s=timing.follow_s,
+            known_elsewhere=lambda: self._known_elsewhere(kind),
             max_backoff_s=lambda: self._max_backoff_s(kind),
             **callbacks,
         )
 
+    def _known_elsewhere(self, kind: str) -> Revision:
+        live = self._peers.live_peers().values()
+        return max((peer.revision(kind) for peer in live), default=NO_REVISION)
+
     def _on_new_era(self, before: int, after: int) -> None:
         """Lists all kinds again, of which the watches may still wait for changes."""
         logs.event("store.new_era", era=after, before=before)
-        self._refresh_all()
-
-    def _refresh_all(self) -> None:
-        """Lists all kinds again: the connections of their watches may be silent."""
         for cache in self._caches.values():
             cache.refresh_now()
 
+    def _on_lost(self) -> None:
+        """Lists the other kinds: the connections of their watches may be silent."""
+        self._peers.schedule_update()
+        for cache in self._caches.values():
+            if cache.reachable:
+                cache.refresh_now()
+
     def _refresh_lost(self) -> None:
         """Lists the kinds again that were lost: the store responds again."""
         for cache in self._caches.values():
@@ -183,6 +196,21 @@
         """Seconds since the configuration in force was last known to be current."""
         return time.monotonic() - self._caches[CONFIG_KIND].confirmed_at
 
+    @property
+    def behind(self) -> list[str]:
+        """Kinds of objects of which other entries have later changes."""
+        return self._catch_up.lags.behind()
+
+    @property
+    def outdated(self) -> int:
+        """Number of responses of the store that were older than what is known."""
+        return sum(cache.outdated for cache in self._caches.values())
+
+    def age_copies(self, suspended_s: float) -> None:
+        """Ages all copies by a time that the monotonic clock has not counted."""
+        for cache in self._caches.values():
+            cache.age(suspended_s)
+
     @property
     def copied_bytes(self) -> int:
         """Bytes received from peers in copies of their caches."""
@@ -197,7 +225,11 @@
         while not any(cache.reachable for cache in self._caches.values()):
             await asyncio.sleep(POLL_S)
 
-    def revisions(self) -> dict[str, int]:
+    def report(self) -> StoreReport:
+        """Returns what the other entries get to know of this entry's caches."""
+        return StoreReport(self._ages(), self._revisions())
+
+    def _revisions(self) -> dict[str, int]:
         """Returns the revision of the last change of each kind, for messages.
 
         Under ``IN_FORCE`` the number is the version of the configuration in force.
@@ -217,7 +249,7 @@
         cfg = self._state.config
         return cfg.version if cfg is not None else -1
 
-    def ages(self) -> dict[str, float]:
+    def _ages(self) -> dict[str, float]:
         """Returns the seconds since the store last responded to this entry, by kind.
 
         Kinds whose last call failed are left out.
@@ -229,18 +261,6 @@
             if cache.reachable
         }
 
-    def _watch_wait_s(self, kind: str) -> float | None:
-        host = self._state.settings.host
-        timing = self._timings.get(kind, self._timing)
-        return watch_wait_s(
-            host,
-            kind,
-            self._peers.live_peers(),
-            time.monotonic(),
-            timing,
-            link_mbps=self._state.settings.link_mbps,
-        )
-
     def _on_config_list(self, objects: list[StoreObject]) -> None:
         for stored in objects:
             self._on_config(stored)
@@ -248,7 +268,8 @@
     def _on_config(self, change: StoreObject) -> None:
         if change.name != CONFIG_NAME or change.removed:
             return
-        self._apply_config(change.spec, f"revision {change.revision.number}")
+        way = self._caches[CONFIG_KIND].way
+        self._apply_config(change.spec, f"{way}, revision {change.revision.number}")
 
     def _apply_config(self, spec: Any, source: str) -> None:
         version = config_version(spec)
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from typing import TYPE_CHECKING, Any
@@ -10,16 +11,24 @@
 from cornelpin.core.revision import NO_REVISION, Revision
 from cornelpin.gateway import logs
 from cornelpin.gateway.repeated_calls import RepeatedCalls
-from cornelpin.platform import Listing, Store, StoreObject, StoreUnavailable
+from cornelpin.platform import (
+    Listing,
+    Store,
+    StoreObject,
+    StoreUnavailable,
+    WatchResult,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 POLL_S = 0.2
 """Interval at which an entry checks whether it has to watch the store itself."""
-WATCH_S = 2.5
-"""Longest long-poll time of a watch. It bounds how long a dead watch goes unnoticed;
-``watcher_selection.default_timing`` shortens it where the platform expects more."""
+DEFAULT_WAIT_S = 2.5
+"""Long-poll time of a watch if none is given."""
+FIRST_WAIT_S = 0.2
+"""Long-poll time of the first watch of an entry that has not watched for some time: it
+shows the others soon that the store answers."""
 FIRST_BACKOFF_S = 0.1
 """First time between two calls while the store is unavailable; it doubles."""
 RESEND_S = 0.4
@@ -66,6 +75,7 @@
             entries watch.
         follow_s: Age of a peer's confirmation up to which this entry leaves calls to
             its peers, in seconds.
+        known_elsewhere: Returns the revision of the last change that others have.
         max_backoff_s: Returns the longest time between two calls while the store is
             unavailable, in seconds.
 
@@ -77,10 +87,14 @@
         objects: Objects by name.
         confirmed_at: Monotonic time at which the cache was last known to be current,
             from the store or from a peer.
-        contacted_at: Monotonic time of the store's last response to this entry.
+        contacted_at: Monotonic time of the store's last response to this entry that was
+            as new as what is known.
         replaced_from: Monotonic time at which the objects were last known to be current
             before they were last replaced.
+        listed_at: Monotonic time of the last call of the store for all objects.
+        way: How the objects were last updated: ``list``, ``watch`` or ``peer``.
         reachable: Whether the last call to the store succeeded.
+        outdated: Number of responses that were older than what is known.
     """
 
     def __init__(
@@ -95,8 +109,9 @@
         on_contact: Callable[[], None] = lambda: None,
         on_lost: Callable[[], None] = lambda: None,
         on_regained: Callable[[], None] = lambda: None,
-        watch_wait_s: Callable[[], float | None] = lambda: WATCH_S,
+        watch_wait_s: Callable[[], float | None] = lambda: DEFAULT_WAIT_S,
         follow_s: float = 0.0,
+        known_elsewhere: Callable[[], Revision] = lambda: NO_REVISION,
         max_backoff_s: Callable[[], float] = lambda: MAX_BACKOFF_S,
     ) -> None:
         self.kind = kind
@@ -106,7 +121,10 @@
         self.confirmed_at = float("-inf")
         self.contacted_at = float("-inf")
         self.replaced_from = float("-inf")
+        self.listed_at = float("-inf")
+        self.way = ""
         self.reachable = True
+        self.outdated = 0
         self._store = store
         self._on_list = on_list
         self._on_change = on_change
@@ -117,6 +135,7 @@
         self._on_regained = on_regained
         self._watch_wait_s = watch_wait_s
         self._follow_s = follow_s
+        self._known_elsewhere = known_elsewhere
         self._max_backoff_s = max_backoff_s
         self._lost_at = float("-inf")
         # Whether all objects must be listed before changes can be watched.
@@ -128,6 +147,11 @@
         self._following = False
         self._backoff_s = FIRST_BACKOFF_S
 
+    @property
+    def watches(self) -> bool:
+        """Whether this entry watches the objects itself."""
+        return self._watch_wait_s() is not None
+
     async def run(self) -> None:
         """Keeps the cache current until cancelled."""
         while True:
@@ -135,10 +159,17 @@
             self._interrupt.clear()
             if self._list_due or self.revision == NO_REVISION:
                 await self._list_until_current()
-            elif (watch_wait_s := self._watch_wait_s()) is not None:
-                await self._watch(watch_wait_s)
+            elif (wait_s := self._watch_wait_s()) is not None:
+                in_contact = time.monotonic() - self.contacted_at <= wait_s
+                await self._watch(wait_s if in_contact else FIRST_WAIT_S)
             else:
-                await asyncio.sleep(POLL_S)
+                await self._idle()
+
+    async def _idle(self) -> None:
+        """Waits before the next check whether this entry has to watch."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(POLL_S):
+                await self._interrupt.wait()
 
     def refresh_now(self) -> None:
         """Interrupts a watch or a backoff, so that the objects are listed at once."""
@@ -146,6 +177,11 @@
         self._refresh.set()
         self._interrupt.set()
 
+    def list_now(self) -> None:
+        """Lists the objects at once, also if other entries watch them."""
+        self._list_due = True
+        self.refresh_now()
+
     def load_snapshot(
         self, revision: Revision, changed: Revision, objects: dict[str, list[Any]]
     ) -> bool:
@@ -166,6 +202,7 @@
             for name, (number, spec, status) in objects.items()
         ]
         self.replaced_from = self.confirmed_at
+        self.way = "peer"
         self._replace(loaded, revision, changed)
         self._interrupt.set()
         return True
@@ -188,11 +225,11 @@
                 if self._refresh.is_set() or time.monotonic() >= due_at:
                     self._refresh.clear()
                     calls.start()
-                    began, jitter = time.monotonic(), random.uniform(*JITTER)
+                    self.listed_at, jitter = time.monotonic(), random.uniform(*JITTER)
                 for call in await calls.wait(self._refresh, RETRY_CHECK_S):
                     self._handle_call(call)
                 self._log_if_following()
-                due_at = began + jitter * self._call_interval_s(len(calls))
+                due_at = self.listed_at + jitter * self._call_interval_s(len(calls))
         finally:
             calls.cancel()
 
@@ -231,8 +268,9 @@
             age_s=round(time.monotonic() - self.confirmed_at, 1) if known else None,
         )
         self.replaced_from = self.confirmed_at
-        self._contacted()
+        self._handle_contact(listing.revision)
         if listing.revision >= self.revision:
+            self.way = "list"
             objects = list(listing.objects)
             self._replace(objects, listing.revision, self._last_change(listing))
 
@@ -265,21 +303,22 @@
         self.objects = {o.name: o for o in objects}
         self._on_list(objects)
 
-    async def _watch(self, watch_wait_s: float) -> None:
-        """Waits for changes and applies them."""
+    async def _watch(self, wait_s: float) -> None:
+        """Waits for changes and applies them.
+
+        Args:
+            wait_s: Time for which the store holds the call until there is a change,
+                seconds. The wait ends sooner if this entry is to watch more often.
+        """
         from_revision = self.revision
-        watch = asyncio.create_task(
-            self._store.watch(self.kind, from_revision, watch_wait_s)
-        )
-        interrupted = asyncio.create_task(self._interrupt.wait())
+        watch = asyncio.create_task(self._store.watch(self.kind, from_revision, wait_s))
         try:
-            await asyncio.wait(
-                {watch, interrupted}, return_when=asyncio.FIRST_COMPLETED
-            )
+            await self._until_ended(watch, wait_s)
             if not watch.done():
-                # Interrupted. If a snapshot was loaded meanwhile, the cache is current;
-                # otherwise a list call is needed.
-                self._list_due = self.revision == from_revision
+                # Interrupted. If a snapshot was loaded meanwhile, or the watch is to be
+                # replaced by a shorter one, the cache is current; otherwise a list call
+                # is needed.
+                self._list_due = self._refresh.is_set()
                 return
             watched = watch.result()
         except StoreUnavailable as exc:
@@ -289,14 +328,14 @@
             return
         finally:
             watch.cancel()
-            interrupted.cancel()
-        self._contacted()
+        self._handle_contact(NO_REVISION if watched.history_lost else watched.revision)
         if watched.history_lost:
             self._list_due = True
             logs.event(
                 "store.history_lost", kind=self.kind, revision=from_revision.number
             )
             return
+        self.way = "watch" if watched.changes else self.way
         for change in watched.changes:
             self._apply(change)
         self.revision = max(self.revision, watched.revision)
@@ -304,6 +343,25 @@
             self._on_revision()
             await asyncio.sleep(BATCH_S)
 
+    async def _until_ended(
+        self, watch: asyncio.Task[WatchResult], wait_s: float
+    ) -> None:
+        """Waits until a watch has ended, or is to be interrupted."""
+        interrupted = asyncio.create_task(self._interrupt.wait())
+        began = time.monotonic()
+        try:
+            while not watch.done() and not interrupted.done():
+                await asyncio.wait(
+                    {watch, interrupted},
+                    timeout=POLL_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                wanted_s = self._watch_wait_s() or wait_s
+                if time.monotonic() - began > wanted_s < wait_s:
+                    return
+        finally:
+            interrupted.cancel()
+
     def _apply(self, change: StoreObject) -> None:
         known = self.objects.get(change.name)
         if known is not None and change.revision < known.revision:
@@ -315,12 +373,29 @@
         self.changed = max(self.changed, change.revision)
         self._on_change(change)
 
+    def age(self, suspended_s: float) -> None:
+        """Ages the copy by a time that the monotonic clock has not counted.
+
+        The objects are listed again: a watch may have lost its connection meanwhile.
+        """
+        self.confirmed_at -= suspended_s
+        self.contacted_at -= suspended_s
+        self.replaced_from -= suspended_s
+        self.refresh_now()
+
     def confirm(self, at: float) -> None:
         """Records that the cache was current at a monotonic time, as a peer reports."""
         self.confirmed_at = max(self.confirmed_at, at)
 
-    def _contacted(self) -> None:
-        self.confirmed_at = self.contacted_at = time.monotonic()
+    def _handle_contact(self, revision: Revision) -> None:
+        """Records a response of the store, which was up to a revision.
+
+        A copy of the store that lags behind says nothing about the objects' age.
+        """
+        if revision >= max(self.revision, self._known_elsewhere()):
+            self.confirmed_at = self.contacted_at = time.monotonic()
+        else:
+            self.outdated += 1
         self._backoff_s = FIRST_BACKOFF_S
         self._on_contact()
         if not self.reachable:
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -34,8 +34,15 @@
 MAX_RESPONSE_BYTES = 8_388_608
 """Size limit of a response: several pages of objects, each of which is limited."""
 WATCH_SLACK_S = 0.5
-"""Time that a watch may take beyond the requested wait: twice what a degraded store
-adds."""
+"""Longest time that a watch may take beyond the requested wait: twice what a degraded
+store adds."""
+MIN_WATCH_SLACK_S = 0.2
+"""The same before a store that responds at once: several lost packets."""
+SLACK_FACTOR = 3.0
+"""Time that a watch may take beyond the requested wait, as a multiple of the time in
+which the store responded lately."""
+LATENCY_DECAY = 0.9
+"""Factor at each response on the longest response time before it."""
 MAX_IDLE_CONNECTIONS = 4
 """Connections kept for later calls: one for each watched kind."""
 MS = 1e-3
@@ -132,6 +139,9 @@
         self.on_new_era: Callable[[int, int], None] = lambda before, after: None
         self.on_call: Callable[[CallReport], None] = lambda report: None
         self._idle: list[HttpConnection] = []
+        self._closed = False
+        # Longest time to the first byte of a response, of the last ones, in seconds.
+        self._latency_s = WATCH_SLACK_S / SLACK_FACTOR
         self.calls = 0
 
     @property
@@ -190,7 +200,12 @@
         """
         path = f"{BASE}{kind}?watch={revision.number}&wait_ms={int(wait_s / MS)}"
         status, body = await self._call(
-            kind, "watch", "GET", path, timeout_s=wait_s + WATCH_SLACK_S
+            kind,
+            "watch",
+            "GET",
+            path,
+            timeout_s=wait_s + self.watch_slack_s,
+            wait_s=wait_s,
         )
         if status == GONE or self.era != revision.era:
             return WatchResult((), revision, history_lost=True)
@@ -205,6 +220,11 @@
         number = body.get("current_rev", revision.number)
         return WatchResult(tuple(changes), Revision(self.era, number))
 
+    def close(self) -> None:
+        """Closes the kept connections, and others once their calls have ended."""
+        self._closed = True
+        self.close_idle_connections()
+
     def close_idle_connections(self) -> None:
         """Closes the connections kept for later calls; calls are not affected."""
         for conn in self._idle:
@@ -270,11 +290,22 @@
         body: Any = None,
         *,
         timeout_s: float = CALL_TIMEOUT_S,
+        wait_s: float = 0.0,
     ) -> tuple[int, dict[str, Any]]:
-        """Makes a call on a kept or a new connection, and reports its outcome."""
+        """Makes a call on a kept or a new connection, and reports its outcome.
+
+        Args:
+            kind: Kind of the objects.
+            operation: Name of the operation, for the report.
+            method: HTTP method.
+            path: Path and query.
+            body: Body of the request, to be encoded; None for none.
+            timeout_s: Time to the first byte of the response, seconds.
+            wait_s: Time of it for which the store was asked to wait, seconds.
+        """
         reason = ""
         try:
-            return await self._exchange(method, path, body, timeout_s)
+            return await self._exchange(method, path, body, timeout_s, wait_s)
         except StoreUnavailable as exc:
             reason = str(exc)
             raise
@@ -282,7 +313,7 @@
             self.on_call(CallReport(kind, operation, reason))
 
     async def _exchange(
-        self, method: str, path: str, body: Any, timeout_s: float
+        self, method: str, path: str, body: Any, timeout_s: float, wait_s: float
     ) -> tuple[int, dict[str, Any]]:
         self.calls += 1
         conn = self._take_idle()
@@ -293,7 +324,7 @@
                     conn = await HttpConnection.open(self._address)
                 received_before = conn.received_bytes
                 status, response = await self._request(
-                    conn, method, path, body, timeout
+                    conn, method, path, body, timeout, wait_s
                 )
         except (
             ConnectionFailed,
@@ -330,7 +361,8 @@
         return None
 
     def _keep(self, conn: HttpConnection) -> None:
-        if conn.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        room = len(self._idle) < MAX_IDLE_CONNECTIONS and not self._closed
+        if conn.reusable and room:
             self._idle.append(conn)
         else:
             conn.close()
@@ -342,6 +374,7 @@
         path: str,
         body: Any,
         timeout: asyncio.Timeout,
+        wait_s: float,
     ) -> tuple[int, dict[str, Any]]:
         """Makes a call on a connection; extends the timeout while data arrives."""
         now = asyncio.get_running_loop().time
@@ -355,6 +388,7 @@
             headers.append((b"content-type", b"application/json"))
             data = json.dumps(body).encode()
         conn.send(method.encode(), path.encode(), headers, data)
+        sent_at = now()
         status = 0
         era: int | None = None
         parts = []
@@ -365,6 +399,7 @@
                 continue
             timeout.reschedule(min(latest, now() + CALL_TIMEOUT_S))
             if isinstance(event, h11.Response):
+                self._observe_latency(now() - sent_at - wait_s)
                 status = event.status_code
                 era = _decode_era(dict(event.headers).get(ERA_HEADER))
             elif isinstance(event, h11.Data):
@@ -385,6 +420,16 @@
         response = json.loads(text) if text and status < 500 and status != 429 else {}
         return status, response if isinstance(response, dict) else {}
 
+    def _observe_latency(self, latency_s: float) -> None:
+        """Records the time to a response; below zero if a watch ended early."""
+        self._latency_s = max(latency_s, LATENCY_DECAY * self._latency_s)
+
+    @property
+    def watch_slack_s(self) -> float:
+        """Time that a watch may take beyond the requested wait, in seconds."""
+        slack_s = SLACK_FACTOR * self._latency_s
+        return min(WATCH_SLACK_S, max(MIN_WATCH_SLACK_S, slack_s))
+
     def _observe_era(self, era: int | None, status: int) -> None:
         # An error may come from something in front of the store.
         if era is None and status >= 400:
