Read the store's other objects beside one that can't be read

Report of another operator: one odd entry among those of the servers ended the readers of the list. Causes: a response was decoded as a whole, so that nesting (RecursionError, which ended the process), 6,000 digits, or bytes that are no text hid all objects; numbers beyond 64 bits and lone surrogates could not be packed for a peer's copy; digits other than ASCII in a port raised another error than the one that was handled; a name of a megabyte ended a listing.

Now the adapter reads a response part by part where it can't be read as a whole, and checks each object: a printable name of up to 256 characters, a revision, a size, and that it can be packed. What fails is counted (cornelpin_odd_objects) and logged once (store.odd_object, in place of server.malformed). Numbers must be finite; addresses of servers are IP addresses, since no names are looked up, and so are those of entries. A server's object that turns odd counts as removed, in a watch as in a list.

A test of cold servers used a host name as a valid address; it has an IP address now.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -323,8 +323,8 @@
         if not await self.store.create(ENTRY_KIND, self._settings.host, spec):
             await self.store.replace(ENTRY_KIND, self._settings.host, spec)
         listing = await self.store.list(ENTRY_KIND)
-        ips = [c.spec["ip"] for c in listing.objects if isinstance(c.spec, dict)]
-        self.peers.add_addresses(ip for ip in ips if isinstance(ip, str))
+        specs = [c.spec for c in listing.objects if isinstance(c.spec, dict)]
+        self.peers.add_addresses(spec.get("ip") for spec in specs)
         self.peers.send_full_state()
 
     async def _register_if_lost(self) -> None:
@@ -385,6 +385,11 @@
             "Kinds of the store's objects of which others have later changes",
             lambda: len(self._view.behind),
         )
+        self.state.metrics.gauge(
+            "odd_objects",
+            "Objects in the store that can't be used, since the start",
+            lambda: self._view.odd_objects,
+        )
         self.state.metrics.gauge(
             "outdated_responses",
             "Responses of the store older than what other entries have",
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -41,6 +41,7 @@
     sum_speeds,
 )
 from cornelpin.gateway.summary_exchange import SummaryExchange
+from cornelpin.platform import is_ip_address
 from cornelpin.scheduling.quota import FleetView
 
 if TYPE_CHECKING:
@@ -186,9 +187,10 @@
         if self._transport is not None:
             self._transport.close()
 
-    def add_addresses(self, addresses: Iterable[str]) -> None:
-        """Adds addresses at which entries may run."""
-        self._remote_or_unknown |= set(addresses) - self._local.addresses - {self._ip}
+    def add_addresses(self, addresses: Iterable[Any]) -> None:
+        """Adds IP addresses at which entries may run; others are ignored."""
+        valid = {ip for ip in addresses if isinstance(ip, str) and is_ip_address(ip)}
+        self._remote_or_unknown |= valid - self._local.addresses - {self._ip}
 
     @property
     def addresses(self) -> set[str]:
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -45,6 +45,8 @@
     from cornelpin.gateway.state import GatewayState
     from cornelpin.scheduling.servers import BackendServer
 
+MAX_ODD = 10_000
+"""Most objects that can't be used of which the names are kept."""
 PROBING_ENTRIES = 3
 """Number of entries that may each ask a store that does not respond every RESEND_S; if
 there are more, each asks less often."""
@@ -85,8 +87,8 @@
         self._evacuations_era = 0
         # The configuration in force as it was stored.
         self._config_spec: Any = None
-        # Names of malformed servers; each is logged once.
-        self._malformed: set[str] = set()
+        # Kinds and names of objects that can't be used; each is logged once.
+        self._odd: set[tuple[str, str]] = set()
         self._caches = {
             CONFIG_KIND: self._make_cache(
                 CONFIG_KIND,
@@ -136,6 +138,7 @@
         return WatchCache(
             self._store,
             kind,
+            on_odd=lambda odd: self._log_odd(kind, odd.name, odd.reason),
             on_revision=self._peers.flush,
             on_contact=self._peers.schedule_update,
             on_lost=self._on_lost,
@@ -149,6 +152,21 @@
             **callbacks,
         )
 
+    def _log_odd(self, kind: str, name: str, reason: str) -> None:
+        """Logs an object that can't be used, once."""
+        key = (kind, name or reason)
+        if key in self._odd or len(self._odd) >= MAX_ODD:
+            return
+        self._odd.add(key)
+        logs.warning(
+            "store.odd_object", kind=kind, object=name[:80], reason=reason[:200]
+        )
+
+    @property
+    def odd_objects(self) -> int:
+        """Number of objects that could not be used, since the start."""
+        return len(self._odd)
+
     def _known_elsewhere(self, kind: str) -> Revision:
         live = self._peers.live_peers().values()
         return max((peer.revision(kind) for peer in live), default=NO_REVISION)
@@ -297,16 +315,15 @@
         self._dispatch()
 
     def _on_server(self, change: StoreObject) -> None:
-        if change.removed:
+        server = None if change.removed else self._decode_server(change)
+        if server is None:
+            # What another writer has put in its place names no server to use.
             self._state.servers.remove(change.name, time.monotonic())
             logs.event(
                 "server.removed", server=change.name, revision=change.revision.number
             )
             self._dispatch()
             return
-        server = self._decode_server(change)
-        if server is None:
-            return
         self._state.servers.put(server)
         self._state.limits.register(server)
         logs.event(
@@ -341,7 +358,5 @@
         try:
             return decode_server(change.name, change.spec)
         except BadValue as exc:
-            if change.name not in self._malformed:
-                self._malformed.add(change.name)
-                logs.warning("server.malformed", server=change.name, reason=str(exc))
+            self._log_odd(SERVER_KIND, change.name, str(exc))
             return None
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -13,6 +13,7 @@
 from cornelpin.gateway.repeated_calls import RepeatedCalls
 from cornelpin.platform import (
     Listing,
+    OddObject,
     Store,
     StoreObject,
     StoreUnavailable,
@@ -65,6 +66,7 @@
         kind: Kind of the objects.
         on_list: Called with all objects after a list call or a peer's snapshot.
         on_change: Called with each change.
+        on_odd: Called with each object that can't be used.
         on_recovery: Called when the store responds again after an outage, and before
             its objects are replaced by those of a restored store.
         on_revision: Called when a watch has returned changes.
@@ -104,6 +106,7 @@
         *,
         on_list: Callable[[list[StoreObject]], None],
         on_change: Callable[[StoreObject], None],
+        on_odd: Callable[[OddObject], None] = lambda odd: None,
         on_recovery: Callable[[], None],
         on_revision: Callable[[], None] = lambda: None,
         on_contact: Callable[[], None] = lambda: None,
@@ -128,6 +131,7 @@
         self._store = store
         self._on_list = on_list
         self._on_change = on_change
+        self._on_odd = on_odd
         self._on_recovery = on_recovery
         self._on_revision = on_revision
         self._on_contact = on_contact
@@ -267,6 +271,8 @@
             revision=listing.revision.number,
             age_s=round(time.monotonic() - self.confirmed_at, 1) if known else None,
         )
+        for odd in listing.odd:
+            self._on_odd(odd)
         self.replaced_from = self.confirmed_at
         self._handle_contact(listing.revision)
         if listing.revision >= self.revision:
@@ -335,6 +341,8 @@
                 "store.history_lost", kind=self.kind, revision=from_revision.number
             )
             return
+        for odd in watched.odd:
+            self._on_odd(odd)
         self.way = "watch" if watched.changes else self.way
         for change in watched.changes:
             self._apply(change)
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -13,7 +13,7 @@
     config_version,
     decode_config,
 )
-from cornelpin.platform._decoding import BadValue
+from cornelpin.platform._decoding import BadValue, is_ip_address
 from cornelpin.platform._evacuation import EVACUATION_KIND
 from cornelpin.platform._headers import (
     RequestInfo,
@@ -36,6 +36,7 @@
     WATCH_SLACK_S,
     CallReport,
     Listing,
+    OddObject,
     Store,
     StoreObject,
     StoreUnavailable,
@@ -56,6 +57,7 @@
     "StoreObject",
     "HostSettings",
     "Listing",
+    "OddObject",
     "RequestInfo",
     "ResponseInfo",
     "Store",
@@ -67,6 +69,7 @@
     "decode_config",
     "decode_rollout",
     "decode_server",
+    "is_ip_address",
     "load_host_settings",
     "read_request",
     "read_response",
--- a/cornelpin/platform/_decoding.py
+++ b/cornelpin/platform/_decoding.py
@@ -6,14 +6,19 @@
 
 from __future__ import annotations
 
+import ipaddress
+import math
+import reprlib
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, cast
 
 
 class BadValue(ValueError):
     """A value that is missing, has the wrong type or is out of range."""
 
 
+MAX_PORT_DIGITS = 5
+
 # Python types that are accepted for each required type.
 _ACCEPTED_TYPES: dict[type, tuple[type, ...]] = {
     str: (str,),
@@ -46,10 +51,28 @@
     is_bool = isinstance(found, bool)
     if not isinstance(found, _ACCEPTED_TYPES[kind]) or (is_bool and kind is not bool):
         valid = " or ".join(k.__name__ for k in _ACCEPTED_TYPES[kind])
-        raise BadValue(f"{path}: expected {valid}, found {found!r}")
+        raise BadValue(f"{path}: expected {valid}, found {reprlib.repr(found)}")
+    if kind is float and not _is_finite(cast("float", found)):
+        raise BadValue(f"{path}: expected a finite number, found {reprlib.repr(found)}")
     return found
 
 
+def _is_finite(number: float) -> bool:
+    try:
+        return math.isfinite(number)
+    except OverflowError:
+        return False
+
+
+def is_ip_address(text: str) -> bool:
+    """Returns whether a text is an IP address; names are not looked up."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def address(text: str, path: str) -> tuple[str, int]:
     """Parses ``HOST:PORT``; ``path`` is the value's path for the error.
 
@@ -57,6 +80,7 @@
         BadValue: If the text has another form or the port is out of range.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise BadValue(f"{path}: expected HOST:PORT, found {text!r}")
+    digits = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not host or not digits or not 0 < int(port) < 65_536:
+        raise BadValue(f"{path}: expected HOST:PORT, found {reprlib.repr(text)}")
     return host, int(port)
--- a/cornelpin/platform/_rollout.py
+++ b/cornelpin/platform/_rollout.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import reprlib
 from collections.abc import Mapping
 from typing import Any
 
@@ -28,7 +29,7 @@
     """
     spec, status = stored.spec, stored.status
     if not isinstance(spec, Mapping):
-        raise BadValue(f"expected an object, found {spec!r}")
+        raise BadValue(f"expected an object, found {reprlib.repr(spec)}")
     version = value(spec, "target", str)
     state, has_status = OrderState.RUNNING, False
     # A status that names another version belongs to an earlier order.
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -8,11 +8,13 @@
 
 import asyncio
 import json
+import reprlib
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 import attrs
 import h11
+import msgpack
 
 from cornelpin.core.revision import EraTracker, FormerEra, Revision
 from cornelpin.http1.client import (
@@ -20,9 +22,11 @@
     ConnectionFailed,
     HttpConnection,
 )
+from cornelpin.platform import _tolerant_json
+from cornelpin.platform._tolerant_json import Unreadable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 BASE = "/-/objects/"
 CALL_TIMEOUT_S = 1.0
@@ -43,6 +47,15 @@
 which the store responded lately."""
 LATENCY_DECAY = 0.9
 """Factor at each response on the longest response time before it."""
+MAX_REVISION = 2**63 - 1
+MAX_NAME_CHARS = 256
+"""Longest name of an object that is used."""
+MAX_OBJECT_BYTES = 4_194_304
+"""Size limit of the configuration: several times the platform's limit on a value."""
+MAX_SMALL_OBJECT_BYTES = 16_384
+"""Size limit of any other object; they have some hundred bytes."""
+LARGE_OBJECT = "main"
+"""Name of the configuration."""
 MAX_IDLE_CONNECTIONS = 4
 """Connections kept for later calls: one for each watched kind."""
 MS = 1e-3
@@ -59,8 +72,15 @@
 
     A write may have been applied, unlike with ``Unavailable`` in
     ``cornelpin.stores.objects``.
+
+    Attributes:
+        closed: Whether the connection ended before any part of a response.
     """
 
+    def __init__(self, reason: str, *, closed: bool = False) -> None:
+        super().__init__(reason)
+        self.closed = closed
+
 
 @attrs.frozen
 class StoreObject:
@@ -81,12 +101,32 @@
     removed: bool = False
 
 
+@attrs.frozen
+class OddObject:
+    """An object of another writer that can't be used or passed on.
+
+    Attributes:
+        name: Its name, as far as it can be told; may be empty or odd itself.
+        reason: Why it can't be used.
+    """
+
+    name: str
+    reason: str
+
+
 @attrs.frozen
 class Listing:
-    """All objects of a kind at a store revision."""
+    """All objects of a kind at a store revision.
+
+    Attributes:
+        objects: The objects that can be used.
+        revision: Revision of the store.
+        odd: The others.
+    """
 
     objects: tuple[StoreObject, ...]
     revision: Revision
+    odd: tuple[OddObject, ...] = ()
 
 
 @attrs.frozen
@@ -109,15 +149,18 @@
     """Changes since a revision.
 
     Attributes:
-        changes: Changed and deleted objects, in order.
+        changes: Changed and deleted objects, in order. One that has become odd counts
+            as deleted.
         revision: Revision up to which they are complete.
         history_lost: Whether the store no longer holds the changes since the requested
             revision, or was restored since; the caller must list all objects again.
+        odd: Changed objects that can't be used.
     """
 
     changes: tuple[StoreObject, ...]
     revision: Revision
     history_lost: bool = False
+    odd: tuple[OddObject, ...] = ()
 
 
 class Store:
@@ -156,7 +199,7 @@
             StoreUnavailable: If the store does not respond or rejects the call, or is
                 restored between two pages.
         """
-        objects: list[StoreObject] = []
+        decoded: list[StoreObject | OddObject] = []
         after = ""
         era = None
         while True:
@@ -168,14 +211,17 @@
             if era is not None and era != self.era:
                 raise StoreUnavailable(f"restored while {kind} were listed")
             era = self.era
-            page = [_decode_object(item, era) for item in body.get("items", [])]
-            objects += [stored for stored in page if stored is not None]
-            revision = Revision(era, body.get("current_rev", 0))
-            # The next page is requested by the name of the last object; if that is
-            # malformed, the listing ends here, although it may be incomplete.
-            if not body.get("has_more") or not page or page[-1] is None:
-                return Listing(tuple(objects), revision)
-            after = page[-1].name
+            items = _list_field(body, "items")
+            decoded += [_decode_object(item, era) for item in items]
+            revision = Revision(era, _number(body.get("current_rev")))
+            next_after = _last_name(items)
+            if not body.get("has_more") or next_after <= after:
+                return Listing(
+                    tuple(o for o in decoded if isinstance(o, StoreObject)),
+                    revision,
+                    tuple(o for o in decoded if isinstance(o, OddObject)),
+                )
+            after = next_after
 
     async def get(self, kind: str, name: str) -> StoreObject | None:
         """Returns one object, or None if it does not exist."""
@@ -184,7 +230,8 @@
         if status == NOT_FOUND:
             return None
         _expect(status, body, 200)
-        return _decode_object(body, self.era)
+        decoded = _decode_object(body, self.era)
+        return decoded if isinstance(decoded, StoreObject) else None
 
     async def watch(self, kind: str, revision: Revision, wait_s: float) -> WatchResult:
         """Waits for changes of a kind.
@@ -210,15 +257,15 @@
         if status == GONE or self.era != revision.era:
             return WatchResult((), revision, history_lost=True)
         _expect(status, body, 200)
-        changes = []
-        for event in body.get("events", []):
-            change = _decode_object(
-                event.get("object"), self.era, removed=bool(event.get("removed"))
-            )
-            if change is not None:
-                changes.append(change)
-        number = body.get("current_rev", revision.number)
-        return WatchResult(tuple(changes), Revision(self.era, number))
+        decoded = [
+            _decode_event(event, self.era) for event in _list_field(body, "events")
+        ]
+        odd = tuple(o for o in decoded if isinstance(o, OddObject))
+        changes = [
+            o if isinstance(o, StoreObject) else _removal(o, revision) for o in decoded
+        ]
+        current = _number(body.get("current_rev"), revision.number)
+        return WatchResult(tuple(changes), Revision(self.era, current), odd=odd)
 
     def close(self) -> None:
         """Closes the kept connections, and others once their calls have ended."""
@@ -304,8 +351,15 @@
             wait_s: Time of it for which the store was asked to wait, seconds.
         """
         reason = ""
+        kept = self._take_idle()
         try:
-            return await self._exchange(method, path, body, timeout_s, wait_s)
+            try:
+                return await self._exchange(kept, method, path, body, timeout_s, wait_s)
+            except StoreUnavailable as exc:
+                # The store closes kept connections at any time.
+                if kept is None or method != "GET" or not exc.closed:
+                    raise
+            return await self._exchange(None, method, path, body, timeout_s, wait_s)
         except StoreUnavailable as exc:
             reason = str(exc)
             raise
@@ -313,10 +367,16 @@
             self.on_call(CallReport(kind, operation, reason))
 
     async def _exchange(
-        self, method: str, path: str, body: Any, timeout_s: float, wait_s: float
+        self,
+        conn: HttpConnection | None,
+        method: str,
+        path: str,
+        body: Any,
+        timeout_s: float,
+        wait_s: float,
     ) -> tuple[int, dict[str, Any]]:
+        """Makes a call on a kept connection, or on a new one."""
         self.calls += 1
-        conn = self._take_idle()
         received_before = 0
         try:
             async with asyncio.timeout(timeout_s) as timeout:
@@ -344,7 +404,10 @@
                 if not received
                 else f"response stopped after {received} bytes"
             )
-            raise StoreUnavailable(f"{method} {path}: {reason}") from exc
+            raise StoreUnavailable(
+                f"{method} {path}: {reason}",
+                closed=isinstance(exc, ConnectionBroken) and not received,
+            ) from exc
         except asyncio.CancelledError:
             if conn is not None:
                 conn.abort()
@@ -417,7 +480,8 @@
         self._observe_era(era, status)
         text = b"".join(parts)
         # No caller expects 429 or 5xx, and bodies of such responses may not be JSON.
-        response = json.loads(text) if text and status < 500 and status != 429 else {}
+        has_body = text and status < 500 and status != 429
+        response = _tolerant_json.loads(text) if has_body else {}
         return status, response if isinstance(response, dict) else {}
 
     def _observe_latency(self, latency_s: float) -> None:
@@ -449,16 +513,80 @@
         raise StoreUnavailable(f"unexpected status {status} from the object store")
 
 
-def _decode_object(item: Any, era: int, *, removed: bool = False) -> StoreObject | None:
-    """Decodes an object; returns None for one without a name."""
+def _list_field(body: dict[str, Any], name: str) -> list[Any]:
+    found = body.get(name)
+    return found if isinstance(found, list) else []
+
+
+def _number(found: Any, default: int = 0) -> int:
+    """Returns a revision; a default for a value that is none."""
+    valid = type(found) is int and 0 <= found <= MAX_REVISION
+    return found if valid else default
+
+
+def _last_name(items: Iterable[Any]) -> str:
+    """Returns the name after which the next page of a listing begins.
+
+    It is the last name in the page, shortened if it is too long for a request: the text
+    sorts after all names that begin as it does.
+    """
+    last = ""
+    for item in items:
+        meta = item.get("metadata") if isinstance(item, dict) else None
+        name = meta.get("name") if isinstance(meta, dict) else None
+        if isinstance(item, Unreadable):
+            name = item.name
+        if isinstance(name, str) and name:
+            last = name
+    return last if len(last) <= MAX_NAME_CHARS else last[:MAX_NAME_CHARS] + "\U0010ffff"
+
+
+def _decode_event(event: Any, era: int) -> StoreObject | OddObject:
+    if isinstance(event, Unreadable):
+        return OddObject(event.name, event.reason)
+    if not isinstance(event, dict):
+        return OddObject("", "an event that is no object")
+    return _decode_object(event.get("object"), era, removed=bool(event.get("removed")))
+
+
+def _removal(odd: OddObject, after: Revision) -> StoreObject:
+    """Returns the change by which a name no longer stands for an object."""
+    revision = Revision(after.era, after.number + 1)
+    return StoreObject(odd.name, revision, None, removed=True)
+
+
+def _decode_object(
+    item: Any, era: int, *, removed: bool = False
+) -> StoreObject | OddObject:
+    """Decodes an object, or tells why it can't be used."""
+    if isinstance(item, Unreadable):
+        return OddObject(item.name, item.reason)
     meta = item.get("metadata") if isinstance(item, dict) else None
-    if not isinstance(meta, dict) or not isinstance(meta.get("name"), str):
-        return None
-    number = meta.get("rev")
-    return StoreObject(
-        name=meta["name"],
-        revision=Revision(era, number if isinstance(number, int) else 0),
+    if not isinstance(meta, dict):
+        return OddObject("", f"no metadata in {reprlib.repr(item)}")
+    name = meta.get("name")
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_CHARS:
+        return OddObject(str(name)[:MAX_NAME_CHARS], "no valid name")
+    if not name.isprintable():
+        return OddObject(name, "a name that is not printable")
+    if _number(meta.get("rev"), -1) < 0:
+        return OddObject(name, "no valid revision")
+    stored = StoreObject(
+        name=name,
+        revision=Revision(era, _number(meta.get("rev"))),
         spec=item.get("spec"),
         status=item.get("status"),
         removed=removed,
     )
+    reason = _unportable(stored)
+    return OddObject(name, reason) if reason else stored
+
+
+def _unportable(stored: StoreObject) -> str:
+    """Returns why an object can't be passed on to other entries; empty if it can."""
+    try:
+        size = len(msgpack.packb([stored.spec, stored.status]))
+    except (ValueError, OverflowError, TypeError, RecursionError) as exc:
+        return f"{type(exc).__name__}: {str(exc)[:80]}"
+    limit = MAX_OBJECT_BYTES if stored.name == LARGE_OBJECT else MAX_SMALL_OBJECT_BYTES
+    return f"{size} bytes" if size > limit else ""
--- a/cornelpin/tests/test_cold_servers.py
+++ b/cornelpin/tests/test_cold_servers.py
@@ -148,7 +148,7 @@
 ) -> None:
     spec = {
         "service": "app",
-        "address": "h:1",
+        "address": "127.0.0.1:1",
         "zone": "here",
         "slots": 1,
         "state": "ready",
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import copy
 import json
+import re
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -13,16 +14,22 @@
 from standins.fleet.raw_http import RawRequest, RawServer, format_response
 
 BASE = "/-/objects/"
+RAW = re.compile(rb'"@\d+@"')
+"""What stands for an object given as text (``FleetStore.put_raw``)."""
 
 
 @attrs.define
 class _Event:
     revision: int
     kind: str
-    item: dict[str, Any]
+    item: Any
     removed: bool
 
 
+def _status(item: Any) -> Any:
+    return item["status"] if isinstance(item, dict) else None
+
+
 class FleetStore:
     """An in-memory object store with an HTTP API.
 
@@ -46,7 +53,9 @@
         self._silence_epoch = 0
         # Not 0: a store that is in use has a revision before the first write of a test.
         self._revision = 5
-        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._objects: dict[str, dict[str, Any]] = {}
+        # Objects given as text, by the text that stands for them.
+        self._raw: dict[bytes, bytes] = {}
         self._history: list[_Event] = []
         self._compacted_revision = 0
         self._changed = asyncio.Event()
@@ -60,11 +69,25 @@
         self._revision += 1
         old = self._objects.setdefault(kind, {}).get(name)
         meta = {"name": name, "rev": self._revision, "created": 1, "finalizers": []}
-        item = {"metadata": meta, "spec": spec, "status": old and old["status"]}
+        item = {"metadata": meta, "spec": spec, "status": _status(old)}
         self._objects[kind][name] = item
         self._append_event(_Event(self._revision, kind, item, False))
         return self._revision
 
+    def put_raw(self, kind: str, name: str, item: bytes) -> None:
+        """Creates an object whose JSON text is given, which may be no valid JSON.
+
+        Args:
+            kind: Kind of the object.
+            name: Name by which it is kept, whatever the text says.
+            item: The whole object, as listings and watches contain it.
+        """
+        token = f"@{len(self._raw)}@"
+        self._raw[f'"{token}"'.encode()] = item
+        self._revision += 1
+        self._objects.setdefault(kind, {})[name] = token
+        self._append_event(_Event(self._revision, kind, token, False))
+
     def remove(self, kind: str, name: str) -> None:
         """Removes an object, if it exists."""
         item = self._objects.get(kind, {}).pop(name, None)
@@ -77,7 +100,8 @@
 
     def objects(self, kind: str) -> dict[str, Any]:
         """Returns the specs of the objects of a kind, by name."""
-        return {n: item["spec"] for n, item in self._objects.get(kind, {}).items()}
+        items = self._objects.get(kind, {}).items()
+        return {n: item["spec"] for n, item in items if isinstance(item, dict)}
 
     def status(self, kind: str, name: str) -> Any:
         """Returns the status of an object."""
@@ -143,6 +167,7 @@
             writer.transport.abort()
             return False
         data = json.dumps(body).encode()
+        data = RAW.sub(lambda match: self._raw[match.group()], data)
         writer.write(format_response(status, self._headers(), data))
         await writer.drain()
         return True
