Trust no response that may be a copy of an earlier one

Report of another operator: a server wrote an earlier refusal once more on a kept connection, and callers heard 'not run' of requests that had run. It happened here: a refusal without a request id was taken for the answer to whatever was sent next, and an unsafe request then ran again elsewhere; a connection on which a foreign response had come was used on; and the second send of a request could meet a copy of its first refusal, which has the same id.

A refusal without an id counts only as the first response on a connection. Anything that was not asked for (another request's response, an interim one) retires the connection after the current request. A connection on which a request was refused is not used for that request again.

--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -200,7 +200,9 @@
             stream: Whether a successful response is forwarded event by event.
         """
         try:
-            self._lease = await self._pool.acquire(self._server)
+            self._lease = await self._pool.acquire(
+                self._server, self._request.request_id
+            )
         except ConnectionFailed as exc:
             return NotRun(f"no connection: {exc}", reached=False)
         conn = self._lease.conn
@@ -294,15 +296,18 @@
             self._check_foreign_bytes()
             part = await self._next_part()
             if isinstance(part, h11.InformationalResponse):
+                conn.retire()
                 continue
             if not isinstance(part, h11.Response):
                 raise ConnectionBroken("closed without an answer")
             info = read_response(part.status_code, list(part.headers))
             if not info.misdirected:
                 self._sink.on_response_head(info)
-            if not info.request_id and not info.not_run:
+            # On a connection that has carried nothing else, a not-run response may lack
+            # the id. On others it may be a copy of an earlier one.
+            first = not self._lease.reused and not conn.retired
+            if not info.request_id and not (info.not_run and first):
                 raise ConnectionBroken("an answer without a request id")
-            # Only a not-run response may lack the id; it is taken as this request's.
             if info.request_id in {self._request.request_id, ""}:
                 self._response_started = True
                 self._info = info
@@ -333,6 +338,8 @@
 
     async def _finish_not_run(self) -> None:
         """Reads the rest of a not-run response, to keep the connection reusable."""
+        assert self._lease is not None
+        self._lease.conn.refused.add(self._request.request_id)
         try:
             async with asyncio.timeout(REJECTION_TIMEOUT_S):
                 await self._skip_body()
--- a/cornelpin/gateway/pool.py
+++ b/cornelpin/gateway/pool.py
@@ -27,7 +27,7 @@
 """Upper bound of a service's idle limit."""
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Idle:
     """An idle connection.
 
@@ -81,16 +81,23 @@
         stack = self._idle.get(server.incarnation, [])
         return bool(stack) and self._usable(server, stack[-1], now)
 
-    async def acquire(self, server: BackendServer) -> Lease:
+    async def acquire(self, server: BackendServer, request_id: str) -> Lease:
         """Returns an idle connection if a usable one exists, else a new one.
 
+        Args:
+            server: The server.
+            request_id: Id of the request to be sent, which was not refused on the
+                connection before.
+
         Raises:
             ConnectionFailed: If none could be opened.
         """
         now = time.monotonic()
         stack = self._idle.get(server.incarnation, [])
-        while stack:
-            idle = stack.pop()
+        for idle in reversed(stack):
+            if request_id in idle.conn.refused:
+                continue
+            stack.remove(idle)
             if self._usable(server, idle, now):
                 return Lease(idle.conn, server, now - idle.since, reused=True)
             idle.conn.close()
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -60,6 +60,9 @@
     Attributes:
         exchanges: Number of exchanges (request and response) begun on it.
         received_bytes: Number of bytes received.
+        retired: Whether it takes no further request after the current one.
+        refused: Ids of the requests that were refused on it. A copy of a refusal may
+            arrive later, so they are not sent on it again.
     """
 
     def __init__(self) -> None:
@@ -73,10 +76,12 @@
         self._error: Exception | None = None
         self._busy = False
         self._unusable = False
+        self.retired = False
         self._pending_bytes = 0
         self._request: tuple[bytes, bytes, Headers] | None = None
         self.exchanges = 0
         self.received_bytes = 0
+        self.refused: set[str] = set()
 
     @classmethod
     async def open(
@@ -98,7 +103,8 @@
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent now."""
-        return not (self._busy or self._unusable or self._eof or self._error)
+        ended = self._unusable or self.retired or self._eof or self._error
+        return not (self._busy or ended)
 
     @property
     def pending_bytes(self) -> int:
@@ -183,6 +189,14 @@
         finally:
             self._waiter = None
 
+    def retire(self) -> None:
+        """Takes no further request after the current one.
+
+        Called when something has arrived that was not asked for, so that more of it may
+        follow.
+        """
+        self.retired = True
+
     def skip_response(self) -> None:
         """Prepares to read one more response to the current request.
 
@@ -192,6 +206,7 @@
         """
         if self._request is None:
             return
+        self.retire()
         trailing = self._http.trailing_data[0]
         method, target, headers = self._request
         self._http = h11.Connection(
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -5,6 +5,9 @@
 import asyncio
 import contextlib
 import itertools
+import socket
+import struct
+import weakref
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
@@ -43,6 +46,16 @@
         pause: Retry-After of a ``full`` server; none if empty.
         limits: Values of ``Server-Limit`` in all responses, by turns.
         load: Value of ``Server-Load`` in all responses; none if empty.
+        raw: Bytes of all responses, in which ``%s`` stands for the headers of a proper
+            one, and how the connection ends after them: ``keep``, ``close`` or
+            ``reset``. None for proper responses.
+        repeat: When a server that has refused the first request of a connection writes
+            that refusal once more: ``""`` (never), ``at_once`` (together with it),
+            ``idle`` (a moment later), ``next`` (as the next request arrives),
+            ``mid_run`` (while the next one runs), ``instead`` (in place of the next
+            response).
+        refusal: Status of these refusals.
+        refusal_has_id: Whether they name the request.
         crash_part: Shared part of a prompt at whose first event the server crashes: it
             resets all connections and becomes another incarnation. None if empty.
     """
@@ -56,9 +69,19 @@
     pause: str = ""
     limits: tuple[str, ...] = ()
     load: str = ""
+    raw: tuple[bytes, str] | None = None
+    repeat: str = ""
+    refusal: int = 503
+    refusal_has_id: bool = True
     crash_part: str = ""
 
 
+RESET_S = 0.01
+"""Time from a response to the reset after it, so that it is read before, in seconds."""
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Socket option by which the close of a connection is a reset."""
+REPEAT_S = 0.03
+"""Time until a refusal is written once more, in seconds."""
 DRIP_S = 0.2
 """Time between two parts of a response that arrives slowly, in seconds."""
 ENDLESS = {
@@ -155,6 +178,10 @@
         self.max_running = 0
         self.endless_bytes = 0
         self.crashes: list[float] = []
+        # Refusal of the first request of each connection that gets it once more.
+        self._refusals: weakref.WeakKeyDictionary[asyncio.StreamWriter, bytes] = (
+            weakref.WeakKeyDictionary()
+        )
         self.on_crash: Callable[[], None] = lambda: None
         self.server = RawServer(self._handle)
 
@@ -197,7 +224,9 @@
     async def _handle(self, req: RawRequest, writer: asyncio.StreamWriter) -> bool:
         if req.headers.get("target-instance") not in {None, self.id}:
             self.misdirected += 1
-            writer.write(format_response(421, {"Instance-Id": self.id}, b""))
+            headers = {"Instance-Id": self.id}
+            headers["Request-Id"] = req.headers.get("request-id", "")
+            writer.write(format_response(421, headers, b""))
             return True
         now = asyncio.get_running_loop().time()
         request_id = req.headers.get("request-id", "")
@@ -205,7 +234,8 @@
         if self.behaviour.leaving:
             self.notices.append(Notice(now, request_id))
         if self.behaviour.fault == "full":
-            headers = {"Not-Executed": "1"} | self._state_headers()
+            headers = {"Not-Executed": "1", "Request-Id": request_id}
+            headers |= self._state_headers()
             if self.behaviour.pause:
                 headers["Retry-After"] = self.behaviour.pause
                 with contextlib.suppress(ValueError):
@@ -213,6 +243,11 @@
                     self.notices.append(Notice(now, request_id, pause_s))
             writer.write(format_response(503, headers, b""))
             return True
+        if self.behaviour.repeat:
+            if writer not in self._refusals:
+                return await self._refuse_first(request_id, writer)
+            if self.behaviour.repeat == "next":
+                writer.write(self._refusals[writer])
         self.runs[request_id] += 1
         self.requests.append(req)
         self.running += 1
@@ -225,6 +260,21 @@
         finally:
             self.running -= 1
 
+    async def _refuse_first(
+        self, request_id: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        headers = {"Not-Executed": "1"} | self._state_headers()
+        if self.behaviour.refusal_has_id:
+            headers["Request-Id"] = request_id
+        refusal = format_response(self.behaviour.refusal, headers, b"full")
+        self._refusals[writer] = refusal
+        times = 2 if self.behaviour.repeat == "at_once" else 1
+        writer.write(refusal * times)
+        if self.behaviour.repeat == "idle":
+            await asyncio.sleep(REPEAT_S)
+            writer.write(refusal)
+        return True
+
     def _state_headers(self) -> dict[str, str]:
         headers = {"Server-Leaving": "1"} if self.behaviour.leaving else {}
         if self.behaviour.load:
@@ -238,6 +288,13 @@
         self, req: RawRequest, request_id: str, writer: asyncio.StreamWriter
     ) -> bool:
         fault = self.behaviour.fault
+        if self.behaviour.repeat == "mid_run":
+            await asyncio.sleep(REPEAT_S)
+            writer.write(self._refusals[writer])
+            await asyncio.sleep(REPEAT_S)
+        if self.behaviour.repeat == "instead":
+            writer.write(self._refusals[writer])
+            return True
         if fault == "mute":
             await asyncio.sleep(60)
         if fault == "crash":
@@ -245,6 +302,8 @@
             return False
         headers = {"Request-Id": request_id, "Response-Seal": f"{self.id}.1"}
         headers |= self._state_headers()
+        if self.behaviour.raw is not None:
+            return await self._write_raw(*self.behaviour.raw, headers, writer)
         if fault == "drip":
             await self._drip(req, headers, writer)
         if fault in ENDLESS:
@@ -273,6 +332,23 @@
             await writer.drain()
             await asyncio.sleep(DRIP_S)
 
+    async def _write_raw(
+        self,
+        data: bytes,
+        ending: str,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        lines = "\r\n".join(f"{name}: {value}" for name, value in headers.items())
+        writer.write(data.replace(b"%s", lines.encode()))
+        await writer.drain()
+        if ending == "reset":
+            await asyncio.sleep(RESET_S)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+            writer.transport.abort()
+        return ending == "keep"
+
     async def _write_without_end(
         self, fault: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
