--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -15,6 +15,7 @@
 import attrs
 
 from cornelpin.gateway import logs
+from cornelpin.gateway.event_stream import BadEvent
 from cornelpin.gateway.exchange import (
     Answered,
     Broken,
@@ -61,6 +62,8 @@
 time-outs; until then its requests have none but their deadline."""
 MIN_EVENT_GAP_TIMEOUT_S = 1.0
 """Shortest time-out between two events of a stream."""
+MAX_ID_DIGITS = 18
+"""Longest id of an event that is compared as a number."""
 MIN_SEND_S = 0.02
 """Time to the deadline below which a request is not sent again."""
 PERMIT_USE_S = 0.5
@@ -627,7 +630,14 @@
             self.progress.begun = True
 
     async def on_event(self, data: bytes, event_id: str | None) -> None:
-        """Forwards one event to the client."""
+        """Forwards one event to the client.
+
+        Raises:
+            BadEvent: If the client has got it already. The server did not resume after
+                the last event.
+        """
+        if not _follows(event_id, self.progress.last_event):
+            raise BadEvent(f"event {event_id} after {self.progress.last_event}")
         self.progress.events += 1
         await self.responder.write(data)
         if event_id is not None:
@@ -653,3 +663,16 @@
         if self.placement is not None and not self.placement.cold:
             speed = self.scheduler.dispatcher.speed(self.placement.server)
             speed.record_gap(took_s, self.job.route.max_event_gap_s)
+
+
+def _follows(event_id: str | None, last: str | None) -> bool:
+    """Returns whether an event may come after another one.
+
+    Ids that are numbers rise; others are told apart only.
+    """
+    if event_id is None or last is None:
+        return True
+    ids = (event_id, last)
+    if all(i.isdecimal() and len(i) <= MAX_ID_DIGITS for i in ids):
+        return int(event_id) > int(last)
+    return event_id != last
