Let a stream run now and then whatever its estimates say

Streams of a route without a measured length count as 200 tokens long; while requests queue, those that would not end before their deadline are refused. If that begins before the first stream has ended, none ends, and nothing shows that they have three events. The same holds for a gap between events measured in a bad moment.

If no stream of a service has ended at an entry for 2 s, the next one runs. The test, without a network, fails without it.

--- a/benchmarks/replay/systems.py
+++ b/benchmarks/replay/systems.py
@@ -257,7 +257,7 @@
             health = dispatcher.health(placement.server)
             if completed:
                 health.succeeded()
-                dispatcher.record_output(job, events)
+                dispatcher.record_output(job, events, now)
             else:
                 health.unreachable(now)
                 self._caller.on_failed(call)
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -576,7 +576,9 @@
         progress.runs += 1
         if self.responder.started and response.status < 300:
             self.responder.finish()
-            self.scheduler.dispatcher.record_output(self.job, self.progress.events)
+            self.scheduler.dispatcher.record_output(
+                self.job, self.progress.events, time.monotonic()
+            )
             return response.status
         if response.status >= 500:
             progress.reasons.append(f"{progress.server}: answered {response.status}")
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -246,6 +246,9 @@
                     job, snapshot.candidates, now
                 ):
                     return forecast
+                if service.renews_estimates(now):
+                    job.renews_estimates = True
+                    return forecast
                 reason = TOO_LONG
         return self._refuse(service, job, snapshot, now, reason, forecast)
 
@@ -494,9 +497,9 @@
             self.speed(placement.server).record_response(usual_s, now)
         service.record_response(took_s)
 
-    def record_output(self, job: Job, events: int) -> None:
+    def record_output(self, job: Job, events: int, now: float) -> None:
         """Updates the mean output of a route, given the events of a complete stream."""
-        self._service(job.service).record_output(job, events)
+        self._service(job.service).record_output(job, events, now)
 
     def release(self, job: Job, placement: Placement, now: float) -> bool:
         """Releases the slot of an ended send; returns whether it was still held."""
--- a/cornelpin/scheduling/jobs.py
+++ b/cornelpin/scheduling/jobs.py
@@ -65,6 +65,8 @@
         run_failed: Whether a run of it has failed and it waits for another one. "Not
             run" is no longer true of it, so its caller gains nothing from an early
             refusal.
+        renews_estimates: Whether it runs although it is not expected to end in time:
+            no stream of its service has ended for some time.
         workspace: Name of the caller's workspace; empty if there is none.
         data_centres: Data centres in which it may run; None for all.
         first_attempt_at: Monotonic time of its first attempt; before its arrival if
@@ -91,6 +93,7 @@
     shared_parts: tuple[str, ...] = ()
     avoid: set[str] = attrs.field(factory=set)
     run_failed: bool = False
+    renews_estimates: bool = False
     first_attempt_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.arrived, takes_self=True)
     )
--- a/cornelpin/scheduling/server_selection.py
+++ b/cornelpin/scheduling/server_selection.py
@@ -207,10 +207,16 @@
 def can_finish(job: Job, candidates: Sequence[Candidate], now: float) -> bool:
     """Returns whether a stream would probably end in time on one of some servers.
 
-    Also true without any server, because one may become usable at any moment.
+    Also true without any server, because one may become usable at any moment, and of a
+    job that renews the estimates.
     """
-    return not candidates or any(
-        finish_probability(job, c, now) >= MIN_FINISH_PROBABILITY for c in candidates
+    return (
+        job.renews_estimates
+        or not candidates
+        or any(
+            finish_probability(job, c, now) >= MIN_FINISH_PROBABILITY
+            for c in candidates
+        )
     )
 
 
--- a/cornelpin/scheduling/service_state.py
+++ b/cornelpin/scheduling/service_state.py
@@ -25,6 +25,8 @@
 of a stream, or to the whole response if it is not streamed."""
 PRIOR_COLD_SLOWDOWN = 2.0
 """Initial factor on the times of a service's cold servers."""
+RENEW_S = 2.0
+"""Time without the end of a stream after which one runs whatever is expected of it."""
 MAX_COLD_SLOWDOWN = 10.0
 """Upper bound of that factor."""
 
@@ -47,6 +49,8 @@
         free_share: Share of its slots that were free after the last grant.
         cold_slowdown: Mean factor on the response times of its cold servers.
         hedging: Decides when its requests are hedged.
+        renewed_at: Monotonic time at which a stream last ended here, or began to renew
+            the estimates.
     """
 
     queue: RequestQueue
@@ -58,6 +62,7 @@
     mean_output: dict[str, float] = attrs.field(factory=dict)
     free_share: float = 1.0
     cold_slowdown: float = PRIOR_COLD_SLOWDOWN
+    renewed_at: float = float("-inf")
 
     def typical_tokens(self, route: str) -> float:
         """Returns the mean output tokens of a route, by its name."""
@@ -78,8 +83,19 @@
         factor = min(MAX_COLD_SLOWDOWN, max(1.0, factor))
         self.cold_slowdown = _blend(self.cold_slowdown, factor)
 
-    def record_output(self, job: Job, events: int) -> None:
+    def renews_estimates(self, now: float) -> bool:
+        """Returns whether a stream should run whatever is expected of it.
+
+        If none ran, nothing would show that the estimates are wrong.
+        """
+        if now - self.renewed_at < RENEW_S:
+            return False
+        self.renewed_at = now
+        return True
+
+    def record_output(self, job: Job, events: int, now: float) -> None:
         """Updates the mean output of a route, given the events of a complete stream."""
+        self.renewed_at = now
         tokens = float(events * job.event_tokens)
         old = self.mean_output.get(job.route.name, tokens)
         self.mean_output[job.route.name] = _blend(old, tokens)
--- a/cornelpin/tests/test_scheduling.py
+++ b/cornelpin/tests/test_scheduling.py
@@ -14,6 +14,8 @@
 from cornelpin.scheduling.speed import SpeedEstimate
 from cornelpin.scheduling.subsetting import ServerSubsets
 from cornelpin.tests.scheduling_harness import (
+    PLAIN,
+    STREAM,
     FixedPeers,
     make_dispatcher,
     make_job,
@@ -310,7 +312,7 @@
     for _ in range(200):
         job = make_job(hinted_tokens=None)
         dispatcher.offer(job, NOW)
-        dispatcher.record_output(job, 10)
+        dispatcher.record_output(job, 10, NOW)
     later: Job = make_job(hinted_tokens=None)
     dispatcher.offer(later, NOW)
     # 10 events of 6 tokens each.
@@ -346,3 +348,31 @@
     assert dispatcher.dispatch("app", NOW) == []
     (score,) = dispatcher.queue_scores()["app"]
     assert score > 0
+
+
+def test_streams_are_not_refused_for_good_by_an_estimate_that_nothing_renews() -> None:
+    """Guards against a length of streams that is taken for long and never measured.
+
+    Load: a queue that never empties, and streams that are short, which nothing shows
+    until one has ended.
+    """
+    dispatcher = make_dispatcher([make_server("one")])
+    short = attrs.evolve(STREAM, timeout_s=3.0)
+
+    def admits(now: float) -> bool:
+        job = make_job(route=short, arrived=now, hinted_tokens=None, event_tokens=1)
+        return dispatcher.offer(job, now) is None
+
+    # All slots are taken and one request waits.
+    for _ in range(3):
+        assert dispatcher.offer(make_job(route=PLAIN, arrived=NOW), NOW) is None
+        dispatcher.dispatch("app", NOW)
+    assert admits(NOW + 0.1)
+    assert not any(admits(NOW + 0.2 + 0.05 * n) for n in range(10))
+    assert admits(NOW + 2.3)
+    assert not admits(NOW + 2.4)
+    # Once one has ended, they are known to be short.
+    ended = make_job(route=short, hinted_tokens=None, event_tokens=1)
+    for _ in range(60):
+        dispatcher.record_output(ended, 3, NOW + 2.5)
+    assert admits(NOW + 2.6)
