Hold requests that wait, are sent again or kept to the configuration in force

Requests in a queue whose permission differs leave it when a configuration comes into force and are offered anew; before each send the permission is looked up again: 401 or 404 if the request has not run, 502 if it may have. What runs goes on. Limits are read at the first byte of a request.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -145,6 +145,7 @@
         self.request_handler = RequestHandler(
             self.state, self.scheduler, self.rollout_controller
         )
+        self.state.on_config = self.request_handler.reconsider
         self._view = StoreView(
             self.store,
             self.state,
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -28,15 +28,17 @@
     ServerResponse,
 )
 from cornelpin.gateway.hedged_send import HedgedSink, HedgeResult, hedged_send
-from cornelpin.gateway.scheduler import Placement, Refused, Scheduler
+from cornelpin.gateway.rejected import Rejected
+from cornelpin.gateway.scheduler import Placement, Reconsidered, Refused, Scheduler
 from cornelpin.platform import backend_headers, resume_headers
 from cornelpin.scheduling.hedging import NO_BUDGET, OVER_QUOTA
 from cornelpin.scheduling.rollouts import MIN_TIME_S
 from cornelpin.scheduling.routing import RouteKind
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
+    from cornelpin.gateway.authorization import Grant
     from cornelpin.gateway.rollouts import RolloutController
     from cornelpin.gateway.state import GatewayState
     from cornelpin.http1.client import Headers
@@ -44,7 +46,7 @@
     from cornelpin.platform import ResponseInfo
     from cornelpin.scheduling.decisions import HeldBackServer
     from cornelpin.scheduling.jobs import Job
-    from cornelpin.scheduling.routing import Workspace
+    from cornelpin.scheduling.routing import Route, Workspace
 
 MAX_SENDS = 4
 """Most sends of one request, those that were not run included: each costs a round
@@ -74,24 +76,6 @@
 server frees a slot in less time, and the random value spreads the retries."""
 
 
-@attrs.frozen
-class Rejected(Exception):
-    """Raised to end a request with a response made by the entry itself.
-
-    In contrast, the dispatcher's ``Refused`` says that a request gets no slot; the
-    entry responds to it with ``Rejected`` unless it forwards a server's response.
-
-    Attributes:
-        status: HTTP status of the response.
-        reason: Its body, also logged.
-        retry_after_s: Its Retry-After in seconds, if any.
-    """
-
-    status: int
-    reason: str
-    retry_after_s: float | None = None
-
-
 @attrs.define
 class Progress:
     """Progress of one request.
@@ -154,7 +138,8 @@
         job: The request as the scheduler sees it.
         req: The request as received.
         responder: Writes the response.
-        workspace: The caller's workspace.
+        grant: What the configuration allows it.
+        regrant: Returns that by the configuration in force now; raises ``Rejected``.
         progress: Progress so far.
         placement: The slot of the current send.
         sent_at: Monotonic time of that send in seconds.
@@ -167,25 +152,83 @@
     job: Job
     req: ClientRequest
     responder: Responder
-    workspace: Workspace | None
+    grant: Grant
+    regrant: Callable[[], Grant]
     progress: Progress
     placement: Placement | None = None
     sent_at: float = 0.0
     run_begun: bool = False
 
+    @property
+    def workspace(self) -> Workspace | None:
+        """The caller's workspace."""
+        return self.grant.workspace
+
+    def grant_holds(self) -> bool:
+        """Returns whether the configuration in force grants the same as at arrival."""
+        cfg = self.state.config
+        if cfg is None or cfg.version == self.grant.version:
+            return True
+        try:
+            return self.regrant().allows_as(self.grant)
+        except Rejected:
+            return False
+
+    def _follow_config(self) -> None:
+        """Applies a new configuration before the request is sent.
+
+        Its deadline stays: the client has been told nothing else.
+
+        Raises:
+            Rejected: If the request may not run any more.
+        """
+        if self.state.config is None or self.state.config.version == self.grant.version:
+            return
+        try:
+            grant = self.regrant()
+        except Rejected as exc:
+            if not self.progress.may_have_run:
+                raise
+            raise Rejected(502, exc.reason) from None
+        granted_before, self.grant = self.grant, grant
+        if grant.allows_as(granted_before):
+            return
+        job, before = self.job, self.job.service
+        job.route, job.rank = grant.route, grant.rank
+        job.data_centres = grant.data_centres
+        job.workspace = grant.workspace.name if grant.workspace is not None else ""
+        if all(name != before for name, _ in grant.route.backends):
+            job.service = choose_service(grant.route)
+            job.event_tokens = self.state.event_tokens(job.service)
+            self.state.budget(job.service).note_request(time.monotonic())
+        logs.event(
+            "request.regranted",
+            id=job.request_id,
+            config=grant.version,
+            route=job.route.name,
+            service=job.service,
+            service_before=before,
+        )
+
     async def run(self) -> int:
         """Sends until there is a response; returns its status."""
         self.state.budget(self.job.service).note_request(time.monotonic())
         self.scheduler.dispatcher.note_request(self.job)
         while True:
+            self._follow_config()
             queued_at = time.monotonic()
             self._reject_quarantined(queued_at)
             try:
                 placement = await self.scheduler.place(self.job)
             finally:
                 self.progress.waited_s += time.monotonic() - queued_at
+            if isinstance(placement, Reconsidered):
+                continue
             if isinstance(placement, Refused):
                 return self._refused(placement)
+            if not self.grant_holds():
+                self.scheduler.release(self.job, placement)
+                continue
             self.state.record_queue_wait(
                 self.job.forecast_wait_s, time.monotonic() - queued_at
             )
@@ -213,6 +256,8 @@
             waited_ms=round(1e3 * self.progress.waited_s),
             retry_after_s=round(refused.retry_after_s, 3),
             servers_age_ms=self.state.servers_age_ms(),
+            config=self.grant.version,
+            config_age_ms=self.state.config_age_ms(),
             entries=self.state.live_entry_count(),
             **self._held_back(refused.held_back, "refused"),
         )
@@ -246,6 +291,8 @@
             waited_ms=round(1e3 * self.progress.waited_s),
             forecast_ms=round(1e3 * self.job.forecast_wait_s),
             servers_age_ms=self.state.servers_age_ms(),
+            config=self.grant.version,
+            config_age_ms=self.state.config_age_ms(),
             entries=self.state.live_entry_count(),
             **self._held_back(placement.held_back, "placed"),
             **self._slowdown(placement),
@@ -678,3 +725,14 @@
     if all(i.isdecimal() and len(i) <= MAX_ID_DIGITS for i in ids):
         return int(event_id) > int(last)
     return event_id != last
+
+
+def choose_service(route: Route) -> str:
+    """Returns the name of one of a route's services, chosen at random by weight."""
+    if len(route.backends) == 1:
+        return route.backends[0][0]
+    names = [name for name, _ in route.backends]
+    weights = [max(0.0, weight) for _, weight in route.backends]
+    if not any(weights):
+        return names[0]
+    return random.choices(names, weights)[0]
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 from typing import TYPE_CHECKING
 
 import attrs
 
 from cornelpin.gateway import logs
-from cornelpin.gateway.attempts import Attempts, Progress, Rejected
+from cornelpin.gateway.attempts import Attempts, Progress, choose_service
+from cornelpin.gateway.authorization import Authorization, Grant
+from cornelpin.gateway.rejected import Rejected
 from cornelpin.platform import RequestInfo, read_request, refusal_headers
 from cornelpin.scheduling.client_retries import fingerprint
 from cornelpin.scheduling.jobs import Job
@@ -20,17 +21,13 @@
     from cornelpin.gateway.scheduler import Scheduler
     from cornelpin.gateway.state import GatewayState
     from cornelpin.http1.server import ClientRequest, Responder
-    from cornelpin.scheduling.routing import Route, RoutingConfig, Workspace
+    from cornelpin.scheduling.routing import Workspace
 
 DEADLINE_GRACE_S = 0.1
 """Time past a request's deadline for the server's own time-out response to arrive."""
 CONFIG_WAIT_S = 0.25
 """Time for which a request waits for the first configuration of an entry that has just
 started: several times what a start takes, and less than callers notice."""
-NO_CONFIG_RETRY_S = 0.5
-"""Retry-After for requests that reach an entry without a configuration."""
-STOPPING_RETRY_S = 0.05
-"""Retry-After for requests that reach a stopping entry: others accept them at once."""
 
 
 class RequestHandler:
@@ -45,6 +42,15 @@
         self._state = state
         self._scheduler = scheduler
         self._rollout_controller = rollout_controller
+        self._authorization = Authorization(state)
+        # Requests that are queued or run.
+        self._attempts: dict[Job, Attempts] = {}
+
+    def reconsider(self) -> None:
+        """Takes requests from the queues that a new configuration treats otherwise."""
+        self._scheduler.reconsider(
+            lambda job: job in self._attempts and not self._attempts[job].grant_holds()
+        )
 
     async def serve(self, req: ClientRequest, responder: Responder) -> None:
         """Responds to one request and logs its outcome."""
@@ -55,10 +61,11 @@
         reason = ""
         try:
             await self._state.wait_for_config(CONFIG_WAIT_S)
-            cfg, route, workspace = self._authorize(req, info)
-            job = self._make_job(cfg, route, workspace, info, req)
+            path = req.target.split(b"?", 1)[0].decode("latin-1")
+            grant = await self._authorization.admit(info, path)
+            job = self._make_job(grant, info, req)
             status = await self._within_deadline(
-                job, req, info, workspace, responder, progress
+                job, grant, path, req, info, responder, progress
             )
         except Rejected as exc:
             status, reason = exc.status, exc.reason
@@ -71,44 +78,13 @@
         finally:
             self._log(req, info, job, progress, status, reason)
 
-    def _authorize(
-        self, req: ClientRequest, info: RequestInfo
-    ) -> tuple[RoutingConfig, Route, Workspace | None]:
-        """Returns the configuration, the route and the caller's workspace.
-
-        Raises:
-            Rejected: If the entry can't serve the request or the caller may not use the
-                route.
-        """
-        cfg = self._state.config
-        if cfg is None:
-            raise Rejected(503, "no configuration yet", NO_CONFIG_RETRY_S)
-        if self._state.refusing:
-            raise Rejected(503, "this entry stops", STOPPING_RETRY_S)
-        if not info.request_id:
-            raise Rejected(400, "no request id")
-        path = req.target.split(b"?", 1)[0].decode("latin-1")
-        route = cfg.route(info.host, path)
-        if route is None:
-            raise Rejected(404, "no route")
-        workspace = cfg.workspace(info.key)
-        if workspace is None and cfg.workspaces and not route.anonymous:
-            raise Rejected(401, "unknown key")
-        return cfg, route, workspace
-
-    def _make_job(
-        self,
-        cfg: RoutingConfig,
-        route: Route,
-        workspace: Workspace | None,
-        info: RequestInfo,
-        req: ClientRequest,
-    ) -> Job:
+    def _make_job(self, grant: Grant, info: RequestInfo, req: ClientRequest) -> Job:
+        route = grant.route
         remaining_s = route.timeout_s
         if info.deadline_s is not None:
             remaining_s = min(remaining_s, info.deadline_s)
-        service = _choose_service(route)
-        name = workspace.name if workspace is not None else ""
+        service = choose_service(route)
+        name = grant.workspace.name if grant.workspace is not None else ""
         content_fingerprint = fingerprint(name, req.target, req.body)
         first_attempt_at = self._state.client_retries.first_attempt_at(
             content_fingerprint, time.monotonic()
@@ -117,20 +93,15 @@
             request_id=info.request_id,
             route=route,
             service=service,
-            # Zero is the highest priority. A lower workspace priority reduces the value
-            # of its requests (``Valuation.rank_weight``); having none does not.
-            rank=(
-                workspace.priority or 0 if workspace is not None else 0,
-                route.priority,
-            ),
+            rank=grant.rank,
             arrived=req.received,
             deadline=req.received + remaining_s,
             prompt_tokens=info.prompt_tokens,
             hinted_tokens=info.hinted_tokens,
             max_output_tokens=info.max_output_tokens,
-            event_tokens=cfg.event_tokens(service),
+            event_tokens=self._state.event_tokens(service),
             workspace=name,
-            data_centres=self._allowed_data_centres(route, workspace),
+            data_centres=grant.data_centres,
             fingerprint=content_fingerprint,
             shared_parts=info.shared_parts,
             first_attempt_at=req.received
@@ -138,46 +109,33 @@
             else min(first_attempt_at, req.received),
         )
 
-    def _allowed_data_centres(
-        self, route: Route, workspace: Workspace | None
-    ) -> frozenset[str] | None:
-        """Returns the data centres in which a request may run; None for all.
-
-        Where the route and the workspace both name regions, both bind.
-        """
-        named = [route.regions, workspace.regions if workspace else frozenset()]
-        bounds = [regions for regions in named if regions]
-        if not bounds:
-            return None
-        return frozenset(
-            data_centre
-            for data_centre, region in self._state.settings.regions.items()
-            if all(region in regions for regions in bounds)
-        )
-
     async def _within_deadline(
         self,
         job: Job,
+        grant: Grant,
+        path: str,
         req: ClientRequest,
         info: RequestInfo,
-        workspace: Workspace | None,
         responder: Responder,
         progress: Progress,
     ) -> int:
         """Sends a request until its deadline; refunds the quota if it did not run."""
+        workspace = grant.workspace
         amount = self._take_quota(workspace, info)
+        attempts = self._attempts[job] = Attempts(
+            state=self._state,
+            scheduler=self._scheduler,
+            rollout_controller=self._rollout_controller,
+            job=job,
+            req=req,
+            responder=responder,
+            grant=grant,
+            regrant=lambda: self._authorization.grant(info, path),
+            progress=progress,
+        )
         try:
             async with asyncio.timeout_at(job.deadline + DEADLINE_GRACE_S):
-                return await Attempts(
-                    state=self._state,
-                    scheduler=self._scheduler,
-                    rollout_controller=self._rollout_controller,
-                    job=job,
-                    req=req,
-                    responder=responder,
-                    workspace=workspace,
-                    progress=progress,
-                ).run()
+                return await attempts.run()
         except TimeoutError:
             failure = progress.failure
             if failure is not None and not responder.started:
@@ -187,6 +145,7 @@
                 raise Rejected(504, "no whole answer in time") from None
             raise Rejected(503, "no server in time", None) from None
         finally:
+            del self._attempts[job]
             if not progress.may_have_run and workspace is not None:
                 self._state.quotas.refund(workspace.name, amount)
 
@@ -278,20 +237,10 @@
             "sends": progress.sends,
             "may_have_run": progress.may_have_run,
             "config": cfg.version if cfg is not None else None,
+            "config_age_ms": self._state.config_age_ms(),
             "reason": reason,
             "hedge": progress.hedge,
             "steps": progress.reasons,
         }
         logs.event("request.ended", **fields)
         self._state.count_request(job, outcome, status, reason, took_s)
-
-
-def _choose_service(route: Route) -> str:
-    """Returns the name of one of a route's services, chosen at random by weight."""
-    if len(route.backends) == 1:
-        return route.backends[0][0]
-    names = [name for name, _ in route.backends]
-    weights = [max(0.0, weight) for _, weight in route.backends]
-    if not any(weights):
-        return names[0]
-    return random.choices(names, weights)[0]
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from cornelpin.gateway import logs
-from cornelpin.scheduling.decisions import Placement, Refused
+from cornelpin.scheduling.decisions import Placement, Reconsidered, Refused
 from cornelpin.scheduling.dispatcher import Dispatcher
 from cornelpin.scheduling.restrictions import Evacuations
 from cornelpin.scheduling.review_gate import (
@@ -19,6 +19,8 @@
 from cornelpin.scheduling.subsetting import ServerSubsets
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornelpin.gateway.limit_coordinator import LimitCoordinator
     from cornelpin.gateway.peers import Peers
     from cornelpin.gateway.pool import ConnectionPool
@@ -28,8 +30,10 @@
     from cornelpin.scheduling.servers import BackendServer, ServerList
     from cornelpin.scheduling.valuation import Valuation
 
-__all__ = ["Placement", "Refused", "Scheduler"]
+__all__ = ["Placement", "Reconsidered", "Refused", "Scheduler"]
 
+Outcome = Placement | Refused | Reconsidered
+"""What comes of a job that was offered."""
 UPDATE_BATCH_S = 0.004
 """Updates from other entries within this time cause one dispatch. Batching saves most
 of the dispatches when dozens of entries send updates; a slot is held for much
@@ -74,7 +78,7 @@
         self._evacuations = Evacuations() if evacuations is None else evacuations
         self._subsets = ServerSubsets(peers.host, data_centre)
         self._peers = peers
-        self._queued: dict[Job, asyncio.Future[Placement | Refused]] = {}
+        self._queued: dict[Job, asyncio.Future[Outcome]] = {}
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self._permits_dispatch: asyncio.Handle | None = None
         self._review_gate = ReviewGate(TICK_S)
@@ -91,14 +95,12 @@
         )
         limits.on_permits = self._on_permits
 
-    async def place(self, job: Job) -> Placement | Refused:
-        """Waits until a job is assigned a slot or refused; returns which."""
+    async def place(self, job: Job) -> Outcome:
+        """Waits until a job is assigned a slot, refused, or to be reconsidered."""
         refused = self.dispatcher.offer(job, time.monotonic())
         if refused is not None:
             return refused
-        fut: asyncio.Future[Placement | Refused] = (
-            asyncio.get_running_loop().create_future()
-        )
+        fut: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self._queued[job] = fut
         self.dispatch(job.service)
         try:
@@ -114,7 +116,16 @@
             self._changed()
         return placement
 
-    def _cancel(self, job: Job, fut: asyncio.Future[Placement | Refused]) -> None:
+    def reconsider(self, outdated: Callable[[Job], bool]) -> None:
+        """Takes jobs out of the queues that are to be offered again otherwise."""
+        for job, fut in list(self._queued.items()):
+            if outdated(job):
+                del self._queued[job]
+                self.dispatcher.withdraw(job)
+                if not fut.done():
+                    fut.set_result(Reconsidered())
+
+    def _cancel(self, job: Job, fut: asyncio.Future[Outcome]) -> None:
         self._queued.pop(job, None)
         self.dispatcher.withdraw(job)
         if fut.done() and not fut.cancelled():
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -22,7 +22,7 @@
 from cornelpin.scheduling.servers import ServerList
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator, Mapping
+    from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
 
     from cornelpin.gateway.limit_coordinator import LimitCoordinator
     from cornelpin.gateway.metrics import Metrics
@@ -36,6 +36,16 @@
 """Bytes per MB."""
 
 
+async def _current() -> bool:
+    return True
+
+
+def _age_ms(confirmed_at: float) -> int | None:
+    if math.isinf(confirmed_at):
+        return None
+    return round(1e3 * (time.monotonic() - confirmed_at))
+
+
 class GatewayState:
     """Configuration, servers, quotas, retry budgets and metrics of this process.
 
@@ -51,6 +61,11 @@
         metrics: The metrics; None until they are created during the start.
         evacuations: Data centres whose servers get no requests.
         servers_listed: Whether the store's list of servers was received.
+        on_config: Called after a configuration has come into force.
+        confirm_config: Returns whether the configuration in force is known to be
+            current; asks the store before it says that it is not. Set by StoreView.
+        get_config_confirmed_at: Returns the monotonic time at which it was last known
+            to be. Set by StoreView.
         get_servers_confirmed_at: Returns the monotonic time at which that list was last
             known to be current. Set by StoreView, which is created later.
         draining: Whether the entry is shutting down and fails its readiness probe.
@@ -91,6 +106,9 @@
         self.evacuations = Evacuations()
         self.metrics: Metrics | None = None
         self.servers_listed = False
+        self.on_config: Callable[[], None] = lambda: None
+        self.confirm_config: Callable[[], Awaitable[bool]] = _current
+        self.get_config_confirmed_at: Callable[[], float] = lambda: 0.0
         self.get_servers_confirmed_at: Callable[[], float] = lambda: 0.0
         self.draining = False
         self.refusing = False
@@ -126,6 +144,18 @@
             source=source,
         )
         self._on_change()
+        self.on_config()
+
+    def event_tokens(self, service: str) -> int:
+        """Returns the tokens in one event of a service's streams; 1 if unknown."""
+        return self.config.event_tokens(service) if self.config is not None else 1
+
+    def config_age_ms(self) -> int | None:
+        """Returns the milliseconds since the configuration was known to be current.
+
+        None if it is a copy from another entry that has not been confirmed yet.
+        """
+        return _age_ms(self.get_config_confirmed_at())
 
     def evacuate(self, data_centre: str, source: str) -> None:
         """Sends the servers of a data centre nothing more, by order of an operator."""
@@ -199,10 +229,7 @@
 
         None if it is a copy from another entry that has not been confirmed yet.
         """
-        confirmed_at = self.get_servers_confirmed_at()
-        if math.isinf(confirmed_at):
-            return None
-        return round(1e3 * (time.monotonic() - confirmed_at))
+        return _age_ms(self.get_servers_confirmed_at())
 
     def budget(self, service: str) -> RetryBudget:
         """Returns the retry budget of a service."""
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -45,6 +45,13 @@
     from cornelpin.gateway.state import GatewayState
     from cornelpin.scheduling.servers import BackendServer
 
+CONFIRMED_SHARE = 0.5
+"""Part of the platform's bound on changes up to which a confirmation of the
+configuration counts: a denial by an older one may be wrong."""
+CONFIRM_WAIT_S = 0.25
+"""Time for which a denial waits for a response of the store, and between two calls for
+that: twice that of a degraded store is not worth waiting for."""
+CONFIRM_CHECK_S = 0.01
 MAX_ODD = 10_000
 """Most objects that can't be used of which the names are kept."""
 PROBING_ENTRIES = 3
@@ -129,6 +136,8 @@
         )
         store.on_new_era = self._on_new_era
         store.on_call = state.count_store_call
+        state.confirm_config = self._confirm_config
+        state.get_config_confirmed_at = lambda: self._caches[CONFIG_KIND].confirmed_at
         state.get_servers_confirmed_at = lambda: self._caches[SERVER_KIND].confirmed_at
 
     def _make_cache(self, kind: str, **callbacks: Callable[..., None]) -> WatchCache:
@@ -209,6 +218,26 @@
         yield from (cache.run() for cache in self._caches.values())
         yield self._catch_up.run()
 
+    async def _confirm_config(self) -> bool:
+        """Returns whether the configuration is known to be current, or asks the store.
+
+        It is not asked while it is known not to respond, and not for each request.
+        """
+        bound_s = self._state.settings.bounds.config_s
+        if self.config_age_s <= CONFIRMED_SHARE * bound_s:
+            return True
+        cache = self._caches[CONFIG_KIND]
+        if not cache.reachable:
+            return False
+        if time.monotonic() - cache.listed_at > CONFIRM_WAIT_S:
+            cache.list_now()
+        until = time.monotonic() + CONFIRM_WAIT_S
+        while time.monotonic() < until:
+            await asyncio.sleep(CONFIRM_CHECK_S)
+            if self.config_age_s <= CONFIRMED_SHARE * bound_s:
+                return True
+        return False
+
     @property
     def config_age_s(self) -> float:
         """Seconds since the configuration in force was last known to be current."""
--- a/cornelpin/http1/server.py
+++ b/cornelpin/http1/server.py
@@ -25,6 +25,9 @@
 which the client may discard the response."""
 MAX_WRITE_BUFFER_BYTES = 262_144
 """Unsent bytes above which ``Responder.write`` waits."""
+MAX_HEAD_BYTES = 1_048_576
+"""Size of a head up to which the parser reads it. The limits of the app are lower and
+may change while a connection is open."""
 CHUNKED = (b"transfer-encoding", b"chunked")
 
 
@@ -158,8 +161,10 @@
         self.app = app
         self._limits = app.limits()
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        # Bytes received of a head that is not complete yet.
+        self._head_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._data_arrived = asyncio.Event()
@@ -182,13 +187,21 @@
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the parser; pauses reading over the limit."""
         if self._first_byte_at is None:
-            self._first_byte_at = time.monotonic()
+            self._begin_request()
+        if self._http.their_state is h11.IDLE:
+            self._head_bytes += len(data)
         self._http.receive_data(data)
         self._pending_bytes += len(data)
         if self._pending_bytes > MAX_PENDING_BYTES and self._transport is not None:
             self._transport.pause_reading()
         self._data_arrived.set()
 
+    def _begin_request(self) -> None:
+        """Notes the first byte of a request, and the limits in force at that time."""
+        self._first_byte_at = time.monotonic()
+        self._head_bytes = len(self._http.trailing_data[0])
+        self._limits = self._with_longer_idle_timeout(self.app.limits())
+
     def eof_received(self) -> bool:
         """Handles the client's end of stream as a disconnect."""
         self._on_disconnect()
@@ -274,8 +287,10 @@
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
-        self._first_byte_at = time.monotonic() if self._http.trailing_data[0] else None
         self._limits = self._with_longer_idle_timeout(self.app.limits())
+        self._first_byte_at = None
+        if self._http.trailing_data[0]:
+            self._begin_request()
         return True
 
     def _with_longer_idle_timeout(self, limits: Limits) -> Limits:
@@ -334,6 +349,11 @@
     async def _wait_for_data(self) -> None:
         if self._disconnected:
             raise ConnectionEnded
+        if (
+            self._http.their_state is h11.IDLE
+            and self._head_bytes > self._limits.header_bytes
+        ):
+            raise BadRequest(431, f"head over {self._limits.header_bytes} bytes")
         if self._pending_bytes > MAX_PENDING_BYTES and self._transport is not None:
             self._transport.resume_reading()
         self._pending_bytes = 0
@@ -343,6 +363,10 @@
                 await self._data_arrived.wait()
         except TimeoutError:
             if self._first_byte_at is None:
+                # A new configuration may allow connections to be idle for longer.
+                self._limits = self._with_longer_idle_timeout(self.app.limits())
+                if time.monotonic() < self._read_deadline():
+                    return
                 raise ConnectionEnded from None
             raise BadRequest(408, "the request came too slowly") from None
 
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -206,7 +206,8 @@
             path = f"{BASE}{kind}" + (
                 f"?after={quote(after, safe='')}" if after else ""
             )
-            status, body = await self._call(kind, "list", "GET", path)
+            # Lists follow failures: kept connections are in doubt then.
+            status, body = await self._call(kind, "list", "GET", path, fresh=True)
             _expect(status, body, 200)
             if era is not None and era != self.era:
                 raise StoreUnavailable(f"restored while {kind} were listed")
@@ -338,6 +339,7 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
         wait_s: float = 0.0,
+        fresh: bool = False,
     ) -> tuple[int, dict[str, Any]]:
         """Makes a call on a kept or a new connection, and reports its outcome.
 
@@ -349,9 +351,10 @@
             body: Body of the request, to be encoded; None for none.
             timeout_s: Time to the first byte of the response, seconds.
             wait_s: Time of it for which the store was asked to wait, seconds.
+            fresh: Whether the connection must be a new one.
         """
         reason = ""
-        kept = self._take_idle()
+        kept = None if fresh else self._take_idle()
         try:
             try:
                 return await self._exchange(kept, method, path, body, timeout_s, wait_s)
--- a/cornelpin/scheduling/decisions.py
+++ b/cornelpin/scheduling/decisions.py
@@ -60,6 +60,11 @@
     held_back: tuple[HeldBackServer, ...] = ()
 
 
+@attrs.frozen
+class Reconsidered:
+    """The request has left the queue: its route or its rights have changed."""
+
+
 @attrs.define(eq=False)
 class Placement:
     """A slot of a server, held for one send.
