--- a/cornelpin/cli/status.py
+++ b/cornelpin/cli/status.py
@@ -13,15 +13,24 @@
 from cornelpin.cli._help import examples
 from cornelpin.cli._output import echo_json, echo_sections, echo_table
 
+GATEWAY_SECTIONS = ["entries", "kinds", "evacuated", "servers"]
 
-@click.command()
+
+@click.command(epilog=examples("cornelpin status", "cornelpin status --gateway"))
 @entry_options()
 @output_option
-def status() -> None:
-    """Shows the processes, routes and tiers."""
-    result = read_resource("/admin/v1/status")
+@click.option(
+    "--gateway",
+    is_flag=True,
+    help="The entry is one of the platform's gateway, and its URL that of its metrics.",
+)
+def status(gateway: bool) -> None:
+    """Shows the processes, routes and tiers; of a gateway, which entries are behind."""
+    result = read_resource("/status" if gateway else "/admin/v1/status")
     if wants_json():
         echo_json(result)
+    elif gateway:
+        echo_sections(result, GATEWAY_SECTIONS)
     else:
         echo_sections(result, ["processes", "routes", "tiers"])
 
--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -20,6 +20,7 @@
 from cornelpin.gateway.scheduler import TICK_S, Scheduler
 from cornelpin.gateway.snapshots import SnapshotServer
 from cornelpin.gateway.state import GatewayState
+from cornelpin.gateway.status import build_status
 from cornelpin.gateway.store_view import StoreView
 from cornelpin.gateway.suspension import SuspensionDetector
 from cornelpin.http1.server import (
@@ -233,6 +234,10 @@
         logs.event("request.unreadable", status=exc.status, reason=str(exc))
         return refusal_headers("", None)
 
+    def status(self) -> dict[str, Any]:
+        """Returns what operators see of this entry and the others."""
+        return build_status(self.state, self.peers, self._view)
+
     # State exchange with the other entries.
 
     def _full_state(self) -> dict[str, Any]:
--- a/cornelpin/gateway/endpoints.py
+++ b/cornelpin/gateway/endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING
 
 from cornelpin.http1.server import (
@@ -50,14 +51,23 @@
         responder.send_response(200 if self._state.ready else 503, [], b"")
 
 
+STATUS_TARGET = b"/status"
+"""Path of the status; all others show the metrics."""
+
+
 class MetricsEndpoint(_Endpoint):
-    """Serves the metrics of the process."""
+    """Serves the metrics and the status of the process."""
 
     def __init__(self, entry: Entry) -> None:
         self._entry = entry
 
     async def serve(self, req: ClientRequest, responder: Responder) -> None:
-        """Responds with all metrics in the Prometheus text format."""
+        """Responds with the status as JSON, or metrics in Prometheus text format."""
+        if req.target == STATUS_TARGET:
+            body = json.dumps(self._entry.status()).encode()
+            headers = [(b"content-type", b"application/json")]
+            responder.send_response(200, headers, body)
+            return
         metrics = self._entry.state.metrics
         body = metrics.text() if metrics is not None else b""
         responder.send_response(
--- a/cornelpin/gateway/request_trace.py
+++ b/cornelpin/gateway/request_trace.py
@@ -14,6 +14,7 @@
 """Time before and after a request within which events of its servers are included,
 in seconds."""
 STORE_EVENTS = {"store.lost", "store.regained", "store.copied", "store.history_lost"}
+LAG_EVENTS = {"store.behind", "store.caught_up"}
 COPY_EVENTS = {"store.copied", "store.copy_failed"}
 COPY_KEY = "copy"
 """Key of the last copy of any kind; a failed one has no kind."""
@@ -24,6 +25,7 @@
 PROCESS_EVENTS = {"entry.started", "entry.stopping", "entry.stopped"}
 STATE_EVENTS = (
     STORE_EVENTS
+    | LAG_EVENTS
     | PART_EVENTS
     | PROCESS_EVENTS
     | DATA_CENTRE_EVENTS
@@ -31,6 +33,7 @@
 )
 """Events that tell the state of an entry, until the next one of the same kind."""
 ENDED_EVENTS = {
+    "store.caught_up",
     "part.released",
     "server.limit_ended",
     "server.warm",
@@ -62,6 +65,7 @@
       request to as long after it;
     * the last line before the end of the request about the configuration, about each
       kind of store objects and about the process;
+    * the kinds of store objects of which the entry is behind others at that time;
     * a failed copy from another entry, if no copy has succeeded since;
     * the parts of prompts that are quarantined at the end of the request;
     * the data centres that are evacuated at the end of the request;
@@ -121,6 +125,8 @@
     event = line["event"]
     if event in STORE_EVENTS:
         return f"store {line.get('kind')}"
+    if event in LAG_EVENTS:
+        return f"behind {line.get('kind')}"
     if event in LIMIT_EVENTS:
         return f"limit {line.get('server')}"
     if event in COLD_EVENTS:
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -248,6 +248,25 @@
         """Kinds of objects of which other entries have later changes."""
         return self._catch_up.lags.behind()
 
+    def status_rows(self) -> list[dict[str, Any]]:
+        """Returns the state of each kind of objects, for operators."""
+        now = time.monotonic()
+        return [
+            {
+                "kind": kind,
+                "revision": cache.revision.number,
+                "era": cache.revision.era,
+                "age_s": round(now - cache.confirmed_at, 2)
+                if cache.confirmed_at > 0
+                else None,
+                "way": cache.way,
+                "watches": cache.watches,
+                "store": "answers" if cache.reachable else "lost",
+                "behind": kind in self.behind,
+            }
+            for kind, cache in self._caches.items()
+        ]
+
     @property
     def outdated(self) -> int:
         """Number of responses of the store that were older than what is known."""
--- a/cornelpin/gateway/watch_cache.py
+++ b/cornelpin/gateway/watch_cache.py
@@ -41,7 +41,7 @@
 MAX_BACKOFF_S = 0.8
 """Longest time between two calls while the store is unavailable, for kinds whose
 changes must soon be in force: well under the platform's bound on that."""
-JITTER = (0.75, 1.0)
+JITTER = (0.4, 1.0)
 """Range of the random factor on the time between two calls."""
 LONGEST_BACKOFF_S = 4.0
 """Longest time between two calls of any kind."""
--- a/cornelpin/scheduling/restrictions/_evacuations.py
+++ b/cornelpin/scheduling/restrictions/_evacuations.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
 RESTORED_KEEP_S = 5.0
 """Time for which an order is kept that a restored store does not list: the operator
@@ -66,6 +66,9 @@
             del self._kept[name]
         return ended
 
+    def __iter__(self) -> Iterator[str]:
+        return iter(sorted(self._ordered | self._kept.keys()))
+
     def __contains__(self, data_centre: object) -> bool:
         return data_centre in self._ordered or data_centre in self._kept
 
--- a/cornelpin/tests/test_config_in_force.py
+++ b/cornelpin/tests/test_config_in_force.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 import pytest
+from click.testing import CliRunner
 
+from cornelpin.cli.main import cli
 from cornelpin.core.revision import Revision
 from cornelpin.gateway import suspension
 from cornelpin.gateway.snapshots import SnapshotServer
@@ -136,7 +140,7 @@
         def drop(data: bytes, to: Any, send: Any = send) -> None:
             send(data, [ip for ip in to if draw.random() > 0.4])
 
-        entry.peers._send_datagrams = drop  # type: ignore[method-assign]
+        entry.peers._send_datagrams = drop  # type: ignore[method-assign, assignment]
     bed.refuse(*range(1, len(bed.entries)))
     for _ in range(4):
         await bed.change()
@@ -307,3 +311,37 @@
             assert max(ages) < LONGEST_S
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("output", ["table", "json"])
+def test_status_shows_which_entries_are_behind(output: str) -> None:
+    async def scenario() -> None:
+        async with run_bed(2) as bed:
+            bed.refuse(1)
+            await bed.change(among=[0])
+            # The second entry does not catch up.
+            behind = bed.entries[1].state
+            assert behind.config is not None
+            behind.config = attrs.evolve(behind.config, version=1)
+            catch_up = bed.entries[1]._view._catch_up
+            catch_up._check = lambda now: None  # type: ignore[method-assign]
+            await asyncio.sleep(0.5)
+            settings = bed.entries[0]._settings
+            url = f"http://{settings.ip}:{settings.metrics_port}"
+            arguments = ["--entry", url, "--output", output, "status", "--gateway"]
+            result = await asyncio.to_thread(CliRunner().invoke, cli, arguments)
+            assert result.exit_code == 0
+            if output == "table":
+                rows = [line.split() for line in result.output.splitlines()]
+                (first,) = [row for row in rows if row[:1] == ["front-0"]]
+                (second,) = [row for row in rows if row[:1] == ["front-1"]]
+                assert (first[2], first[-1]) == ("2", "false")
+                assert (second[2], second[-1]) == ("1", "true")
+            else:
+                shown = json.loads(result.output)
+                assert [row["behind"] for row in shown["entries"]] == [False, True]
+                kinds = {row["kind"]: row for row in shown["kinds"]}
+                assert kinds["config"]["age_s"] < 1.0
+                assert kinds["config"]["way"] == "watch"
+
+    asyncio.run(scenario())
--- a/cornelpin/tests/test_explain.py
+++ b/cornelpin/tests/test_explain.py
@@ -48,9 +48,22 @@
     return {"at": at, "host": "a", "event": event, "server": server}
 
 
+def lag_line(at: float, event: str, kind: str) -> dict[str, object]:
+    return {"at": at, "host": "a", "event": event, "kind": kind}
+
+
 STATES = [
     # Lines besides those of the request, which ends at 5.0, and those of them shown.
     ("quarantined part", [part_line(3.5, "part.quarantined", "p")], [3.5]),
+    (
+        "behind for one kind",
+        [
+            lag_line(3.0, "store.behind", "servers"),
+            lag_line(3.1, "store.behind", "config"),
+            lag_line(3.2, "store.caught_up", "servers"),
+        ],
+        [3.1],
+    ),
     (
         "released part",
         [part_line(3.5, "part.quarantined", "p"), part_line(3.6, "part.released", "p")],
