Let the fault soak write odd objects, repeat refusals and time configurations

Change: operations 'odd' (another writer's invalid objects), 'repeat' (servers write refusals twice), the store's fault 'kind' (rejects one kind only). Each configuration must be in force at each running entry within 2 s of being written, by the entries' logs; the command prints p50, p99 and the longest. The stand-in of the store can remove an invalid object.

--- a/benchmarks/fault_soak/__main__.py
+++ b/benchmarks/fault_soak/__main__.py
@@ -34,6 +34,7 @@
     if first_seed is None:
         first_seed = random.randrange(MAX_RANDOM_SEED)
     failed_seeds = 0
+    in_force_s: list[float] = []
     for seed in range(first_seed, first_seed + seeds):
         result = asyncio.run(
             soak(
@@ -53,7 +54,16 @@
         for line in result.violations[:10]:
             click.echo(f"  {line} (logs in {result.logs})")
         failed_seeds += bool(result.violations)
+        in_force_s += result.in_force_s
     click.echo(f"{seeds} seeds, {failed_seeds} with broken promises")
+    if in_force_s:
+        in_force_s.sort()
+        most = in_force_s[int(0.99 * len(in_force_s))]
+        click.echo(
+            f"configurations in force: {len(in_force_s)},"
+            f" p50 {in_force_s[len(in_force_s) // 2]:.3f} s, p99 {most:.3f} s,"
+            f" longest {in_force_s[-1]:.3f} s"
+        )
     sys.exit(1 if failed_seeds else 0)
 
 
--- a/benchmarks/fault_soak/faults.py
+++ b/benchmarks/fault_soak/faults.py
@@ -15,6 +15,7 @@
     Fleet,
     Limit,
 )
+from cornelpin.tests.test_odd_objects import ODD
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -59,6 +60,7 @@
     """Excuses requests at an entry during a fault and the recovery after it."""
     loop = asyncio.get_running_loop()
     until = loop.time() + duration_s + RECOVERY_S
+    entry.faults.append((loop.time(), until))
     entry.faulty_until = max(entry.faulty_until, until)
 
 
@@ -69,6 +71,7 @@
     if entry is None:
         return
     process = entry.process
+    began = asyncio.get_running_loop().time()
     entry.signal(signal.SIGTERM)
     for _ in range(int(GRACE_S / 0.1)):
         await asyncio.sleep(0.1)
@@ -80,6 +83,7 @@
         _expect_failures(entry, 0.0)
     entry.start()
     await fleet.wait_ready(entry)
+    entry.faults.append((began, asyncio.get_running_loop().time()))
 
 
 @register(planned=True)
@@ -234,11 +238,34 @@
     fleet.evacuated = set()
 
 
+@register(planned=True)
+async def odd(fleet: Fleet, rng: random.Random) -> None:
+    """Lets another writer leave an object that is no valid one for a while."""
+    kind = rng.choice(["servers", "servers", "config", "rollouts", "evacuations"])
+    item = ODD[rng.choice(list(ODD))]
+    fleet.store.put_raw(kind, "odd", item)
+    await asyncio.sleep(rng.uniform(0.2, 4.0))
+    fleet.store.remove(kind, "odd")
+
+
+@register()
+async def repeat(fleet: Fleet, rng: random.Random) -> None:
+    """Makes a server write the refusals of its connections once more."""
+    behaviour = rng.choice(fleet.servers).behaviour
+    behaviour.refusal_has_id = rng.random() < 0.5
+    behaviour.repeat = rng.choice(["at_once", "idle", "next", "mid_run", "instead"])
+    await asyncio.sleep(rng.uniform(0.2, 2.0))
+    behaviour.repeat = ""
+
+
 @register()
 async def store(fleet: Fleet, rng: random.Random) -> None:
     """Makes the store fail, stall, lose responses, drop its history or be cut off."""
     begin = asyncio.get_running_loop().time()
-    match rng.choice(["busy", "silent", "lost", "forget", "cut"]):
+    match rng.choice(["busy", "silent", "lost", "forget", "cut", "kind"]):
+        case "kind":
+            fleet.store.rejected_kinds.add(rng.choice(["config", "servers"]))
+            fleet.store.reset_connections()
         case "silent":
             fleet.store.go_silent()
         case "forget":
@@ -253,6 +280,7 @@
             fleet.store.mode = mode
     await asyncio.sleep(rng.uniform(0.5, 3.0))
     fleet.store.mode = "up"
+    fleet.store.rejected_kinds.clear()
     end = asyncio.get_running_loop().time()
     fleet.store_faults.append((begin, end + STORE_RECOVERY_S))
 
--- a/benchmarks/fault_soak/fleet.py
+++ b/benchmarks/fault_soak/fleet.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import Any
 
@@ -46,6 +47,8 @@
         log: Path of the file with stdout and stderr.
         process: The last process started, None before the first start.
         started_at: Loop time of its last start.
+        faults: Begin and end, in loop time, of each time in which the process did not
+            run or was paused, and of the recovery after it.
         paused: Whether the process is stopped by SIGSTOP.
         faulty_until: Monotonic time until which a fault may fail its requests.
     """
@@ -55,6 +58,7 @@
     log: Path
     process: subprocess.Popen[bytes] | None = None
     started_at: float = 0.0
+    faults: list[tuple[float, float]] = attrs.field(factory=list)
     paused: bool = False
     faulty_until: float = 0.0
 
@@ -111,6 +115,25 @@
     end: float
 
 
+@attrs.frozen
+class Change:
+    """A configuration that was written.
+
+    Attributes:
+        version: Its version.
+        at: Unix time.
+        loop_at: Loop time.
+    """
+
+    version: int
+    at: float
+    loop_at: float
+
+
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class Fleet:
     """A store, servers, proxies and entry processes.
 
@@ -122,6 +145,7 @@
             have known what the store holds.
         evacuated: Data centres that are evacuated.
         evacuations: Data centre, begin and end of each evacuation, in loop time.
+        configured: Configurations written, in order.
         never_ready: Log files of entries that did not become ready in time.
     """
 
@@ -142,6 +166,7 @@
         self.store_faults: list[tuple[float, float]] = []
         self.evacuated: set[str] = set()
         self.evacuations: list[tuple[str, float, float]] = []
+        self.configured: list[Change] = []
         self.never_ready: list[str] = []
         self._count = entries
         self._port = port
@@ -187,6 +212,7 @@
     def configure(self, **fields: Any) -> None:
         """Puts the next version of the configuration in the store."""
         self.version += 1
+        self.configured.append(Change(self.version, time.time(), _loop_time()))
         routes = [
             route("/safe/", "safe", allow_anonymous=False),
             route("/unsafe/", "unsafe", max_attempts=1, allow_anonymous=False),
@@ -211,7 +237,13 @@
         self.store.put(kind, name, spec)
 
     def write_again(self) -> None:
-        """Writes what a restore of the store may have lost, as its authors do."""
+        """Writes what a restore of the store may have lost, as its authors do.
+
+        They also take back again what a restore has brought back.
+        """
+        for name in self.store.objects("evacuations"):
+            if ("evacuations", name) not in self._written:
+                self.store.remove("evacuations", name)
         for (kind, name), spec in self._written.items():
             if self.store.objects(kind).get(name) != spec:
                 self.store.put(kind, name, spec)
--- a/benchmarks/fault_soak/soak.py
+++ b/benchmarks/fault_soak/soak.py
@@ -11,6 +11,7 @@
 from benchmarks.fault_soak.clients import Clients
 from benchmarks.fault_soak.faults import FAULTS, PLANNED
 from benchmarks.fault_soak.fleet import EVACUATION_S, Fleet
+from benchmarks.fault_soak.in_force import check_config, times_in_force
 
 SETTLE_S = 2.5
 """Time for recovery after the last fault, and duration of the check after it."""
@@ -40,6 +41,7 @@
         statuses: Number of requests by status; 0 means no response.
         faults: Number of injected faults by name.
         violations: Broken promises, one text each.
+        in_force_s: Seconds from each configuration until each entry had it in force.
         logs: Folder of the entries' logs.
     """
 
@@ -49,6 +51,7 @@
     statuses: dict[int, int]
     faults: dict[str, int]
     violations: list[str]
+    in_force_s: list[float]
     logs: str
 
 
@@ -98,6 +101,7 @@
         clients_run.violations += [f"READY: {log}" for log in fleet.never_ready]
         clients_run.violations += _check_limits(fleet)
         clients_run.violations += _check_cold(fleet)
+        clients_run.violations += check_config(fleet)
         # A paused entry, or one without the store, may not know of an order in time.
         if planned_only:
             clients_run.violations += _check_evacuations(fleet)
@@ -116,6 +120,7 @@
         statuses=dict(sorted(statuses.items())),
         faults=dict(sorted(faults.items())),
         violations=clients_run.violations,
+        in_force_s=times_in_force(fleet),
         logs=str(fleet.folder),
     )
 
--- a/cornelpin/tests/test_fault_soak.py
+++ b/cornelpin/tests/test_fault_soak.py
@@ -52,5 +52,6 @@
         "cold",
         "evacuate",
         "restore",
+        "odd",
     }
     assert planned.violations == [], f"logs in {planned.logs}"
--- a/cornelpin/tests/test_odd_objects.py
+++ b/cornelpin/tests/test_odd_objects.py
@@ -91,16 +91,25 @@
     return set(entry.state.servers.all(time.monotonic()))
 
 
+async def becomes_known(entry: Entry, server_id: str) -> None:
+    """Waits until an entry uses a server."""
+    await until(lambda: server_id in known(entry), IN_FORCE_S)
+
+
 async def assert_all_others_hold(harness: Harness) -> None:
     """Checks that entries run, serve, and follow further changes."""
     added = await harness.add_server()
     for entry, task in zip(harness.entries, harness._tasks, strict=True):
-        await until(lambda entry=entry: added.id in known(entry), IN_FORCE_S)
+        await becomes_known(entry, added.id)
         assert known(entry) == {server.id for server in harness.servers}
         assert not task.done()
         assert (await fetch(entry._settings.callers, "/safe/x")).status == 200
 
 
+def version(entry: Entry) -> int:
+    return entry.state.config.version if entry.state.config is not None else -1
+
+
 def odd_lines(lines: list[tuple[str, dict[str, Any]]]) -> list[Any]:
     return [fields["object"] for event, fields in lines if event == "store.odd_object"]
 
@@ -178,7 +187,7 @@
             for number, item in enumerate(ODD.values()):
                 harness.store.put_raw(kind, f"odd-{number}", item)
             harness.store.put("config", "main", config(5))
-            await until(lambda: entry.state.config.version == 5, IN_FORCE_S)
+            await until(lambda: version(entry) == 5, IN_FORCE_S)
             await assert_all_others_hold(harness)
 
     asyncio.run(scenario())
@@ -204,9 +213,9 @@
             )
             await asyncio.sleep(0.2)
             entry = harness.entries[0]
-            assert entry.state.config.version == 1
+            assert version(entry) == 1
             harness.store.put("config", "main", config(6))
-            await until(lambda: entry.state.config.version == 6, IN_FORCE_S)
+            await until(lambda: version(entry) == 6, IN_FORCE_S)
             assert (await fetch(entry._settings.callers, "/safe/x")).status == 200
 
     asyncio.run(scenario())
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -93,6 +93,8 @@
         item = self._objects.get(kind, {}).pop(name, None)
         if item is not None:
             self._revision += 1
+            if not isinstance(item, dict):
+                item = {"metadata": {"name": name}, "spec": None}
             meta = dict(item["metadata"], rev=self._revision)
             self._append_event(
                 _Event(self._revision, kind, dict(item, metadata=meta), True)
