--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -9,8 +9,9 @@
 import attrs
 
 from cornelpin.gateway import logs
-from cornelpin.gateway.attempts import Attempts, Progress, choose_service
+from cornelpin.gateway.attempts import Attempts, choose_service
 from cornelpin.gateway.authorization import Authorization, Grant
+from cornelpin.gateway.progress import Progress
 from cornelpin.gateway.rejected import Rejected
 from cornelpin.platform import RequestInfo, read_request, refusal_headers
 from cornelpin.scheduling.client_retries import fingerprint
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -20,8 +20,7 @@
 from cornelpin.gateway.watcher_selection import (
     ROLLOUT_TIMING,
     WatcherSelection,
-    config_timing,
-    evacuation_timing,
+    timing_within,
 )
 from cornelpin.platform import (
     CONFIG_KIND,
@@ -89,7 +88,7 @@
         self._peers = peers
         self._dispatch = dispatch
         bounds = state.settings.bounds
-        self._timing = config_timing(bounds.config_s)
+        self._timing = timing_within(bounds.config_s)
         self._timings = {ROLLOUT_KIND: ROLLOUT_TIMING}
         self._evacuations_era = 0
         # The configuration in force as it was stored.
@@ -117,7 +116,7 @@
             ),
         }
         if bounds.evacuation_s is not None:
-            self._timings[EVACUATION_KIND] = evacuation_timing(bounds.evacuation_s)
+            self._timings[EVACUATION_KIND] = timing_within(bounds.evacuation_s)
             self._caches[EVACUATION_KIND] = self._make_cache(
                 EVACUATION_KIND,
                 on_list=self._on_evacuation_list,
--- a/cornelpin/gateway/watcher_selection.py
+++ b/cornelpin/gateway/watcher_selection.py
@@ -68,29 +68,20 @@
         return self.lead_wait_s + WATCH_SLACK_S + REPORT_S
 
 
-def config_timing(config_s: float) -> WatchTiming:
+def timing_within(bound_s: float) -> WatchTiming:
     """Returns the timing for kinds whose changes must soon be in force.
 
     Connections may go silent without an error. The lead notices it within its wait and
     the slack of a watch, and the others copy from it, in less than half of the time.
 
     Args:
-        config_s: Time within which a change must be in force, seconds.
+        bound_s: Time within which a change must be in force, seconds.
     """
-    lead_wait_s = min(MAX_LEAD_WAIT_S, max(MIN_WAIT_S, LEAD_SHARE * config_s))
+    lead_wait_s = min(MAX_LEAD_WAIT_S, max(MIN_WAIT_S, LEAD_SHARE * bound_s))
     return WatchTiming(lead_wait_s=lead_wait_s, wait_s=RESERVE_WAIT_S)
 
 
-def evacuation_timing(evacuation_s: float) -> WatchTiming:
-    """Returns the timing for orders to evacuate data centres.
-
-    Args:
-        evacuation_s: Time within which such an order must be in force, seconds.
-    """
-    return config_timing(evacuation_s)
-
-
-DEFAULT_TIMING = config_timing(Bounds().config_s)
+DEFAULT_TIMING = timing_within(Bounds().config_s)
 ROLLOUT_TIMING = WatchTiming(lead_wait_s=10.0, wait_s=10.0, max_backoff_s=4.0)
 """For roll-out orders: the platform charges for each call, roll-outs take longer than
 this, and an order received by one entry reaches the others at once."""
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -35,11 +35,13 @@
 from cornelpin.platform._store import (
     WATCH_SLACK_S,
     CallReport,
+    Store,
+    StoreUnavailable,
+)
+from cornelpin.platform._store_objects import (
     Listing,
     OddObject,
-    Store,
     StoreObject,
-    StoreUnavailable,
     WatchResult,
 )
 
--- a/cornelpin/platform/_rollout.py
+++ b/cornelpin/platform/_rollout.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from cornelpin.platform._decoding import BadValue, value
-from cornelpin.platform._store import StoreObject
+from cornelpin.platform._store_objects import StoreObject
 from cornelpin.scheduling.rollouts import Order, OrderState
 
 ROLLOUT_KIND = "rollouts"
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -8,13 +8,11 @@
 
 import asyncio
 import json
-import reprlib
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 import attrs
 import h11
-import msgpack
 
 from cornelpin.core.revision import EraTracker, FormerEra, Revision
 from cornelpin.http1.client import (
@@ -23,10 +21,21 @@
     HttpConnection,
 )
 from cornelpin.platform import _tolerant_json
-from cornelpin.platform._tolerant_json import Unreadable
+from cornelpin.platform._store_objects import (
+    Listing,
+    OddObject,
+    StoreObject,
+    WatchResult,
+    decode_event,
+    decode_object,
+    last_name,
+    list_field,
+    removal,
+    revision_number,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
 BASE = "/-/objects/"
 CALL_TIMEOUT_S = 1.0
@@ -47,15 +56,6 @@
 which the store responded lately."""
 LATENCY_DECAY = 0.9
 """Factor at each response on the longest response time before it."""
-MAX_REVISION = 2**63 - 1
-MAX_NAME_CHARS = 256
-"""Longest name of an object that is used."""
-MAX_OBJECT_BYTES = 4_194_304
-"""Size limit of the configuration: several times the platform's limit on a value."""
-MAX_SMALL_OBJECT_BYTES = 16_384
-"""Size limit of any other object; they have some hundred bytes."""
-LARGE_OBJECT = "main"
-"""Name of the configuration."""
 MAX_IDLE_CONNECTIONS = 4
 """Connections kept for later calls: one for each watched kind."""
 MS = 1e-3
@@ -82,53 +82,6 @@
         self.closed = closed
 
 
-@attrs.frozen
-class StoreObject:
-    """One object of the store, or its deletion in a watch.
-
-    Attributes:
-        name: Name of the object.
-        revision: Revision of its last change, for conditional writes.
-        spec: Content set by its author.
-        status: Content set by this system.
-        removed: Whether the object was deleted.
-    """
-
-    name: str
-    revision: Revision
-    spec: Any
-    status: Any = None
-    removed: bool = False
-
-
-@attrs.frozen
-class OddObject:
-    """An object of another writer that can't be used or passed on.
-
-    Attributes:
-        name: Its name, as far as it can be told; may be empty or odd itself.
-        reason: Why it can't be used.
-    """
-
-    name: str
-    reason: str
-
-
-@attrs.frozen
-class Listing:
-    """All objects of a kind at a store revision.
-
-    Attributes:
-        objects: The objects that can be used.
-        revision: Revision of the store.
-        odd: The others.
-    """
-
-    objects: tuple[StoreObject, ...]
-    revision: Revision
-    odd: tuple[OddObject, ...] = ()
-
-
 @attrs.frozen
 class CallReport:
     """A call of the store that has ended.
@@ -144,25 +97,6 @@
     reason: str
 
 
-@attrs.frozen
-class WatchResult:
-    """Changes since a revision.
-
-    Attributes:
-        changes: Changed and deleted objects, in order. One that has become odd counts
-            as deleted.
-        revision: Revision up to which they are complete.
-        history_lost: Whether the store no longer holds the changes since the requested
-            revision, or was restored since; the caller must list all objects again.
-        odd: Changed objects that can't be used.
-    """
-
-    changes: tuple[StoreObject, ...]
-    revision: Revision
-    history_lost: bool = False
-    odd: tuple[OddObject, ...] = ()
-
-
 class Store:
     """Client of the object store.
 
@@ -212,10 +146,10 @@
             if era is not None and era != self.era:
                 raise StoreUnavailable(f"restored while {kind} were listed")
             era = self.era
-            items = _list_field(body, "items")
-            decoded += [_decode_object(item, era) for item in items]
-            revision = Revision(era, _number(body.get("current_rev")))
-            next_after = _last_name(items)
+            items = list_field(body, "items")
+            decoded += [decode_object(item, era) for item in items]
+            revision = Revision(era, revision_number(body.get("current_rev")))
+            next_after = last_name(items)
             if not body.get("has_more") or next_after <= after:
                 return Listing(
                     tuple(o for o in decoded if isinstance(o, StoreObject)),
@@ -231,7 +165,7 @@
         if status == NOT_FOUND:
             return None
         _expect(status, body, 200)
-        decoded = _decode_object(body, self.era)
+        decoded = decode_object(body, self.era)
         return decoded if isinstance(decoded, StoreObject) else None
 
     async def watch(self, kind: str, revision: Revision, wait_s: float) -> WatchResult:
@@ -259,13 +193,13 @@
             return WatchResult((), revision, history_lost=True)
         _expect(status, body, 200)
         decoded = [
-            _decode_event(event, self.era) for event in _list_field(body, "events")
+            decode_event(event, self.era) for event in list_field(body, "events")
         ]
         odd = tuple(o for o in decoded if isinstance(o, OddObject))
         changes = [
-            o if isinstance(o, StoreObject) else _removal(o, revision) for o in decoded
+            o if isinstance(o, StoreObject) else removal(o, revision) for o in decoded
         ]
-        current = _number(body.get("current_rev"), revision.number)
+        current = revision_number(body.get("current_rev"), revision.number)
         return WatchResult(tuple(changes), Revision(self.era, current), odd=odd)
 
     def close(self) -> None:
@@ -514,82 +448,3 @@
     """Raises StoreUnavailable for a status that is not valid; ``body`` is unused."""
     if status not in valid:
         raise StoreUnavailable(f"unexpected status {status} from the object store")
-
-
-def _list_field(body: dict[str, Any], name: str) -> list[Any]:
-    found = body.get(name)
-    return found if isinstance(found, list) else []
-
-
-def _number(found: Any, default: int = 0) -> int:
-    """Returns a revision; a default for a value that is none."""
-    valid = type(found) is int and 0 <= found <= MAX_REVISION
-    return found if valid else default
-
-
-def _last_name(items: Iterable[Any]) -> str:
-    """Returns the name after which the next page of a listing begins.
-
-    It is the last name in the page, shortened if it is too long for a request: the text
-    sorts after all names that begin as it does.
-    """
-    last = ""
-    for item in items:
-        meta = item.get("metadata") if isinstance(item, dict) else None
-        name = meta.get("name") if isinstance(meta, dict) else None
-        if isinstance(item, Unreadable):
-            name = item.name
-        if isinstance(name, str) and name:
-            last = name
-    return last if len(last) <= MAX_NAME_CHARS else last[:MAX_NAME_CHARS] + "\U0010ffff"
-
-
-def _decode_event(event: Any, era: int) -> StoreObject | OddObject:
-    if isinstance(event, Unreadable):
-        return OddObject(event.name, event.reason)
-    if not isinstance(event, dict):
-        return OddObject("", "an event that is no object")
-    return _decode_object(event.get("object"), era, removed=bool(event.get("removed")))
-
-
-def _removal(odd: OddObject, after: Revision) -> StoreObject:
-    """Returns the change by which a name no longer stands for an object."""
-    revision = Revision(after.era, after.number + 1)
-    return StoreObject(odd.name, revision, None, removed=True)
-
-
-def _decode_object(
-    item: Any, era: int, *, removed: bool = False
-) -> StoreObject | OddObject:
-    """Decodes an object, or tells why it can't be used."""
-    if isinstance(item, Unreadable):
-        return OddObject(item.name, item.reason)
-    meta = item.get("metadata") if isinstance(item, dict) else None
-    if not isinstance(meta, dict):
-        return OddObject("", f"no metadata in {reprlib.repr(item)}")
-    name = meta.get("name")
-    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_CHARS:
-        return OddObject(str(name)[:MAX_NAME_CHARS], "no valid name")
-    if not name.isprintable():
-        return OddObject(name, "a name that is not printable")
-    if _number(meta.get("rev"), -1) < 0:
-        return OddObject(name, "no valid revision")
-    stored = StoreObject(
-        name=name,
-        revision=Revision(era, _number(meta.get("rev"))),
-        spec=item.get("spec"),
-        status=item.get("status"),
-        removed=removed,
-    )
-    reason = _unportable(stored)
-    return OddObject(name, reason) if reason else stored
-
-
-def _unportable(stored: StoreObject) -> str:
-    """Returns why an object can't be passed on to other entries; empty if it can."""
-    try:
-        size = len(msgpack.packb([stored.spec, stored.status]))
-    except (ValueError, OverflowError, TypeError, RecursionError) as exc:
-        return f"{type(exc).__name__}: {str(exc)[:80]}"
-    limit = MAX_OBJECT_BYTES if stored.name == LARGE_OBJECT else MAX_SMALL_OBJECT_BYTES
-    return f"{size} bytes" if size > limit else ""
--- a/cornelpin/tests/test_evacuations.py
+++ b/cornelpin/tests/test_evacuations.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cornelpin.gateway.scheduler import Placement, Refused
-from cornelpin.gateway.watcher_selection import evacuation_timing
+from cornelpin.gateway.watcher_selection import timing_within
 from cornelpin.scheduling.decisions import EVACUATED, OUTSIDE_REGIONS
 from cornelpin.scheduling.restrictions import (
     RESTORED_KEEP_S,
@@ -84,7 +84,7 @@
 def test_silent_watch_leaves_half_of_the_time_for_the_order(
     evacuation_s: float,
 ) -> None:
-    timing = evacuation_timing(evacuation_s)
+    timing = timing_within(evacuation_s)
     assert 0.2 <= timing.lead_wait_s <= max(0.2, evacuation_s / 2)
     assert timing.follow_s > timing.lead_wait_s
 
--- a/properties/test_store_eras.py
+++ b/properties/test_store_eras.py
@@ -16,8 +16,7 @@
 
 from cornelpin.core.revision import Revision
 from cornelpin.gateway.watch_cache import WatchCache
-from cornelpin.platform import StoreObject, StoreUnavailable
-from cornelpin.platform._store import Listing, WatchResult
+from cornelpin.platform import Listing, StoreObject, StoreUnavailable, WatchResult
 from properties.profiles import run_settings
 
 ENTRIES = 3
