--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -29,10 +29,10 @@
     ROLLOUT_KIND,
     SERVER_KIND,
     BadValue,
+    ConfigDecoder,
     Store,
     StoreObject,
     config_version,
-    decode_config,
     decode_server,
 )
 
@@ -91,6 +91,7 @@
         self._timing = timing_within(bounds.config_s)
         self._timings = {ROLLOUT_KIND: ROLLOUT_TIMING}
         self._evacuations_era = 0
+        self._config_decoder = ConfigDecoder()
         # The configuration in force as it was stored.
         self._config_spec: Any = None
         # Kinds and names of objects that can't be used; each is logged once.
@@ -341,7 +342,7 @@
         if version is not None and version <= self._version_in_force():
             return
         try:
-            config = decode_config(spec)
+            config = self._config_decoder.decode(spec)
         except BadValue as exc:
             logs.warning("config.malformed", source=source, reason=str(exc))
             return
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -10,8 +10,8 @@
 from cornelpin.platform._config import (
     CONFIG_KIND,
     CONFIG_NAME,
+    ConfigDecoder,
     config_version,
-    decode_config,
 )
 from cornelpin.platform._decoding import BadValue, is_ip_address
 from cornelpin.platform._evacuation import EVACUATION_KIND
@@ -56,6 +56,7 @@
     "BadValue",
     "Bounds",
     "CallReport",
+    "ConfigDecoder",
     "StoreObject",
     "HostSettings",
     "Listing",
@@ -68,7 +69,6 @@
     "response_headers",
     "backend_headers",
     "config_version",
-    "decode_config",
     "decode_rollout",
     "decode_server",
     "is_ip_address",
--- a/cornelpin/platform/_config.py
+++ b/cornelpin/platform/_config.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+import msgpack
+
 from cornelpin.platform._decoding import BadValue, value
 from cornelpin.scheduling.routing import (
     ClientLimits,
@@ -25,6 +27,7 @@
 """Unit of a workspace whose rate limit counts tokens."""
 MS = 1e-3
 """Seconds per millisecond."""
+_ROUTE_KINDS = {kind.value: kind for kind in RouteKind}
 
 
 def config_version(spec: Any) -> int | None:
@@ -33,30 +36,57 @@
     return version if type(version) is int else None
 
 
-def decode_config(spec: Mapping[str, Any]) -> RoutingConfig:
-    """Decodes a configuration object of the store.
+class ConfigDecoder:
+    """Decodes one configuration after another.
 
-    Raises:
-        BadValue: If a value is missing or has the wrong type.
+    Most routes are those of the one before, and are not decoded again: at a thousand
+    routes that would delay all requests of the entry at each change.
     """
-    if not isinstance(spec, Mapping):
-        raise BadValue(f"config: expected an object, found {type(spec).__name__}")
-    services = [_service(s) for s in value(spec, "services", list, [])]
-    return RoutingConfig(
-        version=value(spec, "version", int),
-        routes=tuple(_route(r) for r in value(spec, "routes", list, [])),
-        services={service.name: service for service in services},
-        limits=_limits(value(spec, "limits", dict, {})),
-        # The platform calls a workspace a tenant.
-        workspaces=tuple(_workspace(t) for t in value(spec, "tenants", list, [])),
-    )
+
+    def __init__(self) -> None:
+        # Routes of the last configuration by their encoded tables. Equal tables are no
+        # key: in Python, 1 equals True.
+        self._routes: dict[bytes, Route] = {}
+
+    def decode(self, spec: Mapping[str, Any]) -> RoutingConfig:
+        """Decodes a configuration object of the store.
+
+        Raises:
+            BadValue: If a value is missing or has the wrong type.
+        """
+        if not isinstance(spec, Mapping):
+            raise BadValue(f"config: expected an object, found {type(spec).__name__}")
+        services = [_service(s) for s in value(spec, "services", list, [])]
+        routes: dict[bytes, Route] = {}
+        config = RoutingConfig(
+            version=value(spec, "version", int),
+            routes=tuple(
+                self._route(r, routes) for r in value(spec, "routes", list, [])
+            ),
+            services={service.name: service for service in services},
+            limits=_limits(value(spec, "limits", dict, {})),
+            # The platform calls a workspace a tenant.
+            workspaces=tuple(_workspace(t) for t in value(spec, "tenants", list, [])),
+        )
+        self._routes = routes
+        return config
+
+    def _route(self, table: Any, routes: dict[bytes, Route]) -> Route:
+        """Returns a decoded route, and adds it to those of this configuration."""
+        try:
+            key = msgpack.packb(table)
+        except (ValueError, TypeError, OverflowError, RecursionError):
+            return _route(table)
+        route = self._routes.get(key)
+        routes[key] = route = _route(table) if route is None else route
+        return route
 
 
 def _route(table: Mapping[str, Any]) -> Route:
     gap_ms = value(table, "target_gap_ms", float, None)
     kind = value(table, "kind", str)
-    if kind not in {k.value for k in RouteKind}:
-        valid = ", ".join(k.value for k in RouteKind)
+    if kind not in _ROUTE_KINDS:
+        valid = ", ".join(_ROUTE_KINDS)
         raise BadValue(
             f"kind: expected one of {valid}, found {kind!r} "
             f"(route {table.get('name')!r})"
@@ -67,7 +97,7 @@
         host=value(table, "host", str).lower(),
         prefix=value(table, "path_prefix", str),
         backends=_backends(table),
-        kind=RouteKind(kind),
+        kind=_ROUTE_KINDS[kind],
         timeout_s=timeout_ms * MS,
         objective_s=value(table, "target_latency_ms", float, timeout_ms) * MS,
         priority=value(table, "priority", int, 0),
--- a/cornelpin/platform/_decoding.py
+++ b/cornelpin/platform/_decoding.py
@@ -45,9 +45,13 @@
     """
     found: Any = table
     for key in path.split("."):
-        found = found.get(key) if isinstance(found, Mapping) else None
+        # A dict is by far the most frequent, and the check for it the cheapest.
+        is_table = type(found) is dict or isinstance(found, Mapping)
+        found = found.get(key) if is_table else None
     if found is None and default:
         return default[0]
+    if type(found) is kind and kind is not float:
+        return found
     is_bool = isinstance(found, bool)
     if not isinstance(found, _ACCEPTED_TYPES[kind]) or (is_bool and kind is not bool):
         valid = " or ".join(k.__name__ for k in _ACCEPTED_TYPES[kind])
--- a/cornelpin/tests/test_platform.py
+++ b/cornelpin/tests/test_platform.py
@@ -13,10 +13,10 @@
 from cornelpin.core.revision import Revision
 from cornelpin.platform import (
     BadValue,
+    ConfigDecoder,
     Store,
     StoreUnavailable,
     backend_headers,
-    decode_config,
     decode_server,
     load_host_settings,
     read_request,
@@ -101,7 +101,7 @@
 
 
 def test_configuration_is_decoded() -> None:
-    cfg = decode_config(config(7))
+    cfg = ConfigDecoder().decode(config(7))
     assert cfg.version == 7
     route = cfg.route("shop.example", "/stream/resumable/x")
     assert route is not None
@@ -121,6 +121,24 @@
     assert cfg.limits.header_timeout_s == pytest.approx(0.4)
 
 
+def test_routes_of_the_configuration_before_are_not_decoded_again() -> None:
+    decoder = ConfigDecoder()
+    document = config(7)
+    before = decoder.decode(document)
+    document["routes"][1]["timeout_ms"] = 700
+    del document["routes"][0]
+    after = decoder.decode(document)
+    assert after.routes[0].timeout_s == pytest.approx(0.7)
+    assert all(
+        route is kept
+        for route, kept in zip(after.routes[1:], before.routes[2:], strict=True)
+    )
+    # To Python, 1 equals True.
+    document["routes"][1]["priority"] = True
+    with pytest.raises(BadValue, match="priority"):
+        decoder.decode(document)
+
+
 def test_weighted_backends_and_event_tokens_are_decoded() -> None:
     document = config()
     del document["routes"][0]["service"]
@@ -129,7 +147,7 @@
         {"service": "b", "weight": 1},
     ]
     document["services"][0]["engine"] = {"stride": 6}
-    cfg = decode_config(document)
+    cfg = ConfigDecoder().decode(document)
     assert cfg.routes[0].backends == (("a", 9), ("b", 1))
     assert cfg.event_tokens("app") == 6
     assert cfg.event_tokens("unknown") == 1
@@ -151,7 +169,7 @@
     document = copy.deepcopy(config())
     document[key] = found
     with pytest.raises(BadValue):
-        decode_config(document)
+        ConfigDecoder().decode(document)
 
 
 def test_server_is_decoded() -> None:
