Refuse no stream for a length that nothing has shown

Cause: an entry that has seen no stream of a route end takes 200 tokens for its length. While anything waits it refuses such streams as 'its answer would not end in time', with most slots free; only one in 2 s runs.

Change: a stream whose length its client does not state, of a route of which none has ended, is admitted as any other. On the platform clients state it.

--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -202,6 +202,8 @@
         service = self._service(job.service)
         job.queued_since = now
         job.typical_tokens = service.typical_tokens(job.route.name)
+        if not (job.announces_output or service.knows_output(job.route.name)):
+            job.renews_estimates = True
         service.queue.count_request(job, now)
         snapshot = self._snapshot(job.service, service, now)
         closed = self._refuse_if_closed(service, job, snapshot, now)
--- a/cornelpin/scheduling/jobs.py
+++ b/cornelpin/scheduling/jobs.py
@@ -120,6 +120,11 @@
         """Whether this is a client retry of a refused request."""
         return self.first_attempt_at < self.arrived
 
+    @property
+    def announces_output(self) -> bool:
+        """Whether the client has said how long the response is."""
+        return self.hinted_tokens is not None or self.max_output_tokens > 0
+
     @property
     def output_tokens(self) -> float:
         """Expected output tokens, at most ``max_output_tokens``."""
--- a/cornelpin/scheduling/service_state.py
+++ b/cornelpin/scheduling/service_state.py
@@ -68,6 +68,10 @@
         """Returns the mean output tokens of a route, by its name."""
         return self.mean_output.get(route, PRIOR_OUTPUT_TOKENS)
 
+    def knows_output(self, route: str) -> bool:
+        """Returns whether streams of a route have shown how long they are."""
+        return route in self.mean_output
+
     def run_s(self, job: Job) -> float:
         """Returns the expected duration of a run of a job, seconds."""
         if not job.stream:
