Eject a server that is silent when a send to it is given up

Cause: a server counts as silent while a send to it is overdue. Once that send has ended at its deadline, nothing says so any more: the server looks idle, and all its slots are filled again.

Change: the end of such a send ejects the server, for longer each time, as after a broken connection.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from typing import TYPE_CHECKING
@@ -420,6 +421,9 @@
         self.state.rollouts.record_send(placement.server)
         try:
             return await exchange.run(stream=stream)
+        except asyncio.CancelledError:
+            self.scheduler.eject_if_silent(placement.server)
+            raise
         finally:
             self.scheduler.release(job, placement)
 
--- a/cornelpin/gateway/scheduler.py
+++ b/cornelpin/gateway/scheduler.py
@@ -208,6 +208,17 @@
         self._peers.slots_scarce = self.dispatcher.slots_scarce
         self._peers.schedule_update()
 
+    def eject_if_silent(self, server: BackendServer) -> None:
+        """Ejects a server if it is silent when a send to it is given up.
+
+        Nothing else shows afterwards that it was, and it would look idle.
+        """
+        health, now = self.dispatcher.health(server), time.monotonic()
+        if health.silent(now):
+            was_ejected = now < health.ejected_until
+            health.unreachable(now)
+            self._log_ejection(server, "silent", was_ejected, now)
+
     def eject(self, server: BackendServer, reason: str) -> None:
         """Ejects a server after a failed connection or exchange."""
         health = self.dispatcher.health(server)
@@ -215,6 +226,13 @@
         was_ejected = health.is_ejected(now)
         # Records the failure and ejects the server unless it is ejected already.
         health.unreachable(now)
+        self._log_ejection(server, reason, was_ejected, now)
+
+    def _log_ejection(
+        self, server: BackendServer, reason: str, was_ejected: bool, now: float
+    ) -> None:
+        """Logs an ejection that has begun, and treats the server as cold after it."""
+        health = self.dispatcher.health(server)
         if was_ejected:
             return
         logs.event(
