Try out servers that were lost with requests that may run again

Cause: two entries and two servers of six each fall silent, as if their data centre were cut off (test_lost_data_centre.py). Each of the other entries learns of it by its own requests, among them some that may not run again or are second tries, and at servers that it has hardly used none has a time-out but the deadline.

Requests that may not run again get one only once late or if there is no other, second tries only in the latter case; a request that may run again has a time-out there.

--- a/benchmarks/fault_soak/fleet.py
+++ b/benchmarks/fault_soak/fleet.py
@@ -137,6 +137,12 @@
 class Fleet:
     """A store, servers, proxies and entry processes.
 
+    Args:
+        entries: Number of entries.
+        servers: Number of servers.
+        port: First of five ports, the same at all entries' loopback addresses.
+        data_centres: Data centres to which both are assigned by turns.
+
     Attributes:
         version: Version of the configuration in the store.
         limits: Limits that servers have named.
@@ -149,7 +155,14 @@
         never_ready: Log files of entries that did not become ready in time.
     """
 
-    def __init__(self, *, entries: int, servers: int, port: int) -> None:
+    def __init__(
+        self,
+        *,
+        entries: int,
+        servers: int,
+        port: int,
+        data_centres: tuple[str, ...] = DATA_CENTRES,
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="cornelpin-soak-"))
         self.store = FleetStore()
         self.servers = [FleetServer("app", slots=4) for _ in range(servers)]
@@ -170,13 +183,14 @@
         self.never_ready: list[str] = []
         self._count = entries
         self._port = port
+        self._data_centres = data_centres
 
     async def start(self) -> None:
         """Starts everything and waits until all entries are ready."""
         await self.store.server.start("127.0.0.1")
         self.configure()
         for number, server in enumerate(self.servers):
-            server.zone = DATA_CENTRES[number % len(DATA_CENTRES)]
+            server.zone = self._data_centre(number)
             await server.start()
             proxy = self.proxies[server.id] = Proxy(server.server.address)
             await proxy.start()
@@ -205,6 +219,9 @@
             await server.server.stop()
         await self.store.server.stop()
 
+    def _data_centre(self, number: int) -> str:
+        return self._data_centres[number % len(self._data_centres)]
+
     def caller_address(self, entry: EntryProcess) -> tuple[str, int]:
         """Returns the address at which an entry accepts callers."""
         return entry.ip, self._port
@@ -271,7 +288,7 @@
         store_ip, store_port = self.store_proxies[entry.number].address
         document = {
             "node": f"front-{entry.number}",
-            "zone": DATA_CENTRES[entry.number % len(DATA_CENTRES)],
+            "zone": self._data_centre(entry.number),
             "ip": ip,
             "listen": {"front": f"{ip}:{port}", "ready": f"{ip}:{port + 1}"},
             "internal_ports": [port + 2, port + 4],
@@ -279,7 +296,7 @@
             "seeds": [f"127.0.1.10:{port + 3}", f"127.0.1.11:{port + 3}"],
             "provider": {"address": f"{store_ip}:{store_port}"},
             "bounds": {"grace_s": GRACE_S, "evacuate_ms": 1e3 * EVACUATION_S},
-            "zones": dict.fromkeys(DATA_CENTRES, "region"),
+            "zones": dict.fromkeys(self._data_centres, "region"),
         }
         entry.settings.write_text(json.dumps(document | fields))
 
--- a/benchmarks/placements.py
+++ b/benchmarks/placements.py
@@ -45,6 +45,8 @@
 class _NoPeers:
     """View of the peers for an entry without peers."""
 
+    silent_data_centres: frozenset[str] = frozenset()
+
     def in_flight(self, server_id: str) -> tuple[int, int]:
         return 0, 0
 
--- a/benchmarks/replay/systems.py
+++ b/benchmarks/replay/systems.py
@@ -99,6 +99,8 @@
 class _PeerView:
     """What one entry sees of the others, delayed by the gossip between them."""
 
+    silent_data_centres: frozenset[str] = frozenset()
+
     def __init__(
         self, sim: Simulation, histories: list[list[_EntryState]], own: int
     ) -> None:
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -63,7 +63,8 @@
 (``Valuation.late``)."""
 MIN_SAMPLES = 5
 """Responses of a server required before its expected response time is used for
-time-outs; until then its requests have none but their deadline."""
+time-outs; until then its requests have none but their deadline, unless it has failed
+and not responded since."""
 MIN_EVENT_GAP_TIMEOUT_S = 1.0
 """Shortest time-out between two events of a stream."""
 MAX_ID_DIGITS = 18
@@ -478,9 +479,9 @@
         route = self.job.route
         if not route.idempotent or self.progress.runs + 1 >= route.max_attempts:
             return None
-        if placement.cold:
-            return None
-        if self.scheduler.dispatcher.speed(placement.server).samples < MIN_SAMPLES:
+        dispatcher, server = self.scheduler.dispatcher, placement.server
+        measured = dispatcher.speed(server).samples >= MIN_SAMPLES
+        if (placement.cold or not measured) and not dispatcher.unproven(server):
             return None
         min_timeout_s = MIN_TIMEOUT_OBJECTIVES * route.objective_s
         return IdleTimeouts(
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -111,6 +111,8 @@
     Attributes:
         slots_scarce: Whether few slots are free; updates are then sent more often,
             since entries may assign the same slots. Set from the dispatcher.
+        silent_data_centres: Data centres of which no entry is heard any more, until
+            the last one expires.
         malformed: Number of malformed messages received.
     """
 
@@ -168,6 +170,7 @@
         # Whether the next full state is followed by the notices of servers.
         self._notices_due = True
         self._timer: asyncio.TimerHandle | None = None
+        self.silent_data_centres: frozenset[str] = frozenset()
         self.slots_scarce = False
         self.malformed = 0
 
@@ -314,6 +317,14 @@
                 self._remove(host, peer, now)
         self._forget_lost()
         self._summary_exchange.expire(now)
+        self._note_silent_data_centres()
+
+    def _note_silent_data_centres(self) -> None:
+        known = {peer.data_centre for peer in self._peers.values()}
+        silent = frozenset(known.difference(self.live_hosts().values()))
+        if silent != self.silent_data_centres:
+            logs.event("data_centre.silent", data_centres=sorted(silent))
+            self.silent_data_centres = silent
 
     def _remove(self, host: str, peer: Peer, now: float) -> None:
         del self._peers[host]
--- a/cornelpin/scheduling/candidates.py
+++ b/cornelpin/scheduling/candidates.py
@@ -23,7 +23,13 @@
 
 
 class PeerView(Protocol):
-    """State of the other entries as last received."""
+    """State of the other entries as last received.
+
+    Attributes:
+        silent_data_centres: Data centres of which no entry is heard any more.
+    """
+
+    silent_data_centres: frozenset[str]
 
     def in_flight(self, server_id: str) -> tuple[int, int]:
         """Returns their requests in flight and pending prompt tokens at a server."""
@@ -83,6 +89,11 @@
         """Returns the health of a server as observed at this entry."""
         return self._health.setdefault(server.incarnation, ServerHealth())
 
+    def unproven(self, server: BackendServer) -> bool:
+        """Returns whether a server has failed, or its data centre may be lost."""
+        silent = server.data_centre in self._peers.silent_data_centres
+        return silent or self.health(server).unproven
+
     def hold(self, placement: Placement) -> None:
         """Counts a slot as taken until ``release``."""
         self._placements.setdefault(placement.server.id, set()).add(placement)
@@ -135,6 +146,7 @@
             connected=self._connected(server),
             needs_traffic=self._needs_traffic(server),
             paused=self.health(server).is_paused(now),
+            unproven=self.unproven(server),
             limit_per_s=limit_per_s,
             permits=0 if limit_per_s is None else self.permits.permits(server, now),
             cold=cold,
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -152,6 +152,10 @@
         """Returns the health of a server as observed at this entry."""
         return self._candidates.health(server)
 
+    def unproven(self, server: BackendServer) -> bool:
+        """Returns whether a server has failed, or its data centre may be lost."""
+        return self._candidates.unproven(server)
+
     def services(self) -> list[str]:
         """Returns the services for which requests have arrived."""
         return list(self._services)
--- a/cornelpin/scheduling/server_health.py
+++ b/cornelpin/scheduling/server_health.py
@@ -83,6 +83,11 @@
         self.ejected_until = now + self._ejection_s
         self._ejection_s = min(MAX_EJECTION_S, 2 * self._ejection_s)
 
+    @property
+    def unproven(self) -> bool:
+        """Whether no response was complete since the server was last ejected."""
+        return self._ejection_s > BASE_EJECTION_S
+
     def pause(self, now: float, pause_s: float, spread: float) -> bool:
         """Records that the server wants no requests; returns whether none was on.
 
--- a/cornelpin/scheduling/server_selection.py
+++ b/cornelpin/scheduling/server_selection.py
@@ -76,6 +76,8 @@
         connected: Whether an idle connection to it is open.
         needs_traffic: Whether its version is below its traffic share.
         paused: Whether it has asked this host for no requests.
+        unproven: Whether it has failed and not responded since, or its data centre may
+            be lost.
         limit_per_s: Requests per second that it takes from all entries together; None
             if it names no limit.
         permits: Requests that this entry may send to it now if it has a limit.
@@ -93,6 +95,7 @@
     connected: bool = True
     needs_traffic: bool = False
     paused: bool = False
+    unproven: bool = False
     limit_per_s: float | None = None
     permits: int = 0
     cold: bool = False
@@ -226,7 +229,9 @@
     """Returns the servers that may receive a job now, the best first.
 
     Ejected servers and servers already tried are included only if there are no others,
-    so that the last remaining server is still used.
+    so that the last remaining server is still used. A job that may not run again, or
+    has failed once, is not for trying out a server: it gets an unproven one only if
+    there is no other, or in the first case if it is late.
 
     Args:
         job: The job.
@@ -240,10 +245,18 @@
     ]
     untried = [c for c in usable if c.server.id not in job.avoid] or usable
     healthy = [c for c in untried if not c.health.is_ejected(now)] or untried
+    careful = job.run_failed or not job.route.idempotent
+    if job.run_failed or (careful and now <= job.objective):
+        healthy = [c for c in healthy if not c.unproven] or healthy
     free = [c for c in healthy if c.free > 0]
     if contested:
         free = [c for c in free if can_finish(job, [c], now)]
     return sorted(
         free,
-        key=lambda c: (penalty(job, c, now), expected_response_s(job, c), c.server.id),
+        key=lambda c: (
+            careful and c.unproven,
+            penalty(job, c, now),
+            expected_response_s(job, c),
+            c.server.id,
+        ),
     )
--- a/cornelpin/tests/scheduling_harness.py
+++ b/cornelpin/tests/scheduling_harness.py
@@ -58,12 +58,14 @@
         scores: Scores of the requests queued at other entries.
         age_s: Age of the reports of other data centres, seconds.
         count: Number of live entries, including the own one.
+        silent_data_centres: Data centres of which no entry is heard any more.
     """
 
     flights: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     scores: list[float] = attrs.field(factory=list)
     age_s: float = 0.0
     count: int = 1
+    silent_data_centres: frozenset[str] = frozenset()
 
     def in_flight(self, server_id: str) -> tuple[int, int]:
         """Returns their requests in flight and prompt tokens to be prefilled there."""
--- a/cornelpin/tests/test_server_selection.py
+++ b/cornelpin/tests/test_server_selection.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
+from cornelpin.scheduling.routing import Route, RouteKind
 from cornelpin.scheduling.server_health import ServerHealth
 from cornelpin.scheduling.server_selection import (
     Candidate,
@@ -13,6 +15,7 @@
 )
 from cornelpin.scheduling.speed import SpeedEstimate
 from cornelpin.tests.scheduling_harness import (
+    STREAM,
     make_job,
     make_server,
 )
@@ -70,6 +73,49 @@
     assert rank_candidates(job, [bad], NOW) == [bad], "the last one is always tried"
 
 
+UNSAFE = attrs.evolve(STREAM, kind=RouteKind.UNSAFE)
+AGAIN = attrs.evolve(STREAM, resumable=True)
+UNPROVEN = [
+    # Route, time of arrival, whether a run has failed, whether the proven server is
+    # full; the servers that it may get.
+    ("may run again", AGAIN, NOW, False, False, ["a-failed", "z-proven"]),
+    ("may run again, other full", AGAIN, NOW, False, True, ["a-failed"]),
+    ("may not", UNSAFE, NOW, False, False, ["z-proven"]),
+    ("may not, other full", UNSAFE, NOW, False, True, []),
+    ("may not, late, other full", UNSAFE, NOW - 2, False, True, ["a-failed"]),
+    ("second run", AGAIN, NOW, True, False, ["z-proven"]),
+    ("second run, late, other full", AGAIN, NOW - 2, True, True, []),
+]
+
+
+@pytest.mark.parametrize(
+    ("route", "arrived", "run_failed", "full", "expected"),
+    [row[1:] for row in UNPROVEN],
+    ids=[row[0] for row in UNPROVEN],
+)
+def test_only_jobs_that_may_run_again_try_out_a_server(
+    route: Route, arrived: float, run_failed: bool, full: bool, expected: list[str]
+) -> None:
+    """Load: a server, or all of a data centre, that was lost and still looks idle."""
+    proven = make_candidate("z-proven", running=2 if full else 1)
+    failed = make_candidate("a-failed", unproven=True)
+    job = make_job(route=route, arrived=arrived, run_failed=run_failed)
+    ranked = rank_candidates(job, [proven, failed], NOW)
+    assert [c.server.id for c in ranked] == expected
+    assert rank_candidates(job, [failed], NOW) == [failed]
+
+
+def test_server_is_unproven_from_an_ejection_to_a_complete_response() -> None:
+    health = ServerHealth()
+    assert not health.unproven
+    health.unreachable(NOW)
+    assert health.unproven
+    health.failed()
+    assert health.unproven
+    health.succeeded()
+    assert not health.unproven
+
+
 LOCAL_OR_REMOTE = [
     ("a short prompt stays near", 600, 0.0, "near"),
     ("a long prompt goes where it starts in time", 20_000, 0.0, "far"),
