--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -423,7 +423,9 @@
         try:
             return await exchange.run(stream=stream)
         except asyncio.CancelledError:
-            self.scheduler.eject_if_silent(placement.server)
+            # One of two concurrent sends is given up because the other one has won.
+            if sink is self:
+                self.scheduler.eject_if_silent(placement.server)
             raise
         finally:
             self.scheduler.release(job, placement)
