Check a gateway's configuration before it is written

cornelpin config check FILE shows what entries would reject (all faults, with paths), what can never match, limits that contradict each other, a version that is not above the one in force, and the differences; the configuration in force, the servers and the regions are read from the store and an entry's settings.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 bench: $(READY)
 	$(PY) -m benchmarks.decisions
+	$(PY) -m benchmarks.config_check
 
 lint: $(READY)
 	$(PY) -m ruff format --check .
--- a/cornelpin/cli/config.py
+++ b/cornelpin/cli/config.py
@@ -17,6 +17,7 @@
 from cornelpin.cli._help import examples
 from cornelpin.cli._output import echo_json, echo_sections, echo_table, format_timestamp
 from cornelpin.cli._patches import accepted_number, submit
+from cornelpin.cli.config_check import check
 from cornelpin.cli.errors import CommandError
 from cornelpin.core.documents import Unreadable, read_document
 from cornelpin.core.patch import diff as diff_documents, merge_patch
@@ -123,6 +124,9 @@
     echo_json(diff_documents(documents[old], documents[new]))
 
 
+config.add_command(check)
+
+
 def _rebuild_documents(entries: list[dict[str, Any]]) -> dict[int, dict[str, Any]]:
     """Rebuilds the documents by number, up to the first gap in the history."""
     documents: dict[int, dict[str, Any]] = {0: {}}
--- a/cornelpin/platform/__init__.py
+++ b/cornelpin/platform/__init__.py
@@ -11,6 +11,7 @@
     CONFIG_KIND,
     CONFIG_NAME,
     ConfigDecoder,
+    config_faults,
     config_version,
 )
 from cornelpin.platform._decoding import BadValue, is_ip_address
@@ -25,11 +26,13 @@
     response_headers,
     resume_headers,
 )
+from cornelpin.platform._operator import Stored, read_store
 from cornelpin.platform._rollout import ROLLOUT_KIND, decode_rollout, rollout_status
 from cornelpin.platform._settings import (
     SETTINGS_VARIABLE,
     Bounds,
     HostSettings,
+    decode_settings,
     load_host_settings,
 )
 from cornelpin.platform._store import (
@@ -64,17 +67,21 @@
     "RequestInfo",
     "ResponseInfo",
     "Store",
+    "Stored",
     "StoreUnavailable",
     "WatchResult",
     "response_headers",
     "backend_headers",
+    "config_faults",
     "config_version",
     "decode_rollout",
     "decode_server",
+    "decode_settings",
     "is_ip_address",
     "load_host_settings",
     "read_request",
     "read_response",
+    "read_store",
     "refusal_headers",
     "resume_headers",
     "rollout_status",
--- a/cornelpin/platform/_config.py
+++ b/cornelpin/platform/_config.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgpack
 
 from cornelpin.platform._decoding import BadValue, value
+from cornelpin.scheduling.configuration import Finding
 from cornelpin.scheduling.routing import (
     ClientLimits,
     Route,
@@ -36,6 +37,33 @@
     return version if type(version) is int else None
 
 
+def config_faults(spec: Any) -> list[Finding]:
+    """Returns all reasons for which ``ConfigDecoder`` rejects a configuration."""
+    if not isinstance(spec, Mapping):
+        return [Finding("$", f"expected an object, found {type(spec).__name__}")]
+    found: list[Finding] = []
+    _attempt(found, "$", value, spec, "version", int)
+    for key, decode in _TABLES.items():
+        tables = _attempt(found, "$", value, spec, key, list, [])
+        for number, table in enumerate(tables or ()):
+            _attempt(found, f"$.{key}[{number}]", decode, table)
+    limits = _attempt(found, "$", value, spec, "limits", dict, {})
+    if limits is not None:
+        _attempt(found, "$.limits", _limits, limits)
+    return found
+
+
+def _attempt(
+    found: list[Finding], path: str, decode: Callable[..., Any], *args: Any
+) -> Any:
+    """Returns what a part decodes to, or adds the reason why it does not."""
+    try:
+        return decode(*args)
+    except BadValue as exc:
+        found.append(Finding(path, str(exc)))
+        return None
+
+
 class ConfigDecoder:
     """Decodes one configuration after another.
 
@@ -158,3 +186,11 @@
         burst=value(table, "burst", float, 0.0),
         regions=_regions(table),
     )
+
+
+_TABLES: dict[str, Callable[[Any], Any]] = {
+    "routes": _route,
+    "services": _service,
+    "tenants": _workspace,
+}
+"""Decoders of the tables in the lists of a configuration."""
