Hedge resumable streams before their first event; leave out routes and workspaces

Change: two sends of a stream run until one of them begins; that one is passed on and the other is cancelled. A cancelled send counts as a run, so a hedged stream that breaks has no third one. CORNELPIN_HEDGE_ROUTES_OFF and CORNELPIN_HEDGE_WORKSPACES_OFF name what is never hedged. All of it is off unless CORNELPIN_HEDGE_SHARE is set.

What it changes for callers on the deployments: not measured.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -28,7 +28,7 @@
     ResponseSink,
     ServerResponse,
 )
-from cornelpin.gateway.hedged_send import HedgedSink, HedgeResult, hedged_send
+from cornelpin.gateway.hedged_send import Claim, HedgedSink, HedgeResult, hedged_send
 from cornelpin.gateway.rejected import Rejected
 from cornelpin.gateway.scheduler import Placement, Reconsidered, Refused, Scheduler
 from cornelpin.platform import backend_headers, resume_headers
@@ -277,10 +277,9 @@
             The placement of the send whose outcome counts, and the outcome.
         """
         delay_s = self.scheduler.dispatcher.hedge_delay_s(self.job, placement)
-        # Both sends may be runs.
-        if delay_s is not None and (
-            self.progress.runs + 2 <= self.job.route.max_attempts
-        ):
+        # Both sends may be runs, and what has begun goes on in one run.
+        runs_left = self.job.route.max_attempts - self.progress.runs
+        if delay_s is not None and runs_left >= 2 and not self.responder.started:
             return await self._send_hedged(placement, delay_s)
         self.placement = placement
         ran_before = self.progress.may_have_run
@@ -295,9 +294,16 @@
         ran_before = self.progress.may_have_run
         sinks: dict[Placement, HedgedSink] = {}
 
-        async def start(placement: Placement) -> Outcome:
-            sink = sinks[placement] = HedgedSink(
-                placement, self._note_response_head, self._note_response_time
+        async def start(placement: Placement, claim: Claim) -> Outcome:
+            def begin(placement: Placement) -> bool:
+                return claim(placement) and self._begin_stream(sinks[placement])
+
+            sinks[placement] = sink = HedgedSink(
+                placement,
+                self._note_response_head,
+                self._note_response_time,
+                begin,
+                target=self,
             )
             return await self._run(placement, sink)
 
@@ -308,9 +314,12 @@
             self.placement, self.sent_at = placement, sinks[placement].sent_at
             self._record_outcome(placement, outcome)
             self._note_failed(placement, outcome)
-        self.placement = result.placement
-        self.sent_at = sinks[result.placement].sent_at
+        sink = sinks[result.placement]
+        self.placement, self.sent_at = result.placement, sink.sent_at
         self.progress.server = result.placement.server.id
+        self.progress.runs += len(result.cancelled)
+        if isinstance(result.outcome, Answered) and not self.responder.started:
+            self._note_response_time(result.placement, sink.took_s)
         self.progress.may_have_run = (
             ran_before
             or bool(result.cancelled)
@@ -321,6 +330,12 @@
             self._record_hedge(first, result, sinks)
         return result.placement, result.outcome
 
+    def _begin_stream(self, sink: HedgedSink) -> bool:
+        """Follows the send whose stream has begun first; returns True."""
+        self.placement, self.sent_at = sink.placement, sink.sent_at
+        self.progress.server = sink.placement.server.id
+        return True
+
     def _second(self, first: Placement) -> Placement | None:
         """Returns the placement of a second send beside a slow one, if there is any."""
         job, now = self.job, time.monotonic()
--- a/cornelpin/gateway/settings.py
+++ b/cornelpin/gateway/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -27,16 +27,29 @@
     Raises:
         BadValue: If a variable is unknown, not a number or out of range.
     """
-    name = f"{HEDGE_PREFIX}SHARE"
-    unknown = sorted(v for v in environ if v.startswith(HEDGE_PREFIX) and v != name)
-    if unknown:
-        raise BadValue(f"{unknown[0]}: unknown setting; valid names: {name}")
-    if name not in environ:
-        return HedgingPolicy()
+    names = {HEDGE_PREFIX + f.name.upper(): f.name for f in attrs.fields(HedgingPolicy)}
+    fields: dict[str, Any] = {}
+    for variable, text in environ.items():
+        if not variable.startswith(HEDGE_PREFIX):
+            continue
+        if variable not in names:
+            valid = ", ".join(names)
+            raise BadValue(f"{variable}: unknown setting; valid names: {valid}")
+        fields[names[variable]] = text
     try:
-        return HedgingPolicy(share=float(environ[name]))
+        return HedgingPolicy(
+            share=float(fields.get("share", 0.0)),
+            routes_off=_names(fields.get("routes_off", "")),
+            workspaces_off=_names(fields.get("workspaces_off", "")),
+        )
     except ValueError as exc:
-        raise BadValue(f"{name}={environ[name]!r}: {exc}") from exc
+        name, text = f"{HEDGE_PREFIX}SHARE", fields["share"]
+        raise BadValue(f"{name}={text!r}: {exc}") from exc
+
+
+def _names(text: str) -> frozenset[str]:
+    """Returns the names in a list separated by commas."""
+    return frozenset(name.strip() for name in text.split(",") if name.strip())
 
 
 def load_valuation(environ: Mapping[str, str]) -> Valuation:
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -406,7 +406,7 @@
 
     def hedge_delay_s(self, job: Job, placement: Placement) -> float | None:
         """Returns the seconds after which a send is slow; None if it is not hedged."""
-        if placement.cold or not job.route.idempotent or job.stream:
+        if placement.cold or not job.route.idempotent or not self._hedging.allows(job):
             return None
         hedging = self._service(job.service).hedging
         return hedging.delay_s(job.route.name, placement.expected_s)
@@ -490,10 +490,7 @@
                 placement.slowdown * took_s / placement.expected_s
             )
             return
-        if not job.stream:
-            service.hedging.record_response(
-                job.route.name, took_s, placement.expected_s
-            )
+        service.hedging.record_response(job.route.name, took_s, placement.expected_s)
         usual_s = took_s / placement.stated_slowdown
         if job.stream:
             self.speed(placement.server).record_first_event(
--- a/cornelpin/scheduling/hedging.py
+++ b/cornelpin/scheduling/hedging.py
@@ -7,9 +7,13 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from cornelpin.scheduling.jobs import Job
+
 MIN_SAMPLES = 20
 """Responses of a route that are measured before any of its requests is hedged."""
 MAX_SAMPLES = 200
@@ -44,9 +48,18 @@
     Attributes:
         share: Hedges per request of a service, over all entries together. Zero turns
             hedging off.
+        routes_off: Names of the routes of which no request is hedged.
+        workspaces_off: Names of such workspaces.
     """
 
     share: float = attrs.field(default=0.0, validator=_check_share)
+    routes_off: frozenset[str] = frozenset()
+    workspaces_off: frozenset[str] = frozenset()
+
+    def allows(self, job: Job) -> bool:
+        """Returns whether neither a job's route nor its workspace is left out."""
+        left_out = job.workspace and job.workspace in self.workspaces_off
+        return not left_out and job.route.name not in self.routes_off
 
 
 class Hedging:
