--- a/cornelpin/gateway/settings.py
+++ b/cornelpin/gateway/settings.py
@@ -36,9 +36,13 @@
             valid = ", ".join(names)
             raise BadValue(f"{variable}: unknown setting; valid names: {valid}")
         fields[names[variable]] = text
+    streams = fields.get("streams", "0")
+    if streams not in {"0", "1"}:
+        raise BadValue(f"{HEDGE_PREFIX}STREAMS={streams!r}: valid values: 0, 1")
     try:
         return HedgingPolicy(
             share=float(fields.get("share", 0.0)),
+            streams=streams == "1",
             routes_off=_names(fields.get("routes_off", "")),
             workspaces_off=_names(fields.get("workspaces_off", "")),
         )
--- a/cornelpin/scheduling/hedging.py
+++ b/cornelpin/scheduling/hedging.py
@@ -48,16 +48,21 @@
     Attributes:
         share: Hedges per request of a service, over all entries together. Zero turns
             hedging off.
+        streams: Whether resumable streams are hedged, too. A second prompt slows the
+            streams of its server down.
         routes_off: Names of the routes of which no request is hedged.
         workspaces_off: Names of such workspaces.
     """
 
     share: float = attrs.field(default=0.0, validator=_check_share)
+    streams: bool = False
     routes_off: frozenset[str] = frozenset()
     workspaces_off: frozenset[str] = frozenset()
 
     def allows(self, job: Job) -> bool:
-        """Returns whether neither a job's route nor its workspace is left out."""
+        """Returns whether a job is of a kind that is hedged."""
+        if job.stream and not self.streams:
+            return False
         left_out = job.workspace and job.workspace in self.workspaces_off
         return not left_out and job.route.name not in self.routes_off
 
--- a/cornelpin/tests/test_hedging.py
+++ b/cornelpin/tests/test_hedging.py
@@ -124,6 +124,8 @@
     ({}, {}),
     ({"CORNELPIN_HEDGE_SHARE": "0"}, {}),
     ({"CORNELPIN_HEDGE_SHARE": "0.02"}, {"share": 0.02}),
+    ({"CORNELPIN_HEDGE_STREAMS": "1"}, {"streams": True}),
+    ({"CORNELPIN_HEDGE_STREAMS": "0"}, {}),
     (
         {"CORNELPIN_HEDGE_ROUTES_OFF": "a, b,,", "CORNELPIN_HEDGE_WORKSPACES_OFF": ""},
         {"routes_off": frozenset({"a", "b"})},
@@ -143,6 +145,7 @@
         ("CORNELPIN_HEDGE_SHARE", "-0.1", "from 0 to 0.2"),
         ("CORNELPIN_HEDGE_SHARE", "nan", "from 0 to 0.2"),
         ("CORNELPIN_HEDGE_SHARE", "some", "could not convert"),
+        ("CORNELPIN_HEDGE_STREAMS", "yes", "valid values: 0, 1"),
         ("CORNELPIN_HEDGE_DELAY", "1", "valid names: CORNELPIN_HEDGE_SHARE"),
     ],
 )
@@ -234,14 +237,21 @@
 HEDGED = [
     # Route, workspace, settings beside the share, whether it is hedged.
     ("may run again", PLAIN, "", {}, True),
-    ("stream", attrs.evolve(PLAIN, kind=STREAM.kind), "", {}, False),
+    ("stream", attrs.evolve(PLAIN, kind=STREAM.kind), "", {"streams": True}, False),
     (
         "resumable stream",
         attrs.evolve(PLAIN, kind=STREAM.kind, resumable=True),
         "",
-        {},
+        {"streams": True},
         True,
     ),
+    (
+        "resumable stream, streams off",
+        attrs.evolve(PLAIN, kind=STREAM.kind, resumable=True),
+        "",
+        {},
+        False,
+    ),
     ("route off", PLAIN, "", {"routes_off": frozenset({"lookup"})}, False),
     ("other route off", PLAIN, "", {"routes_off": frozenset({"review"})}, True),
     ("workspace off", PLAIN, "a", {"workspaces_off": frozenset({"a"})}, False),
@@ -479,7 +489,7 @@
 
 def enable(harness: Harness, share: float) -> None:
     dispatcher = harness.entries[0].scheduler.dispatcher
-    dispatcher._hedging = HedgingPolicy(share=share)
+    dispatcher._hedging = HedgingPolicy(share=share, streams=True)
 
 
 def test_slow_server_is_hedged_and_its_run_cancelled() -> None:
