Let the configuration check say what entries do

Cause: read beside the entries' code: without workspaces no key is asked for, a single service is used whatever its weight, and if no weight is above 0 the first service gets all.

--- a/cornelpin/scheduling/configuration/_matching.py
+++ b/cornelpin/scheduling/configuration/_matching.py
@@ -69,9 +69,8 @@
                 valid = ", ".join(sorted(config.services)) or "none"
                 reason = f"there is no service {name!r}"
                 yield Finding(f"route {route.name!r}", reason, f"valid names: {valid}")
-        if any(weight <= 0 for _, weight in route.backends):
-            reason = "a service without a positive weight gets no requests"
-            yield Finding(f"route {route.name!r}", reason)
+        if len(route.backends) > 1:
+            yield from _weights(route)
     for name in config.services:
         if name not in used:
             yield Finding(f"service {name!r}", "no route leads to it")
@@ -81,6 +80,17 @@
             yield Finding(f"service {name!r}", "no server of it is registered")
 
 
+def _weights(route: Route) -> Iterator[Finding]:
+    idle = [name for name, weight in route.backends if weight <= 0]
+    if len(idle) == len(route.backends):
+        reason = f"no weight is above 0: {idle[0]!r} gets all requests"
+        yield Finding(f"route {route.name!r}", reason)
+        return
+    for name in idle:
+        reason = f"{name!r} gets no requests: its weight is not above 0"
+        yield Finding(f"route {route.name!r}", reason)
+
+
 def _repeated_names(config: RoutingConfig) -> Iterator[Finding]:
     for kind, named in _by_kind(config):
         for name, count in Counter(item.name for item in named).items():
@@ -106,9 +116,14 @@
                 reason = f"its API key {number} stands for {holder.name!r}"
                 yield Finding(f"workspace {workspace.name!r}", reason)
     if not any(workspace.keys for workspace in config.workspaces):
+        # Entries ask for a key only if there are workspaces.
+        reason = (
+            "it requires an API key, and no workspace has one"
+            if config.workspaces
+            else "it requires an API key, but without workspaces none is asked for"
+        )
         for route in config.routes:
             if not route.anonymous:
-                reason = "it requires an API key, and no workspace has one"
                 yield Finding(f"route {route.name!r}", reason)
 
 
