Close all connections of the stand-ins when they stop

Cause: a connection that was accepted as its stand-in stopped, or whose proxy was still connecting, kept an open writer; Python reports it when it is collected after the loop has ended ('Event loop is closed').

Change: stand-ins register writers when they accept, and abort what comes after their stop.

--- a/benchmarks/fault_soak/proxy.py
+++ b/benchmarks/fault_soak/proxy.py
@@ -41,15 +41,18 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped = False
         self._silent: set[asyncio.StreamWriter] = set()
 
     async def start(self, ip: str = "127.0.0.1") -> None:
         """Listens on a free port."""
-        self._server = await asyncio.start_server(self._serve, ip, 0)
+        self._server = await asyncio.start_server(self._accept, ip, 0)
         self.address = self._server.sockets[0].getsockname()[:2]
 
     async def stop(self) -> None:
         """Closes the listener and resets all connections."""
+        self._stopped = True
         if self._server is not None:
             self._server.close()
         self.reset()
@@ -63,27 +66,36 @@
         """Drops all that the open connections carry from now on; new ones work."""
         self._silent |= self._writers
 
-    async def _serve(
+    def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.fault.refuse_connections:
+        # A task that is cancelled before its first step would leave its writer open.
+        if self.fault.refuse_connections or self._stopped:
             writer.transport.abort()
             return
+        self._writers.add(writer)
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writers = {writer}
         try:
             server_reader, server_writer = await asyncio.open_connection(*self._target)
-        except OSError:
-            writer.transport.abort()
-            return
-        self._writers |= {writer, server_writer}
-        try:
+            writers.add(server_writer)
+            self._writers.add(server_writer)
             await asyncio.gather(
                 self._copy(reader, server_writer, to_server=True),
                 self._copy(server_reader, writer, to_server=False),
             )
+        except OSError:
+            writer.transport.abort()
         finally:
-            self._writers -= {writer, server_writer}
-            self._silent -= {writer, server_writer}
-            for open_writer in (writer, server_writer):
+            self._writers -= writers
+            self._silent -= writers
+            for open_writer in writers:
                 open_writer.close()
 
     async def _copy(
--- a/standins/fleet/raw_http.py
+++ b/standins/fleet/raw_http.py
@@ -41,16 +41,19 @@
         self._handle = handle
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped = False
         self.address = ("", 0)
         self.connections_accepted = 0
 
     async def start(self, ip: str, port: int = 0) -> None:
         """Starts listening, by default on a free port."""
-        self._server = await asyncio.start_server(self._serve, ip, port)
+        self._server = await asyncio.start_server(self._accept, ip, port)
         self.address = self._server.sockets[0].getsockname()[:2]
 
     async def stop(self) -> None:
         """Stops listening and resets all connections."""
+        self._stopped = True
         if self._server is not None:
             self._server.close()
         self.reset_connections()
@@ -61,11 +64,22 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # A task that is cancelled before its first step would leave its writer open.
+        if self._stopped:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections_accepted += 1
-        self._writers.add(writer)
         try:
             while (req := await read_request(reader)) is not None:
                 if not await self._handle_until_disconnect(req, reader, writer):
