--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,27 +1,24 @@
-"""Clients whose requests are as large as the limits of the configuration allow.
+"""Reset idle connections make entries refuse all requests that share a part.
 
-The platform kills a process that exceeds the memory of its machine. Many users come at
-once, each with one request, and the entry holds all their bodies.
+Both entries have been stopped and started in turn while no reviews came. The first
+reviews go to connections that the servers have dropped without notice, and are reset.
+The entries take the part that all reviews share for one that crashes servers.
 """
 
 from __future__ import annotations
 
 import asyncio
-import itertools
+import signal
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from deployment import (
-    HOST,
-    KEY,
-    LIMITS,
     ZONES,
-    Answer,
-    Client,
     Deployment,
     Entry,
     Record,
     Server,
+    ask,
     config,
     main,
     route as make_route,
@@ -30,203 +27,206 @@
 if TYPE_CHECKING:
     from deployment import Received
 
-MEMORY_MB = 150
-"""Memory of a machine with an entry at the site ``certpin-sul``."""
-USERS = 10
-BURST = 2.1
-"""Factor on the users while many come at once: the largest one of the site's days."""
-BODY_BYTES = LIMITS["max_body_bytes"]
-PART_BYTES = 65_536
-PART_GAP_S = 0.04
-"""Time between two parts of a body: about 13 Mbit/s for each client."""
-ISSUERS = 12
-"""Clients that send small requests, one after another, on connections they keep."""
-ISSUE_WORK_S = 0.2
-EVENTS = 64
+CONTACT_S = 3.0
+SHARED = "5c1e07a2"
+"""Part that all reviews share, and no other requests."""
+POISON = "bad0bad0"
+"""Part that crashes servers."""
+SERVERS = 5
+EVENTS = 9
 EVENT_GAP_S = 0.05
-FIRST_EVENT_S = 0.2
-DEADLINE_MS = 15_000
-ISSUE_DEADLINE_MS = 4_000
-RECONNECT_S = 0.1
-CHECK_S = 0.02
-MOST_LOST = 3
-
-
-async def work(server: Server, req: Received, writer: asyncio.StreamWriter) -> None:
-    """Writes the answer of a server."""
-    if req.path.startswith("/dossie/"):
-        await asyncio.sleep(FIRST_EVENT_S)
-        await server.stream(writer, req, EVENTS, EVENT_GAP_S)
-    else:
-        await asyncio.sleep(ISSUE_WORK_S)
-        server.answer(writer, req, 200, b"x" * 800)
-
-
-class Platform:
-    """Kills and restarts entries that exceed their memory, as the platform does.
+FIRST_EVENT_S = 0.08
+BACK_S = 2.5
+IDLE_S = 1.0
+"""Idleness after which the servers drop a connection; they announce 15 s."""
+TAGS = 20
+REVIEWS = 5
+BEFORE = 30
+AFTER = 40
+GAP_S = 0.25
+REVIEW_MS = 15_000
+TAG_MS = 3_000
+
+
+class Runners:
+    """Work of the servers.
 
     Args:
-        deployment: The deployment.
         record: The record.
+        drop: Whether they drop idle connections.
 
     Attributes:
-        peak_mb: Highest memory of an entry.
-        kills: Number of kills.
+        crashes: Times of the crashes.
+        began: Ids of the requests whose answers began.
     """
 
-    def __init__(self, deployment: Deployment, record: Record) -> None:
-        self._deployment = deployment
+    def __init__(self, record: Record, *, drop: bool) -> None:
         self._record = record
-        self.peak_mb = 0.0
-        self.kills = 0
-
-    async def watch(self, entry: Entry) -> None:
-        """Watches the memory of an entry."""
-        while True:
-            await asyncio.sleep(CHECK_S)
-            used_mb = entry.memory_mb()
-            self.peak_mb = max(self.peak_mb, used_mb)
-            if used_mb > MEMORY_MB:
-                self._record.line(f"{entry.name} has {used_mb:.0f} MB and is killed")
-                self.kills += 1
-                entry.kill()
-                await self._deployment.restart(entry)
-                await self._deployment.until_ready(entry)
+        self._drop = drop
+        self._used: dict[asyncio.StreamWriter, float] = {}
+        self.crashes: list[float] = []
+        self.began: set[str] = set()
+
+    async def work(
+        self, server: Server, req: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        """Writes a stream, or crashes at its first event."""
+        await asyncio.sleep(FIRST_EVENT_S)
+        if POISON in req.headers.get("prompt-prefix", ""):
+            if not server.down:
+                self.crashes.append(self._record.at())
+                self._record.line(f"{server.id} crashes on {req.id}")
+                server.crash(BACK_S)
+            return
+        self.began.add(req.id)
+        await server.stream(writer, req, EVENTS, EVENT_GAP_S)
+        self._used[writer] = self._record.at()
+
+    def dropped(self, writer: asyncio.StreamWriter) -> bool:
+        """Returns whether a server has dropped a connection because it was idle."""
+        used = self._used.get(writer)
+        return self._drop and used is not None and self._record.at() - used > IDLE_S
 
 
 class Traffic:
-    """Clients of one entry.
+    """Requests of the clients.
 
     Args:
         record: The record.
-        entry: The entry.
-
-    Attributes:
-        answers: Answers to requests on kept connections, by request id.
     """
 
-    def __init__(self, record: Record, entry: Entry) -> None:
+    def __init__(self, record: Record) -> None:
         self._record = record
-        self._entry = entry
-        self.answers: dict[str, Answer] = {}
-
-    async def issue(self, number: int) -> None:
-        """Sends small requests one after another, on one connection while it lasts."""
-        client = Client(self._entry.address)
-        for turn in itertools.count():
-            request_id = f"e{number:03x}{turn:012x}"
-            try:
-                await client.send(
-                    request_id, "/emite/2f", body=b"n", deadline_ms=ISSUE_DEADLINE_MS
-                )
-            except (OSError, TimeoutError):
-                await asyncio.sleep(RECONNECT_S)
-                continue
-            answer = await client.read(ISSUE_DEADLINE_MS / 1000 + 1.0)
-            if turn:
-                self._note(request_id, answer)
-
-    async def dossier(self, number: int) -> None:
-        """Sends one large request on a connection that has carried a small one."""
-        client = Client(self._entry.address)
-        await client.send(
-            f"f{number:015x}", "/emite/2f", body=b"n", deadline_ms=ISSUE_DEADLINE_MS
-        )
-        await client.read(ISSUE_DEADLINE_MS / 1000 + 1.0)
-        request_id = f"d{number:015x}"
-        lines = [
-            "POST /dossie/2f HTTP/1.1",
-            f"Host: {HOST}",
-            f"Request-Id: {request_id}",
-            f"Deadline-Ms: {DEADLINE_MS}",
-            f"Authorization: Token {KEY}",
-            "Model: m",
-            "Token-Usage: 6670,384",
-            f"Prompt-Prefix: 5c1e07a2:60,{request_id}:6610",
-            f"Content-Length: {BODY_BYTES}",
-        ]
-        try:
-            await client.open()
-            assert client.writer is not None
-            client.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-            part = request_id.encode() * (PART_BYTES // len(request_id))
-            for _ in range(BODY_BYTES // PART_BYTES):
-                client.writer.write(part)
-                await client.writer.drain()
-                await asyncio.sleep(PART_GAP_S)
-        except (OSError, TimeoutError):
-            self._note(request_id, Answer())
-            return
-        self._note(request_id, await client.read(DEADLINE_MS / 1000))
-        client.close()
 
-    def _note(self, request_id: str, answer: Answer) -> None:
-        self.answers[request_id] = answer
-        if answer.status != 200 or not answer.complete:
-            state = "complete" if answer.complete else "NOT complete"
-            self._record.line(f"{request_id} got {answer.status}, {state}")
+    async def send(
+        self, entry: Entry, request_id: str, path: str, parts: str, deadline_ms: int
+    ) -> None:
+        """Sends a request, reads the answer and records it."""
+        answer = await ask(
+            entry.address,
+            request_id,
+            path,
+            body=request_id.encode(),
+            deadline_ms=deadline_ms,
+            headers={
+                "Model": "m",
+                "Token-Usage": "700,60",
+                "Prompt-Prefix": f"{parts},{request_id}:400",
+            },
+        )
+        state = "complete" if answer.complete else "NOT complete"
+        why = answer.body[:60].decode() if answer.status not in {0, 200} else ""
+        self._record.line(f"{request_id} got {answer.status}, {state} {why}")
+
+    async def review(self, entry: Entry, request_id: str, part: str) -> None:
+        """Sends a review."""
+        parts = f"{SHARED}:60,{part}:240"
+        await self.send(entry, request_id, "/review/2f", parts, REVIEW_MS)
+
+    async def tag(self, entry: Entry, request_id: str) -> None:
+        """Sends a request of another kind."""
+        await self.send(entry, request_id, "/tag/2f", "91bd3f06:300", TAG_MS)
+
+
+async def roll(deployment: Deployment) -> None:
+    """Stops and starts the entries in turn."""
+    for entry in deployment.entries:
+        deployment.record.line(f"SIGTERM to {entry.name}")
+        entry.send(signal.SIGTERM)
+        while entry.running:
+            await asyncio.sleep(0.05)
+        await deployment.restart(entry)
+        await deployment.until_ready(entry)
+        deployment.record.line(f"{entry.name} is ready again")
+
+
+async def send_reviews(
+    deployment: Deployment, traffic: Traffic, prefix: str, count: int
+) -> list[str]:
+    """Sends sound reviews one after another to both entries; returns their ids."""
+    ids = [f"{prefix}{number:012x}" for number in range(count)]
+    for number, request_id in enumerate(ids):
+        entry = deployment.entries[number % len(deployment.entries)]
+        part = f"c0de{number:04x}"
+        deployment.spawn(traffic.review(entry, request_id, part))
+        await asyncio.sleep(GAP_S)
+    return ids
+
+
+async def send_poison(deployment: Deployment, traffic: Traffic) -> None:
+    """Sends reviews with the part that crashes servers, no two alike."""
+    number = 0
+    while True:
+        entry = deployment.entries[(number + 1) % len(deployment.entries)]
+        deployment.spawn(traffic.review(entry, f"bad0{number:012x}", POISON))
+        number += 1
+        await asyncio.sleep(1.0)
 
 
 async def case(record: Record, trouble: bool) -> bool:
-    """Returns whether at most three passed-on requests were left without an answer."""
-    async with Deployment(record, entries=2, memory_mb=MEMORY_MB) as deployment:
+    """Returns whether sound reviews begin at least half as often as before."""
+    async with Deployment(record, entries=2) as deployment:
+        runners = Runners(record, drop=trouble)
         servers = [
             Server(
                 deployment,
-                service,
-                ZONES[number % len(ZONES)],
-                slots=slots,
-                queue=6 * slots,
-                work=work,
-            )
-            for service, count, slots in (
-                ("cornelpin-pool", 5, 8),
-                ("portal-emissao", 3, 6),
+                "forno-llm",
+                ZONES[0],
+                slots=9,
+                queue=54,
+                work=runners.work,
+                dropped=runners.dropped,
             )
-            for number in range(count)
+            for _ in range(SERVERS)
         ]
+        shape = {"target_gap_ms": 400, "session_affinity": True}
         routes = [
             make_route(
-                "/dossie/",
+                "/review/",
                 "stream",
-                "cornelpin-pool",
-                timeout_ms=DEADLINE_MS,
-                target_latency_ms=800,
-                target_gap_ms=400,
+                "forno-llm",
+                timeout_ms=REVIEW_MS,
+                target_latency_ms=845,
                 priority=0,
+                **shape,
             ),
             make_route(
-                "/emite/",
-                "unsafe",
-                "portal-emissao",
-                timeout_ms=ISSUE_DEADLINE_MS,
-                target_latency_ms=400,
+                "/tag/",
+                "stream",
+                "forno-llm",
+                timeout_ms=TAG_MS,
+                target_latency_ms=522,
+                **shape,
             ),
         ]
-        services = ["cornelpin-pool", "portal-emissao"]
-        await deployment.start(config(routes, services), servers)
-        entry = deployment.entries[0]
-        platform = Platform(deployment, record)
-        deployment.spawn(platform.watch(entry))
-        traffic = Traffic(record, entry)
-        users = round(USERS * BURST) if trouble else USERS
-        record.line(f"{users} users come at once, {entry.memory_mb():.0f} MB in use")
-        for number in range(ISSUERS):
-            deployment.spawn(traffic.issue(number))
-        await asyncio.gather(*(traffic.dossier(number) for number in range(users)))
-        ran = {request_id for server in servers for _, request_id in server.ran}
-        lost = [
-            request_id
-            for request_id, answer in traffic.answers.items()
-            if request_id in ran and not answer.complete
-        ]
-        untouched = [i for i in lost if not traffic.answers[i].status]
-        record.verdict(f"peak {platform.peak_mb:.0f} MB, killed {platform.kills} times")
+        await deployment.start(config(routes, ["forno-llm"]), servers)
+        traffic = Traffic(record)
+        before = await send_reviews(deployment, traffic, "a001", BEFORE)
+        await asyncio.sleep(2.0)
+        await roll(deployment)
+        await asyncio.sleep(CONTACT_S)
+        first, second = deployment.entries
+        tags = [f"7a6{number:013x}" for number in range(TAGS)]
+        await asyncio.gather(*(traffic.tag(first, i) for i in tags))
+        await asyncio.sleep(2 * IDLE_S)
+        record.line("the first reviews come")
+        deployment.spawn(send_poison(deployment, traffic))
+        ids = [f"a002{number:012x}" for number in range(REVIEWS)]
+        await asyncio.gather(
+            *(traffic.review(first, i, f"feed00{i[-2:]}") for i in ids)
+        )
+        await asyncio.sleep(BACK_S)
+        crash = runners.crashes[min(len(runners.crashes), 5) - 1]
+        await asyncio.sleep(max(0.0, crash + 2 * CONTACT_S - record.at()))
+        after = await send_reviews(deployment, traffic, "a003", AFTER)
+        await asyncio.sleep(2.0)
+        began = [sum(i in runners.began for i in ids) for ids in (before, after)]
         record.verdict(
-            f"LOST: {len(lost)} requests from kept connections were passed on to sound "
-            f"servers and got no complete answer, {len(untouched)} of them none at all"
+            f"LOST: {began[0]} of {BEFORE} sound reviews began at the first attempt "
+            f"before, {began[1]} of {AFTER} later than 2 x contact_ms after the last "
+            f"of {len(runners.crashes)} crashes"
         )
-        return len(untouched) <= MOST_LOST
+        return 2 * began[1] * BEFORE >= began[0] * AFTER
 
 
 if __name__ == "__main__":
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -290,6 +290,8 @@
         slots: Requests that it runs at once.
         queue: Requests that wait beyond them; others get 503 with ``Not-Executed``.
         work: Writes the answer to a request that has begun to run.
+        dropped: Returns whether it has dropped an idle connection without notice, so
+            that what is sent next on it is reset.
 
     Attributes:
         id: Its id, new at each start.
@@ -307,6 +309,7 @@
         slots: int,
         queue: int,
         work: Callable[[Server, Received, asyncio.StreamWriter], Awaitable[None]],
+        dropped: Callable[[asyncio.StreamWriter], bool] = lambda writer: False,
     ) -> None:
         self._deployment = deployment
         self.service = service
@@ -314,6 +317,7 @@
         self.slots = slots
         self.queue = queue
         self._work = work
+        self.dropped = dropped
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
         self._listener: asyncio.Server | None = None
@@ -407,6 +411,18 @@
         if req.headers.get("target-instance", self.id) != self.id:
             self.answer(writer, req, 421, b"")
             return True
+        if self.dropped(writer):
+            self._deployment.record.line(f"{self.id} resets {req.id}, unread")
+            writer.transport.abort()
+            return False
+        return await self._handle_until_closed(req, reader, writer)
+
+    async def _handle_until_closed(
+        self,
+        req: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
         if self._free.locked() and self._waiting >= self.queue:
             self.answer(writer, req, 503, b"", {"Not-Executed": "1"})
             return True
