--- a/review/deployment.py
+++ b/review/deployment.py
@@ -281,7 +281,8 @@
 class Server:
     """A server (a runner in the platform's words) with slots and a short queue.
 
-    It runs one request at a time on a connection and drops one whose connection closes.
+    It runs one request at a time on a connection and usually drops one whose connection
+    closes.
 
     Args:
         deployment: The deployment.
@@ -292,6 +293,7 @@
         work: Writes the answer to a request that has begun to run.
         dropped: Returns whether it has dropped an idle connection without notice, so
             that what is sent next on it is reset.
+        goes_on: Whether it goes on with a request whose connection closes.
 
     Attributes:
         id: Its id, new at each start.
@@ -310,6 +312,7 @@
         queue: int,
         work: Callable[[Server, Received, asyncio.StreamWriter], Awaitable[None]],
         dropped: Callable[[asyncio.StreamWriter], bool] = lambda writer: False,
+        goes_on: bool = False,
     ) -> None:
         self._deployment = deployment
         self.service = service
@@ -318,6 +321,7 @@
         self.queue = queue
         self._work = work
         self.dropped = dropped
+        self.goes_on = goes_on
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
         self._listener: asyncio.Server | None = None
@@ -430,8 +434,11 @@
         while not work.done():
             await asyncio.wait({work}, timeout=0.01)
             if reader.at_eof() or writer.transport.is_closing():
-                work.cancel()
-                await asyncio.wait({work})
+                if self.goes_on:
+                    self._deployment.spawn(work_to_end(work))
+                else:
+                    work.cancel()
+                    await asyncio.wait({work})
                 return False
         work.result()
         return True
@@ -502,6 +509,11 @@
         writer.write(b"0\r\n\r\n")
 
 
+async def work_to_end(work: asyncio.Task[None]) -> None:
+    """Waits for the end of a run that nobody reads any more."""
+    await asyncio.wait({work})
+
+
 # Entries.
 
 
