--- a/review/poison.py
+++ b/review/poison.py
@@ -14,11 +14,8 @@
 
 CONTACT_S = 3.0
 """The bound ``contact_ms`` of the site."""
-WORK_S = 0.045
-FIRST_EVENT_S = 0.08
-EVENTS = 9
-EVENT_GAP_S = 0.05
-DEADLINE_MS = 12_000
+CRASH_S = 0.045
+WORK_S = 0.2
 
 
 @attrs.define
@@ -28,7 +25,6 @@
     Attributes:
         record: The record.
         back_s: Time after a crash until the server is back, in seconds.
-        part: Part of a prompt at whose first event they crash; none if empty.
         body: Body on which they crash soon after they begin to run it; none if
             empty.
         crashes: Times of the crashes in the record.
@@ -36,7 +32,6 @@
 
     record: Record
     back_s: float = 2.5
-    part: str = ""
     body: bytes = b""
     crashes: list[float] = attrs.field(factory=list)
 
@@ -44,19 +39,12 @@
         self, server: Server, req: Received, writer: asyncio.StreamWriter
     ) -> None:
         """Writes an answer, or crashes."""
-        if "prompt-prefix" not in req.headers:
-            await asyncio.sleep(WORK_S)
-            if self.body and req.body == self.body:
-                self._crash(server, req)
-                return
-            server.answer(writer, req, 200, b"x" * 800)
-            return
-        await asyncio.sleep(FIRST_EVENT_S)
-        parts = [p.split(":")[0] for p in req.headers["prompt-prefix"].split(",")]
-        if self.part and self.part in parts[:-1]:
+        if self.body and req.body == self.body:
+            await asyncio.sleep(CRASH_S)
             self._crash(server, req)
             return
-        await server.stream(writer, req, EVENTS, EVENT_GAP_S)
+        await asyncio.sleep(WORK_S)
+        server.answer(writer, req, 200, b"x" * 800)
 
     def _crash(self, server: Server, req: Received) -> None:
         if server.down:
@@ -99,12 +87,3 @@
             for request_id, answer in self.answers.items()
             if request_id.startswith(prefix)
         )
-
-
-def prompt(request_id: str, part: str) -> dict[str, str]:
-    """Returns the headers of a prompt of three parts, of which one is given."""
-    return {
-        "Model": "m",
-        "Token-Usage": "688,60",
-        "Prompt-Prefix": f"5c1e07a2:60,{part}:300,{request_id}:328",
-    }
