--- a/review/2/case.py
+++ b/review/2/case.py
@@ -211,6 +211,7 @@
         await asyncio.sleep(2 * IDLE_S)
         record.line("the first reviews come")
         deployment.spawn(send_poison(deployment, traffic))
+        await asyncio.sleep(FIRST_EVENT_S / 2)
         ids = [f"a002{number:012x}" for number in range(REVIEWS)]
         await asyncio.gather(
             *(traffic.review(first, i, f"feed00{i[-2:]}") for i in ids)
