--- a/review/deployment.py
+++ b/review/deployment.py
@@ -120,11 +120,6 @@
     body: bytes = b""
     complete: bool = False
 
-    @property
-    def sealed(self) -> bool:
-        """Whether it has the signature of a server."""
-        return "response-seal" in self.headers
-
 
 class Client:
     """A client with one connection that it keeps open.
