--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -550,6 +550,7 @@
                 route=self.job.route.name,
                 parts=self.job.shared_parts,
                 begun=self.run_begun,
+                idle_ms=None if broken.idle_s is None else round(1e3 * broken.idle_s),
                 reason=broken.reason,
             )
             if not self.run_begun:
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -97,10 +97,13 @@
     Attributes:
         reason: Cause, for the client and the log.
         disconnected: Whether the server ended the connection.
+        idle_s: Seconds for which the connection had been idle before the send; None for
+            a new connection.
     """
 
     reason: str
     disconnected: bool = False
+    idle_s: float | None = None
 
 
 Outcome = NotRun | Answered | Broken
@@ -216,7 +219,9 @@
             if self._lease.reused and not self._response_started:
                 self._pool.record_stale(self._lease)
             return Broken(
-                str(exc) or type(exc).__name__, disconnected=conn.ended_by_peer
+                str(exc) or type(exc).__name__,
+                disconnected=conn.ended_by_peer,
+                idle_s=self._lease.idle_s if self._lease.reused else None,
             )
         finally:
             self._hold(0)
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -333,7 +333,10 @@
         after = self.poison_parts.quarantined
         for part in after.keys() - before.keys():
             logs.warning(
-                "part.quarantined", part=part, together_with=sorted(after[part])
+                "part.quarantined",
+                part=part,
+                together_with=sorted(after[part]),
+                crashes=self.poison_parts.crashes(part),
             )
         for part in before.keys() - after.keys():
             logs.event("part.released", part=part)
--- a/cornelpin/scheduling/poison_parts.py
+++ b/cornelpin/scheduling/poison_parts.py
@@ -130,6 +130,11 @@
                 return part
         return None
 
+    def crashes(self, part: str) -> list[str]:
+        """Returns the incarnations whose crashes a part may have caused."""
+        suspect = self._suspects.get(part)
+        return [] if suspect is None else sorted(suspect.crashes)
+
     def expire(self, now: float) -> None:
         """Drops suspects whose last crash is long ago."""
         expired = [
