Hold only proven crashes of servers against requests

Cause: each end of a connection before an answer was recorded as a crash of its server, and no event could take that back. Contents were held responsible for each incomplete run, time-outs included. Change: the end of a connection raises a suspicion. It is confirmed if the address refuses a new connection, or another incarnation is known; a planned stop is none. A response on an older connection refutes a crash, and a whole answer clears a content, at all entries. Why it works: a server that dropped connections still accepts new ones, and a crashed one refuses them or is another incarnation. Two tests let a server reset one connection and took that for a crash; they use a stand-in that crashes as a whole now, with the same bounds.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -48,8 +48,8 @@
 
 ENTRY_KIND = "cornelpin-entries"
 """Kind of the store objects with which entries register their IP addresses."""
-POISON_FIELDS = ("crashed", "sound", "poison")
-"""Fields of a message about parts of prompts that crash servers."""
+POISON_FIELDS = ("broken", "sound_contents", "crashed", "refuted", "sound", "poison")
+"""Fields of a message about contents and parts of prompts that crash servers."""
 HOUSEKEEPING_S = 0.5
 """Interval at which idle connections are closed, the state of removed servers is
 dropped and the settings file is checked for changes, and at which a failed
@@ -152,7 +152,7 @@
             self.state,
             self.peers,
             self.rollout_controller,
-            dispatch=self.scheduler.dispatch_all,
+            dispatch=self._on_servers,
         )
         self._snapshots = SnapshotServer(
             self._view.snapshot_source.changes, self._view.snapshot_source.whole
@@ -255,6 +255,8 @@
         updates = {
             "refused": self.state.client_retries.take_unsent(time.monotonic()),
             "broken": self.state.poison_detector.take_unsent(),
+            "sound_contents": self.state.poison_detector.take_unsent_sound(),
+            "refuted": self.state.take_unsent_refuted(),
             "crashed": self.state.poison_parts.take_unsent_crashes(),
             "sound": self.state.poison_parts.take_unsent_sound(),
             "leaving": self.state.take_unsent_leaving(),
@@ -279,10 +281,8 @@
             self.state.quotas.merge_peer_usage((sender, incarnation), used, now)
         if "refused" in message:
             self.state.client_retries.merge_from(message["refused"], time.monotonic())
-        if "broken" in message:
-            self.state.poison_detector.merge_from(message["broken"], time.monotonic())
         if not message.keys().isdisjoint(POISON_FIELDS):
-            self.state.merge_poison_parts(message)
+            self.state.merge_poison(message)
         if "leaving" in message:
             self.state.merge_leaving(message["leaving"])
         if "limits" in message:
@@ -295,6 +295,11 @@
         if "in_flight" in message or "keys" in message:
             self.scheduler.dispatch_soon()
 
+    def _on_servers(self) -> None:
+        """Handles a change of the list of servers."""
+        self.state.crashes.review()
+        self.scheduler.dispatch_all()
+
     def _merge_statistics(self, sender: str, message: dict[str, Any]) -> None:
         dispatcher = self.scheduler.dispatcher
         if "shares" in message:
@@ -461,6 +466,7 @@
             self.state.pool.sweep(alive)
             self.scheduler.dispatcher.forget(alive, now)
             self.server_limits.forget(alive, now)
+            self.state.crashes.review()
             self.state.expire_poison_parts()
             self.state.expire_evacuations()
 
@@ -512,6 +518,7 @@
             task.cancel()
         self._snapshots.close()
         self.peers.close()
+        self.state.crashes.close()
         self.state.pool.close()
         self.store.close()
 
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -436,7 +436,10 @@
         self.run_begun = False
         self.state.rollouts.record_send(placement.server)
         try:
-            return await exchange.run(stream=stream)
+            outcome = await exchange.run(stream=stream)
+            if isinstance(outcome, Answered):
+                self.state.crashes.on_response(placement.server, exchange.connected_at)
+            return outcome
         except asyncio.CancelledError:
             # One of two concurrent sends is given up because the other one has won.
             if sink is self:
@@ -526,6 +529,7 @@
             case Answered(response=response):
                 if response.status < 500:
                     health.succeeded()
+                    self.state.record_sound_content(self.job)
                     self.state.record_sound_parts(self.job)
                 elif not paused:
                     health.failed()
@@ -541,7 +545,10 @@
                 health.failed()
 
     def _record_broken(self, placement: Placement, broken: Broken) -> None:
-        """Records an incomplete response of a server, which may have crashed."""
+        """Records an incomplete response of a server, which may have crashed.
+
+        A time-out is no sign of a crash.
+        """
         if broken.disconnected:
             logs.event(
                 "server.disconnected",
@@ -553,9 +560,7 @@
                 idle_ms=None if broken.idle_s is None else round(1e3 * broken.idle_s),
                 reason=broken.reason,
             )
-            if not self.run_begun:
-                self.state.record_crash(self.job, placement.server)
-        self.state.record_broken_run(self.job, placement.server)
+            self.state.suspect_crash(self.job, placement.server, begun=self.run_begun)
         self.scheduler.eject(placement.server, broken.reason)
 
     def _relative_time(self) -> float:
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -196,6 +196,11 @@
         self._progress_bytes = 0
         self._response_started = False
 
+    @property
+    def connected_at(self) -> float:
+        """Monotonic time at which its connection was opened."""
+        return float("inf") if self._lease is None else self._lease.conn.opened_at
+
     async def run(self, *, stream: bool) -> Outcome:
         """Sends the request and reads the response.
 
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -71,12 +71,21 @@
 """Time without a message after which a peer is removed: longer than a restart."""
 MAX_NOTICES_PER_MESSAGE = 200
 """Most notices of servers in one message, of about 30 bytes each."""
-ONE_TIME_UPDATES = ("refused", "broken", "leaving", "crashed", "sound", "limits")
+ONE_TIME_UPDATES = (
+    "refused",
+    "broken",
+    "leaving",
+    "crashed",
+    "refuted",
+    "sound",
+    "sound_contents",
+    "limits",
+)
 """Fields that are sent once and not repeated in full-state messages: refused requests,
 runs with an incomplete response (``exchange.Broken``), servers that said that they
 leave, parts of prompts in hand at crashes or shown to be sound, and changed limits of
 servers."""
-URGENT_UPDATES = ("broken", "leaving", "crashed", "limits")
+URGENT_UPDATES = ("broken", "leaving", "crashed", "refuted", "limits")
 """Those of them that ``flush`` sends to all entries."""
 
 
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -9,10 +9,12 @@
 from typing import TYPE_CHECKING, Any
 
 from cornelpin.gateway import logs
+from cornelpin.gateway.crash_detector import CrashDetector
 from cornelpin.gateway.pool import ConnectionPool
 from cornelpin.gateway.response_memory import MEMORY_SHARE, ResponseMemory
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.client_retries import ClientRetries
+from cornelpin.scheduling.crash_evidence import BrokenRun
 from cornelpin.scheduling.hedging import RETRY_BUDGET_PART
 from cornelpin.scheduling.poison_parts import PoisonParts
 from cornelpin.scheduling.poison_requests import PoisonDetector
@@ -46,6 +48,12 @@
     return round(1e3 * (time.monotonic() - confirmed_at))
 
 
+def _as_text(incarnation: tuple[str, int]) -> str:
+    """Returns the form of an incarnation in messages between entries."""
+    server_id, started_ms = incarnation
+    return f"{server_id}@{started_ms}"
+
+
 class GatewayState:
     """Configuration, servers, quotas, retry budgets and metrics of this process.
 
@@ -102,6 +110,11 @@
         )
         self.poison_detector = PoisonDetector()
         self.poison_parts = PoisonParts()
+        self.crashes = CrashDetector(
+            self.servers,
+            on_crash=self._on_crash,
+            on_refuted=self._on_refuted,
+        )
         self.limits = limits
         self.evacuations = Evacuations()
         self.metrics: Metrics | None = None
@@ -114,6 +127,7 @@
         self.refusing = False
         self.fleet_view = fleet_view
         self._unsent_leaving: list[tuple[str, int]] = []
+        self._unsent_refuted: list[str] = []
         self._on_change = on_change
         self._flush = flush
         self._budgets: dict[str, RetryBudget] = {}
@@ -285,6 +299,7 @@
     def drop_replaced(self, server: BackendServer) -> None:
         """Drops a server after another one responded at its address."""
         self.servers.mark_replaced(server)
+        self.crashes.on_replaced(server)
         logs.event("server.replaced", server=server.id, address=server.address)
 
     def record_refusal(self, job: Job) -> None:
@@ -300,30 +315,63 @@
             return "a part of its prompt has broken several servers"
         return ""
 
-    def record_crash(self, job: Job, server: BackendServer) -> None:
-        """Records a request whose answer had not begun when its server disconnected.
+    def suspect_crash(self, job: Job, server: BackendServer, *, begun: bool) -> None:
+        """Records a run whose connection ended before its response did.
 
-        The peers get it with the broken run (``record_broken_run``).
+        Only if the server proves to have crashed, the request's content, or a part of
+        its prompt if no answer had ``begun``, may be the cause.
         """
-        server_id, started_ms = server.incarnation
+        run = BrokenRun(
+            f"{job.request_id} {_as_text(server.incarnation)}",
+            job.fingerprint,
+            () if begun else job.shared_parts,
+        )
+        self.crashes.suspect(server, run)
+
+    def _on_crash(self, incarnation: tuple[str, int], runs: list[BrokenRun]) -> None:
         now = time.monotonic()
         with self._logged_quarantine():
-            self.poison_parts.record_crash(
-                f"{server_id}@{started_ms}", job.shared_parts, now
-            )
+            for run in runs:
+                self.poison_detector.record_failure(run.fingerprint, run.run_id, now)
+                self.poison_parts.record_crash(_as_text(incarnation), run.parts, now)
+        self._flush()
+
+    def _on_refuted(self, incarnation: tuple[str, int]) -> None:
+        self.retract_crash(_as_text(incarnation))
+        self._unsent_refuted.append(_as_text(incarnation))
+        self._flush()
+
+    def take_unsent_refuted(self) -> list[str]:
+        """Returns and clears the refuted crashes not yet sent to peers."""
+        unsent, self._unsent_refuted = self._unsent_refuted, []
+        return unsent
+
+    def retract_crash(self, incarnation: str) -> None:
+        """Takes back the crash of an incarnation that has responded since."""
+        with self._logged_quarantine():
+            self.poison_parts.retract_crash(incarnation)
+        self.poison_detector.retract_crash(incarnation)
+
+    def record_sound_content(self, job: Job) -> None:
+        """Records a whole answer to a request."""
+        self.poison_detector.record_sound(job.fingerprint)
 
     def record_sound_parts(self, job: Job) -> None:
         """Records that an answer to a request has begun."""
         with self._logged_quarantine():
             self.poison_parts.record_sound(job.shared_parts, time.monotonic())
 
-    def merge_poison_parts(self, message: Mapping[str, Any]) -> None:
-        """Merges what another entry's message says about parts that crash servers."""
+    def merge_poison(self, message: Mapping[str, Any]) -> None:
+        """Merges what another entry's message says about crashes and their causes."""
         now = time.monotonic()
+        self.poison_detector.merge_from(message.get("broken", ()), now)
+        self.poison_detector.merge_sound(message.get("sound_contents", ()))
         with self._logged_quarantine():
             self.poison_parts.merge_crashes(message.get("crashed", ()), now)
             self.poison_parts.merge_sound(message.get("sound", ()), now)
             self.poison_parts.merge_from(message.get("poison", {}), now)
+        for incarnation in message.get("refuted", ()):
+            self.retract_crash(incarnation)
 
     @contextlib.contextmanager
     def _logged_quarantine(self) -> Iterator[None]:
@@ -346,15 +394,6 @@
         with self._logged_quarantine():
             self.poison_parts.expire(time.monotonic())
 
-    def record_broken_run(self, job: Job, server: BackendServer) -> None:
-        """Records a run with an incomplete response (``exchange.Broken``).
-
-        The request's content may have crashed the server.
-        """
-        run_id = f"{job.request_id}@{server.id}"
-        self.poison_detector.record_failure(job.fingerprint, run_id, time.monotonic())
-        self._flush()
-
     def count_store_call(self, report: CallReport) -> None:
         """Counts a call of the store by its kind, operation and outcome."""
         if self.metrics is not None:
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -34,7 +35,15 @@
 
 
 class ConnectionFailed(Exception):
-    """The connection could not be opened; no request was sent."""
+    """The connection could not be opened; no request was sent.
+
+    Attributes:
+        refused: Whether the host responded that nothing listens at the address.
+    """
+
+    def __init__(self, reason: str, *, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class ConnectionBroken(Exception):
@@ -59,6 +68,7 @@
 
     Attributes:
         exchanges: Number of exchanges (request and response) begun on it.
+        opened_at: Monotonic time at which it was opened.
         received_bytes: Number of bytes received.
         retired: Whether it takes no further request after the current one.
         refused: Ids of the requests that were refused on it. A copy of a refusal may
@@ -80,6 +90,7 @@
         self._pending_bytes = 0
         self._request: tuple[bytes, bytes, Headers] | None = None
         self.exchanges = 0
+        self.opened_at = float("inf")
         self.received_bytes = 0
         self.refused: set[str] = set()
 
@@ -97,7 +108,10 @@
             async with asyncio.timeout(timeout_s):
                 _, conn = await loop.create_connection(cls, *address)
         except (OSError, TimeoutError) as exc:
-            raise ConnectionFailed(str(exc) or type(exc).__name__) from exc
+            raise ConnectionFailed(
+                str(exc) or type(exc).__name__,
+                refused=isinstance(exc, ConnectionRefusedError),
+            ) from exc
         return conn
 
     @property
@@ -244,6 +258,7 @@
         """Stores the transport and sets its socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.opened_at = time.monotonic()
         set_socket_options(transport)
 
     def data_received(self, data: bytes) -> None:
--- a/cornelpin/scheduling/poison_parts.py
+++ b/cornelpin/scheduling/poison_parts.py
@@ -34,6 +34,9 @@
 crash on a part that the former one could answer."""
 MAX_SUSPECTS = 500
 MAX_SOUND_PARTS = 20_000
+MAX_REFUTED = 1_000
+"""Refuted crashes that are remembered, the last ones: other entries may still report
+them."""
 MAX_EXPORTED = 50
 """Quarantined parts in a message."""
 _NOTHING = frozenset({""})
@@ -67,6 +70,7 @@
         self.quarantined: dict[str, frozenset[str]] = {}
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
         self._sound: OrderedDict[str, float] = OrderedDict()
+        self._refuted: OrderedDict[str, None] = OrderedDict()
         self._unsent_crashes: list[tuple[str, Sequence[str]]] = []
         self._unsent_sound: set[str] = set()
 
@@ -93,6 +97,18 @@
         while len(self._sound) > MAX_SOUND_PARTS:
             self._sound.popitem(last=False)
 
+    def retract_crash(self, incarnation: str) -> None:
+        """Takes back a crash: the incarnation has responded since."""
+        self._refuted[incarnation] = None
+        while len(self._refuted) > MAX_REFUTED:
+            self._refuted.popitem(last=False)
+        self._unsent_crashes = [c for c in self._unsent_crashes if c[0] != incarnation]
+        for part, suspect in list(self._suspects.items()):
+            suspect.crashes.discard(incarnation)
+            if not suspect.crashes:
+                del self._suspects[part]
+        self._assess()
+
     def merge_crashes(
         self, received: Iterable[tuple[str, Sequence[str]]], now: float
     ) -> None:
@@ -166,7 +182,8 @@
     def merge_from(self, received: Mapping[str, Sequence[Any]], now: float) -> None:
         """Merges the quarantined parts of another entry."""
         for part, (crashes, companions, age_s) in received.items():
-            if self._is_sound(part, now) or age_s >= QUARANTINE_S:
+            crashes = [c for c in crashes if c not in self._refuted]
+            if not crashes or self._is_sound(part, now) or age_s >= QUARANTINE_S:
                 continue
             suspect = self._suspects.setdefault(
                 part, _Suspect(set(), frozenset(companions), now - age_s)
@@ -185,6 +202,8 @@
 
     def _add_crash(self, incarnation: str, parts: Sequence[str], now: float) -> None:
         self.expire(now)
+        if incarnation in self._refuted:
+            return
         candidates = frozenset(p for p in parts if not self._is_sound(p, now))
         for part in candidates:
             suspect = self._suspects.get(part)
--- a/cornelpin/scheduling/poison_requests.py
+++ b/cornelpin/scheduling/poison_requests.py
@@ -15,7 +15,7 @@
     from collections.abc import Iterable
 
 MAX_FAILED_RUNS = 3
-"""Number of runs ended by a disconnect of the server at which their content is
+"""Number of runs ended by a crash of the server at which their content is
 quarantined: as many crashes as the platform tolerates."""
 SUSPICION_TTL_S = 60.0
 """Time after its last failed run at which a content is no longer suspected. A crashed
@@ -33,23 +33,44 @@
 
 
 class PoisonDetector:
-    """Counts, for all entries, runs of a content that ended in a disconnect."""
+    """Counts, for all entries, the runs of a content with which servers crashed."""
 
     def __init__(self) -> None:
         self._records: OrderedDict[bytes, _Record] = OrderedDict()
         self._unsent: list[tuple[bytes, str]] = []
+        self._unsent_sound: list[bytes] = []
 
     def record_failure(self, fingerprint: bytes, run_id: str, now: float) -> None:
-        """Records a run during which the server disconnected.
+        """Records a run during which the server crashed.
 
         Args:
             fingerprint: Digest of the content.
-            run_id: Identifies the run by request and server, so that it counts once.
+            run_id: Identifies the run by request and, after the last space, the
+                server's incarnation, so that it counts once.
             now: Monotonic time in seconds.
         """
         self._unsent.append((fingerprint, run_id))
         self._add_run(fingerprint, run_id, now)
 
+    def record_sound(self, fingerprint: bytes) -> None:
+        """Records a whole answer to a content: it does not crash servers."""
+        if self._records.pop(fingerprint, None) is not None:
+            self._unsent_sound.append(fingerprint)
+
+    def retract_crash(self, incarnation: str) -> None:
+        """Takes back a crash: the incarnation has responded since."""
+        for record in self._records.values():
+            record.runs = {
+                run_id
+                for run_id in record.runs
+                if run_id.rpartition(" ")[2] != incarnation
+            }
+
+    def merge_sound(self, received: Iterable[bytes]) -> None:
+        """Merges the contents that another entry found to be sound."""
+        for fingerprint in received:
+            self._records.pop(fingerprint, None)
+
     def merge_from(self, received: Iterable[tuple[bytes, str]], now: float) -> None:
         """Merges the runs that another entry recorded."""
         for fingerprint, run_id in received:
@@ -60,6 +81,11 @@
         unsent, self._unsent = self._unsent, []
         return unsent
 
+    def take_unsent_sound(self) -> list[bytes]:
+        """Returns and clears the sound contents not yet sent to peers."""
+        unsent, self._unsent_sound = self._unsent_sound, []
+        return unsent
+
     def is_quarantined(self, fingerprint: bytes, now: float) -> bool:
         """Returns whether a content has reached the limit of failed runs."""
         record = self._records.get(fingerprint)
--- a/cornelpin/scheduling/servers.py
+++ b/cornelpin/scheduling/servers.py
@@ -192,6 +192,15 @@
             del self._removed[incarnation[0]]
         return True
 
+    def is_leaving(self, incarnation: tuple[str, int]) -> bool:
+        """Returns whether an incarnation is known to leave."""
+        return incarnation in self._leaving
+
+    def is_superseded(self, incarnation: tuple[str, int]) -> bool:
+        """Returns whether another incarnation is registered under the same id."""
+        listed = self._listed.get(incarnation[0])
+        return listed is not None and listed.incarnation != incarnation
+
     def known_leaving(self) -> list[tuple[str, int]]:
         """Returns the registered incarnations that are known to leave."""
         return [s.incarnation for s in self._listed.values() if s.leaving]
--- a/standins/fleet/raw_http.py
+++ b/standins/fleet/raw_http.py
@@ -59,6 +59,11 @@
         self.reset_connections()
         await asyncio.sleep(0)
 
+    def refuse_connections(self) -> None:
+        """Stops listening; open connections stay."""
+        if self._server is not None:
+            self._server.close()
+
     def reset_connections(self) -> None:
         """Resets all connections."""
         for writer in list(self._writers):
