Answer all requests before a stopping entry ends

What callers saw (reported by other operators, shown here): connections without any answer at the end of a planned stop, of running and of queued requests, unsafe ones among them; streams begun during the stop and cut at its end. Cause: deadlines were those of clients alone; the end of the process was no part of any decision. Change: deadlines end before the process does, with 504, or 503 and Retry-After if the request has not run. A request that arrives during a stop is refused if requests of its route usually take longer than is left.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -63,6 +63,8 @@
 STOP_MARGIN_S = 0.4
 """Time before the end of the platform's grace period at which requests still in
 flight are aborted."""
+ANSWER_MARGIN_S = 0.1
+"""Time before that at which requests in flight get an answer of this entry."""
 REGISTRATION_SPREAD_S = 1.0
 """Time over which the entries check their registrations after a restore of the store,
 so that a hundred of them stay within its rate of calls."""
@@ -498,6 +500,7 @@
         abort_at = began + self._settings.bounds.grace_s - STOP_MARGIN_S
         logs.event("entry.stopping", in_hand=self._in_flight())
         self.state.draining = True
+        self.request_handler.begin_stop(abort_at - ANSWER_MARGIN_S)
         await asyncio.sleep(DRAIN_ACCEPT_S)
         self.state.refusing = True
         self._close_idle_connections()
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -98,6 +98,7 @@
         placement: The slot of the current send.
         sent_at: Monotonic time of that send in seconds.
         run_begun: Whether that send got a part of an answer.
+        timeout: Ends the request at its deadline.
     """
 
     state: GatewayState
@@ -112,6 +113,14 @@
     placement: Placement | None = None
     sent_at: float = 0.0
     run_begun: bool = False
+    timeout: asyncio.Timeout | None = None
+
+    def end_by(self, at: float) -> None:
+        """Moves the request's deadline forward to a monotonic time, if it is later."""
+        self.job.deadline = min(self.job.deadline, at)
+        when = self.timeout.when() if self.timeout is not None else None
+        if self.timeout is not None and when is not None and when > at:
+            self.timeout.reschedule(at)
 
     @property
     def workspace(self) -> Workspace | None:
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -10,7 +10,11 @@
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.attempts import Attempts, choose_service
-from cornelpin.gateway.authorization import Authorization, Grant
+from cornelpin.gateway.authorization import (
+    STOPPING_RETRY_S,
+    Authorization,
+    Grant,
+)
 from cornelpin.gateway.progress import Progress
 from cornelpin.gateway.rejected import Rejected
 from cornelpin.platform import RequestInfo, read_request, refusal_headers
@@ -65,6 +69,7 @@
             path = req.target.split(b"?", 1)[0].decode("latin-1")
             grant = await self._authorization.admit(info, path)
             job = self._make_job(grant, info, req)
+            self._reject_if_too_long(job)
             status = await self._within_deadline(
                 job, grant, path, req, info, responder, progress
             )
@@ -79,6 +84,25 @@
         finally:
             self._log(req, info, job, progress, status, reason)
 
+    def begin_stop(self, stop_at: float) -> None:
+        """Lets all requests end by a monotonic time, with an answer.
+
+        A request that has not run until then is refused, so that its client may go to
+        another entry.
+        """
+        self._state.stop_at = stop_at
+        for attempts in self._attempts.values():
+            attempts.end_by(stop_at)
+
+    def _reject_if_too_long(self, job: Job) -> None:
+        """Rejects a request that would probably outlast this process."""
+        stop_at = self._state.stop_at
+        if stop_at is None or job.deadline <= stop_at:
+            return
+        upper_s = self._state.durations.upper_s(job.route.name)
+        if upper_s is None or time.monotonic() + upper_s > stop_at:
+            raise Rejected(503, "this entry stops", STOPPING_RETRY_S)
+
     def _make_job(self, grant: Grant, info: RequestInfo, req: ClientRequest) -> Job:
         route = grant.route
         remaining_s = route.timeout_s
@@ -135,8 +159,16 @@
             progress=progress,
         )
         try:
-            async with asyncio.timeout_at(job.deadline + DEADLINE_GRACE_S):
-                return await attempts.run()
+            async with asyncio.timeout_at(job.deadline + DEADLINE_GRACE_S) as timeout:
+                attempts.timeout = timeout
+                if self._state.stop_at is not None:
+                    attempts.end_by(self._state.stop_at)
+                status = await attempts.run()
+            if status < 500:
+                self._state.durations.record(
+                    job.route.name, time.monotonic() - req.received
+                )
+            return status
         except TimeoutError:
             failure = progress.failure
             if failure is not None and not responder.started:
@@ -144,6 +176,8 @@
                 return failure.status
             if progress.may_have_run:
                 raise Rejected(504, "no whole answer in time") from None
+            if self._state.stop_at is not None:
+                raise Rejected(503, "this entry stops", STOPPING_RETRY_S) from None
             raise Rejected(503, "no server in time", None) from None
         finally:
             del self._attempts[job]
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -15,6 +15,7 @@
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.client_retries import ClientRetries
 from cornelpin.scheduling.crash_evidence import BrokenRun
+from cornelpin.scheduling.durations import RouteDurations
 from cornelpin.scheduling.hedging import RETRY_BUDGET_PART
 from cornelpin.scheduling.poison_parts import PoisonParts
 from cornelpin.scheduling.poison_requests import PoisonDetector
@@ -78,6 +79,9 @@
             known to be current. Set by StoreView, which is created later.
         draining: Whether the entry is shutting down and fails its readiness probe.
         refusing: Whether it also refuses new requests.
+        stop_at: Monotonic time by which all requests must have ended, since the process
+            is about to stop; None while it is not.
+        durations: Durations of the requests of each route.
     """
 
     def __init__(
@@ -125,6 +129,8 @@
         self.get_servers_confirmed_at: Callable[[], float] = lambda: 0.0
         self.draining = False
         self.refusing = False
+        self.stop_at: float | None = None
+        self.durations = RouteDurations()
         self.fleet_view = fleet_view
         self._unsent_leaving: list[tuple[str, int]] = []
         self._unsent_refuted: list[str] = []
--- a/cornelpin/tests/gateway_harness.py
+++ b/cornelpin/tests/gateway_harness.py
@@ -158,16 +158,24 @@
 
 @contextlib.asynccontextmanager
 async def run_harness(
-    *, entries: int = 1, servers: int = 1, **fields: Any
+    *,
+    entries: int = 1,
+    servers: int = 1,
+    settings: dict[str, Any] | None = None,
+    **fields: Any,
 ) -> AsyncIterator[Harness]:
-    """Runs a harness whose entries have a configuration and a list of servers."""
+    """Runs a harness whose entries have a configuration and a list of servers.
+
+    ``settings`` are further settings of the entries, ``fields`` those of the
+    configuration.
+    """
     harness = Harness()
     await harness.store.server.start("127.0.0.1")
     harness.store.put("config", "main", config(**fields))
     for _ in range(servers):
         await harness.add_server()
     for _ in range(entries):
-        await harness.add_entry()
+        await harness.add_entry(**(settings or {}))
     try:
         yield harness
     finally:
--- /dev/null
+++ b/cornelpin/tests/test_planned_stop.py
@@ -0,0 +1,141 @@
+"""A planned stop: what callers get whose requests run or arrive meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from cornelpin.tests.fleet_client import Response, fetch
+from cornelpin.tests.gateway_harness import Harness, route, run_harness, until
+
+if TYPE_CHECKING:
+    from cornelpin.gateway.app import Entry
+
+GRACE_S = 5.0
+TIMEOUT_MS = 9_000
+ROUTES = [
+    route("/safe/", "safe", timeout_ms=TIMEOUT_MS),
+    route("/unsafe/", "unsafe", timeout_ms=TIMEOUT_MS, max_attempts=1),
+    route("/stream/", "stream", timeout_ms=TIMEOUT_MS, max_attempts=1),
+]
+
+
+async def send(entry: Entry, target: str) -> Response:
+    return await fetch(
+        entry._settings.callers,
+        target,
+        method="POST",
+        headers={"Deadline-Ms": str(TIMEOUT_MS)},
+    )
+
+
+async def stop(harness: Harness) -> None:
+    """Stops the first entry; its connections end with the process."""
+    entry = harness.entries[0]
+    entry._stop.set()
+    await harness._tasks[0]
+    for conn in list(entry._connections):
+        conn.abort()
+
+
+def stopping_harness(servers: int = 1):
+    """Returns a harness whose entries have a short grace period."""
+    return run_harness(
+        servers=servers,
+        routes=ROUTES,
+        settings={"bounds": {"grace_s": GRACE_S}},
+    )
+
+
+@pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x"])
+def test_request_that_outlasts_the_grace_period_gets_an_answer(target: str) -> None:
+    """Guards against connections cut without an answer at the end of a stop."""
+
+    async def scenario() -> None:
+        async with stopping_harness() as harness:
+            harness.servers[0].behaviour.fault = "mute"
+            running = asyncio.create_task(send(harness.entries[0], target))
+            await until(lambda: harness.servers[0].running == 1)
+            await stop(harness)
+            response = await running
+            assert (response.status, response.complete) == (504, True)
+
+    asyncio.run(scenario())
+
+
+def test_queued_request_is_told_that_it_has_not_run() -> None:
+    async def scenario() -> None:
+        async with stopping_harness() as harness:
+            server, entry = harness.servers[0], harness.entries[0]
+            server.behaviour.fault = "mute"
+            busy = [
+                asyncio.create_task(send(entry, f"/unsafe/{number}"))
+                for number in range(2 * server.slots)
+            ]
+            await until(lambda: server.running == server.slots)
+            await stop(harness)
+            responses = await asyncio.gather(*busy)
+            assert all(response.complete for response in responses)
+            statuses = sorted(response.status for response in responses)
+            assert statuses == [503] * server.slots + [504] * server.slots
+            assert sum(server.runs.values()) == server.slots
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("measured", [True, False])
+def test_late_stream_is_taken_only_if_it_can_end_in_time(*, measured: bool) -> None:
+    """Guards against streams that are begun during a stop and cut at its end."""
+
+    async def scenario() -> None:
+        async with stopping_harness() as harness:
+            server, entry = harness.servers[0], harness.entries[0]
+            server.behaviour.events, server.behaviour.gap_s = 30, 0.2
+            if measured:
+                response = await send(entry, "/stream/x")
+                assert (response.status, response.complete) == (200, True)
+            stopping = asyncio.create_task(stop(harness))
+            await asyncio.sleep(0.3)
+            runs = sum(server.runs.values())
+            response = await send(entry, "/stream/y")
+            assert (response.status, response.complete) == (503, True)
+            assert sum(server.runs.values()) == runs
+            await stopping
+
+    asyncio.run(scenario())
+
+
+def test_late_requests_get_whole_answers_until_the_end() -> None:
+    """Guards against late requests that are taken and cut, unsafe ones among them."""
+
+    async def scenario() -> None:
+        async with stopping_harness() as harness:
+            server, entry = harness.servers[0], harness.entries[0]
+            server.behaviour.answer_s = 0.3
+            server.behaviour.gap_s = 0.1
+            kinds = ["safe", "unsafe", "stream"]
+            for kind in kinds:
+                assert (await send(entry, f"/{kind}/x")).status == 200
+            stopping = asyncio.create_task(stop(harness))
+            pending, number = [], 0
+            while not stopping.done():
+                number += 1
+                target = f"/{kinds[number % 3]}/{number}"
+                pending.append(asyncio.create_task(send(entry, target)))
+                await asyncio.sleep(0.05)
+            responses = await asyncio.gather(*pending, return_exceptions=True)
+            served = 0
+            for response in responses:
+                if isinstance(response, Response):
+                    assert response.complete, response
+                    assert response.status in {200, 503}
+                    served += response.status == 200
+                else:
+                    # The listener is closed: nothing was read.
+                    assert isinstance(response, OSError)
+            # The balancer sends requests for two seconds more.
+            assert served >= 30
+
+    asyncio.run(scenario())
