Count a response as in flight until its last byte is sent

What callers saw (review, SIGTERM while clients read slowly): answers that their servers had given whole were cut in the write buffer of the stopping entry. Cause: Entry._in_flight() counted requests that are served, not responses that are still being written. Change: connections with unsent bytes count as well, within the grace period.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -531,7 +531,8 @@
             conn.close_if_idle()
 
     def _in_flight(self) -> int:
-        return sum(1 for conn in self._connections if conn.serving)
+        """Returns the number of requests whose responses are not sent to the end."""
+        return sum(1 for conn in self._connections if conn.serving or conn.unsent)
 
 
 class _CallerConnection(ClientConnection):
--- a/cornelpin/http1/server.py
+++ b/cornelpin/http1/server.py
@@ -176,6 +176,15 @@
         self._last_response_at = time.monotonic()
         self.serving = False
 
+    @property
+    def unsent(self) -> bool:
+        """Whether a part of a response has not been passed to the kernel yet."""
+        return (
+            self._transport is not None
+            and not self._disconnected
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the socket options and starts the connection's task."""
         assert isinstance(transport, asyncio.Transport)
--- a/cornelpin/tests/test_planned_stop.py
+++ b/cornelpin/tests/test_planned_stop.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
 
-from cornelpin.tests.fleet_client import Response, fetch
+from cornelpin.tests.fleet_client import Response, fetch, request
 from cornelpin.tests.gateway_harness import Harness, route, run_harness, until
 
 if TYPE_CHECKING:
@@ -15,6 +16,11 @@
 
 GRACE_S = 5.0
 TIMEOUT_MS = 9_000
+RESPONSE_BYTES = 7_800_000
+RECEIVE_BUFFER_BYTES = 65_536
+READ_BYTES = 60_000
+BYTES_PER_S = 1_000_000
+"""Rate at which the process has passed it to the kernel 0.6 s before its end."""
 ROUTES = [
     route("/safe/", "safe", timeout_ms=TIMEOUT_MS),
     route("/unsafe/", "unsafe", timeout_ms=TIMEOUT_MS, max_attempts=1),
@@ -40,13 +46,9 @@
         conn.abort()
 
 
-def stopping_harness(servers: int = 1):
+def stopping_harness(grace_s: float = GRACE_S):
     """Returns a harness whose entries have a short grace period."""
-    return run_harness(
-        servers=servers,
-        routes=ROUTES,
-        settings={"bounds": {"grace_s": GRACE_S}},
-    )
+    return run_harness(routes=ROUTES, settings={"bounds": {"grace_s": grace_s}})
 
 
 @pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x"])
@@ -139,3 +141,46 @@
             assert served >= 30
 
     asyncio.run(scenario())
+
+
+def whole_response(size: int) -> bytes:
+    """Returns a response with events of 60,000 bytes, for a format with headers."""
+    event = b"id: %06d\ndata: " + b"x" * 59_982 + b"\n\n"
+    data = b"".join(event % number for number in range(size // 60_000))
+    return (
+        b"HTTP/1.1 200 X\r\n%s\r\nContent-Length: %d\r\n\r\n"
+        % (
+            b"%s",
+            len(data),
+        )
+        + data
+    )
+
+
+@pytest.mark.parametrize("target", ["/safe/x", "/stream/x"])
+def test_answer_is_delivered_whole_to_a_slow_reader(target: str) -> None:
+    """Guards against answers cut in the write buffer of a process that ends."""
+
+    async def scenario() -> None:
+        async with stopping_harness(grace_s=6.0) as harness:
+            server, entry = harness.servers[0], harness.entries[0]
+            server.behaviour.raw = whole_response(RESPONSE_BYTES), "keep"
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            sock.connect(entry._settings.callers)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            writer.write(
+                request(target, method="POST", headers={"Deadline-Ms": "8000"})
+            )
+            await until(lambda: bool(server.arrivals))
+            stopping = asyncio.create_task(stop(harness))
+            received = 0
+            while received < RESPONSE_BYTES:
+                part = await reader.read(READ_BYTES)
+                assert part, f"cut after {received} bytes"
+                received += len(part)
+                await asyncio.sleep(len(part) / BYTES_PER_S)
+            await stopping
+            writer.close()
+
+    asyncio.run(scenario())
