Bound the work and the memory that tiny parts and many responses cost

What callers saw (reported by other operators, shown here): requests to sound servers took up to 2.5 s beside twelve responses that never end, in parts of a byte; 200 such responses at once took an entry over its memory. Cause: limits were per response and in bytes. Costs are per part, per turn of the event loop and per connection. Change: other tasks run between parts that come without a pause, small parts and events are paced, thousands of tiny parts end a response; connections read 32 KB at once and buffer 64 KB; a fifth of the memory is for incomplete responses.

--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -9,8 +9,9 @@
 import attrs
 import h11
 
-from cornelpin.gateway.event_stream import BadEvent, EventSplitter
+from cornelpin.gateway.event_stream import BadEvent, EventSplitter, StreamEvent
 from cornelpin.http1.client import ConnectionBroken, ConnectionFailed
+from cornelpin.http1.pacing import EVENT_WEIGHT, Pacer, has_too_small_parts
 from cornelpin.platform import ResponseInfo, read_response, response_headers
 
 if TYPE_CHECKING:
@@ -33,6 +34,8 @@
 MIN_PROGRESS_BYTES = 1_024
 """Bytes that count as progress of a response: a server that stalls may still send a
 byte now and then, and a sound one that is slow sends more."""
+FEED_BYTES = 1_024
+"""Bytes of a stream that are split into events at once."""
 REJECTION_TIMEOUT_S = 0.1
 """Time to read the rest of a rejection: a new connection costs less."""
 
@@ -187,6 +190,8 @@
         self._memory = memory
         self._held = 0
         self._foreign_limit = 0
+        self._pacer = Pacer()
+        self._waits = 0
         self._forwarding = False
         self._lease: Lease | None = None
         self._info: ResponseInfo | None = None
@@ -195,6 +200,7 @@
         self._progress_at = 0.0
         self._progress_bytes = 0
         self._response_started = False
+        self._last_event_at = 0.0
 
     @property
     def connected_at(self) -> float:
@@ -288,6 +294,15 @@
                 return part
             raise ConnectionBroken(f"no progress for {limit_s:.1f} s") from exc
 
+    async def _step(self, size: int, weight: int = 1) -> None:
+        """Bounds the work for parts that come without a pause (``Pacer.step``)."""
+        assert self._lease is not None
+        waits = self._lease.conn.waits
+        if waits != self._waits:
+            self._waits = waits
+            self._pacer.on_wait()
+        await self._pacer.step(size, weight)
+
     def _record_progress(self) -> None:
         assert self._lease is not None
         self._progress_at = time.monotonic()
@@ -306,6 +321,7 @@
             self._check_foreign_bytes()
             part = await self._next_part()
             if isinstance(part, h11.InformationalResponse):
+                await self._step(0)
                 conn.retire()
                 continue
             if not isinstance(part, h11.Response):
@@ -325,6 +341,7 @@
                 return part, info
             await self._skip_body()
             conn.skip_response()
+            await asyncio.sleep(0)
         raise ConnectionBroken(f"{MAX_FOREIGN_RESPONSES} responses before an answer")
 
     async def _skip_body(self) -> None:
@@ -333,7 +350,9 @@
         No idle time-out applies, only the request's deadline.
         """
         assert self._lease is not None
-        while not isinstance(await self._lease.conn.next_event(), h11.EndOfMessage):
+        conn = self._lease.conn
+        while not isinstance(part := await conn.next_event(), h11.EndOfMessage):
+            await self._step(len(getattr(part, "data", b"")))
             self._check_foreign_bytes()
 
     def _check_foreign_bytes(self) -> None:
@@ -367,8 +386,11 @@
                 break
             if not isinstance(part, h11.Data):
                 raise ConnectionBroken("closed within an answer")
+            await self._step(len(part.data))
             parts.append(bytes(part.data))
             size += len(part.data)
+            if has_too_small_parts(len(parts), size):
+                raise ConnectionBroken(f"{len(parts)} parts in {size} bytes")
             if size > MAX_BUFFERED_RESPONSE_BYTES:
                 raise ConnectionBroken(
                     f"an answer over {MAX_BUFFERED_RESPONSE_BYTES} bytes"
@@ -405,31 +427,44 @@
             return Broken("a stream without the server's signature")
         headers = response_headers(list(head.headers))
         splitter = EventSplitter()
-        last_event_at = 0.0
+        parts = 0
         while True:
             part = await self._next_part()
             if isinstance(part, h11.EndOfMessage):
                 break
             if not isinstance(part, h11.Data):
                 raise ConnectionBroken("closed within a stream")
-            for event in splitter.feed(bytes(part.data)):
-                now = time.monotonic()
-                if not self._forwarding:
-                    self._forwarding = True
-                    self._sink.on_response_time(now - self._sent_at)
-                    await self._sink.on_stream_start(head.status_code, headers)
-                else:
-                    self._sink.on_event_gap(now - last_event_at)
-                last_event_at = now
-                await self._sink.on_event(event.data, event.id)
-                # The time that a slow client took is not the server's.
-                self._record_progress()
+            parts += 1
+            data = part.data
+            await self._step(len(data))
+            for start in range(0, len(data), FEED_BYTES):
+                for event in splitter.feed(data[start : start + FEED_BYTES]):
+                    await self._forward_event(event, head, headers)
+                    parts = 0
+            if has_too_small_parts(parts, splitter.size):
+                raise ConnectionBroken(f"{parts} parts within an event")
             self._hold(splitter.size)
         if splitter.partial or not self._forwarding:
             raise ConnectionBroken("the stream ended within an event")
         self._release_connection()
         return Answered(ServerResponse(head.status_code, headers, b"", info.sealed))
 
+    async def _forward_event(
+        self, event: StreamEvent, head: h11.Response, headers: Headers
+    ) -> None:
+        now = time.monotonic()
+        if not self._forwarding:
+            self._forwarding = True
+            self._sink.on_response_time(now - self._sent_at)
+            await self._sink.on_stream_start(head.status_code, headers)
+        else:
+            self._sink.on_event_gap(now - self._last_event_at)
+        self._last_event_at = now
+        await self._sink.on_event(event.data, event.id)
+        await self._step(len(event.data), EVENT_WEIGHT)
+        # The time that a slow client took is not the server's.
+        self._record_progress()
+
     def _release_connection(self) -> None:
         assert self._lease is not None
         conn = self._lease.conn
--- a/cornelpin/gateway/response_memory.py
+++ b/cornelpin/gateway/response_memory.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-MEMORY_SHARE = 0.25
-"""Share of the process's memory for responses that are not complete yet."""
+MEMORY_SHARE = 0.2
+"""Share of the process's memory for responses that are not complete yet; the buffers of
+their connections come to it."""
 SMALL_RESPONSE_BYTES = 65_536
 """Size up to which a response is always accepted."""
 
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -18,7 +18,9 @@
 responds."""
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response's head."""
-MAX_PENDING_BYTES = 262_144
+READ_BYTES = 32_768
+"""Most bytes read at once."""
+MAX_PENDING_BYTES = 65_536
 """Reading pauses when more bytes than this were received since the parser last ran out
 of data."""
 KEEPALIVE_IDLE_S = 1
@@ -63,12 +65,22 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def limit_reads(transport: asyncio.BaseTransport) -> None:
+    """Limits what a transport reads at once, and so the memory of a connection.
+
+    asyncio has no public setting; other event loops may lack the attribute.
+    """
+    if hasattr(transport, "max_size"):
+        transport.max_size = READ_BYTES
+
+
 class HttpConnection(asyncio.Protocol):
     """A persistent connection to a server.
 
     Attributes:
         exchanges: Number of exchanges (request and response) begun on it.
         opened_at: Monotonic time at which it was opened.
+        waits: Number of times that the reader has waited for data.
         received_bytes: Number of bytes received.
         retired: Whether it takes no further request after the current one.
         refused: Ids of the requests that were refused on it. A copy of a refusal may
@@ -91,6 +103,7 @@
         self._request: tuple[bytes, bytes, Headers] | None = None
         self.exchanges = 0
         self.opened_at = float("inf")
+        self.waits = 0
         self.received_bytes = 0
         self.refused: set[str] = set()
 
@@ -197,6 +210,7 @@
         if self._pending_bytes > MAX_PENDING_BYTES and self._transport is not None:
             self._transport.resume_reading()
         self._pending_bytes = 0
+        self.waits += 1
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             await self._waiter
@@ -258,6 +272,7 @@
         """Stores the transport and sets its socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        limit_reads(transport)
         self.opened_at = time.monotonic()
         set_socket_options(transport)
 
--- a/cornelpin/http1/server.py
+++ b/cornelpin/http1/server.py
@@ -9,21 +9,21 @@
 import attrs
 import h11
 
-from cornelpin.http1.client import set_socket_options
+from cornelpin.http1.client import limit_reads, set_socket_options
 
 if TYPE_CHECKING:
     pass
 
 Headers = list[tuple[bytes, bytes]]
 
-MAX_PENDING_BYTES = 262_144
+MAX_PENDING_BYTES = 65_536
 """Reading pauses when more bytes than this were received since the parser last ran out
 of data."""
 CLOSE_LINGER_S = 0.5
 """Time for which a connection stays open after the response to a bad request, seconds.
 The rest of the request is read meanwhile: closing with unread data sends a reset, on
 which the client may discard the response."""
-MAX_WRITE_BUFFER_BYTES = 262_144
+MAX_WRITE_BUFFER_BYTES = 65_536
 """Unsent bytes above which ``Responder.write`` waits."""
 MAX_HEAD_BYTES = 1_048_576
 """Size of a head up to which the parser reads it. The limits of the app are lower and
@@ -189,6 +189,7 @@
         """Sets the socket options and starts the connection's task."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        limit_reads(transport)
         transport.set_write_buffer_limits(MAX_WRITE_BUFFER_BYTES)
         set_socket_options(transport)
         self._task = asyncio.get_running_loop().create_task(self._run())
--- a/cornelpin/tests/test_endless_responses.py
+++ b/cornelpin/tests/test_endless_responses.py
@@ -3,16 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import os
 import time
+from pathlib import Path
 
 import pytest
 
+from benchmarks.fault_soak.fleet import Fleet
 from cornelpin.gateway.response_memory import ResponseMemory
 from cornelpin.platform import Store, StoreUnavailable
 from cornelpin.tests.fleet_client import fetch
-from cornelpin.tests.gateway_harness import route, run_harness
+from cornelpin.tests.gateway_harness import (
+    FIRST_PORT,
+    PORTS_PER_WORKER,
+    route,
+    run_harness,
+    until,
+)
 from standins.fleet.raw_http import RawRequest, RawServer
-from standins.fleet.server import ENDLESS
+from standins.fleet.server import ENDLESS, ENDLESS_EVENTS, FleetServer
 
 MAX_BYTES = 24_000_000
 """Most bytes that a server may write before its connection is closed: the limit of a
@@ -20,7 +30,18 @@
 MAX_WORK_S = 1.2
 """Most processor time for four such responses, server and client included."""
 DEADLINE_MS = 3_000
+MAX_DELAY_S = 0.05
+"""Longest delay of a request to a sound server beside such responses."""
 AT_ONCE = 12
+MANY = 200
+"""Endless responses at once to one process."""
+MEMORY_MB = 128
+"""Memory limit of an entry in MB, the default of the settings."""
+MEMORY_SHARE = 0.8
+"""Part of it that a process may use: a fifth is to spare."""
+_worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw9").removeprefix("gw"))
+# Within the range of test_fault_soak.py, which the same worker runs at another time.
+PORT = FIRST_PORT + PORTS_PER_WORKER * (_worker + 1) - 10
 
 
 @pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x"])
@@ -63,6 +84,126 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("target", ["/unsafe/x", "/stream/x"])
+@pytest.mark.parametrize("fault", [*ENDLESS, *ENDLESS_EVENTS])
+def test_other_requests_are_not_delayed_by_endless_responses(
+    fault: str, target: str
+) -> None:
+    """Guards against refusals and delays beside the work for a faulty server."""
+
+    async def scenario() -> None:
+        # A collection of the heap of all tests takes some 50 ms.
+        gc.collect()
+        gc.freeze()
+        routes = [
+            route("/safe/", "safe", service="sound"),
+            route("/unsafe/", "unsafe", timeout_ms=DEADLINE_MS, max_attempts=1),
+            route("/stream/", "stream", timeout_ms=DEADLINE_MS, max_attempts=1),
+        ]
+        services = [
+            {"name": name, "health_path": "/health", "max_conns": 50}
+            for name in ("app", "sound")
+        ]
+        async with run_harness(routes=routes, services=services) as harness:
+            bad = harness.servers[0]
+            bad.behaviour.fault = fault
+            bad.slots = AT_ONCE
+            harness.store.put("servers", bad.id, bad.store_spec())
+            sound = FleetServer("sound")
+            await sound.start()
+            harness.servers.append(sound)
+            harness.store.put("servers", sound.id, sound.store_spec())
+            entry = harness.entries[0]
+            address = entry._settings.callers
+            await until(lambda: (s := entry.state.servers.get(bad.id)) and s.slots > 4)
+            await until(lambda: entry.state.servers.get(sound.id) is not None)
+            await fetch(address, "/safe/first")
+            # Its import after the start takes some 50 ms.
+            await until(lambda: entry.state.metrics is not None)
+            faulty = [
+                asyncio.create_task(
+                    fetch(
+                        address,
+                        target,
+                        method="POST",
+                        headers={"Deadline-Ms": str(DEADLINE_MS)},
+                    )
+                )
+                for _ in range(AT_ONCE)
+            ]
+            took = []
+            for number in range(36):
+                began = time.monotonic()
+                response = await fetch(address, f"/safe/{number}")
+                took.append(time.monotonic() - began)
+                assert response.status == 200
+                await asyncio.sleep(0.01)
+            assert max(took) < MAX_DELAY_S
+            for response in await asyncio.gather(*faulty):
+                assert response.status in {200, 502, 503, 504}
+            assert bad.arrivals
+
+    asyncio.run(scenario())
+
+
+def used_memory(process_id: int) -> int:
+    """Returns the highest resident memory of a process so far, in bytes."""
+    status = Path(f"/proc/{process_id}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return 1_024 * int(line.split()[1])
+
+
+def open_files(process_id: int) -> int:
+    return len(list(Path(f"/proc/{process_id}/fd").iterdir()))
+
+
+def test_endless_responses_use_bounded_memory_and_descriptors() -> None:
+    """Guards against a process that ends since a faulty server writes without end."""
+
+    async def scenario() -> None:
+        fleet = Fleet(entries=1, servers=1, port=PORT)
+        server = fleet.servers[0]
+        server.slots = MANY
+        try:
+            await fleet.start()
+            fleet.configure(services=[{"name": "app", "health_path": "/h"}])
+            entry = fleet.entries[0]
+            assert entry.process is not None
+            process_id = entry.process.pid
+            files = open_files(process_id)
+            for fault in [*ENDLESS, *ENDLESS_EVENTS]:
+                # Another incarnation has not failed yet.
+                server.restart()
+                server.behaviour.fault = fault
+                fleet.register_server(server)
+                await asyncio.sleep(0.8)
+                arrived = len(server.arrivals)
+                responses = await asyncio.gather(
+                    *(
+                        fetch(
+                            fleet.caller_address(entry),
+                            f"/{('unsafe', 'stream')[number % 2]}/{number}",
+                            method="POST",
+                            headers={
+                                "Authorization": "Token key-blue",
+                                "Deadline-Ms": "2000",
+                            },
+                        )
+                        for number in range(MANY)
+                    )
+                )
+                assert len(server.arrivals) - arrived >= MANY / 2, fault
+                assert {r.status for r in responses} <= {200, 502, 503, 504}
+            assert entry.running
+            assert used_memory(process_id) < MEMORY_SHARE * MEMORY_MB * 1_048_576
+            await asyncio.sleep(1.0)
+            assert open_files(process_id) <= files + 4
+        finally:
+            await fleet.stop()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("reason", ["slots", "pause", "limit"])
 def test_safe_request_waits_for_its_second_try(reason: str) -> None:
     """Guards against 504 while another server has no room but for a moment."""
--- a/standins/fleet/server.py
+++ b/standins/fleet/server.py
@@ -108,10 +108,38 @@
         b"1000\r\n" + b"x" * 4_096 + b"\r\n",
     ),
     "endless_unframed": (b"HTTP/1.1 200 X\r\n%s\r\n\r\n", b"x" * 4_096),
+    "endless_small_chunks": (
+        b"HTTP/1.1 200 X\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 2_000,
+    ),
+    "endless_chunk_size": (
+        b"HTTP/1.1 200 X\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"x" * 4_096,
+    ),
+    "endless_trailer": (
+        b"HTTP/1.1 200 X\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Junk: junk\r\n" * 200,
+    ),
+    "endless_small_others": (
+        b"",
+        format_response(200, {"Request-Id": "another"}, b"")
+        + b"HTTP/1.1 100 Continue\r\n\r\n" * 50,
+    ),
     "endless_blank_lines": (b"HTTP/1.1 200 X\r\n%s\r\n\r\n", b"x\n\n" * 1_000),
 }
 """Bytes of a response that never ends, by fault: those at its beginning and those that
 are repeated. ``%s`` stands for the headers of a proper response."""
+ENDLESS_EVENTS = {
+    "endless_events": (
+        b"HTTP/1.1 200 X\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"9\r\ndata: y\n\n\r\n" * 500,
+    ),
+    "endless_unframed_events": (
+        b"HTTP/1.1 200 X\r\n%s\r\n\r\n",
+        b"data: y\n\n" * 500,
+    ),
+}
+"""The same of streams of proper events that never end."""
 
 
 @attrs.frozen
@@ -338,7 +366,7 @@
             return await self._write_raw(*self.behaviour.raw, headers, writer)
         if fault == "drip":
             await self._drip(req, headers, writer)
-        if fault in ENDLESS:
+        if fault in ENDLESS | ENDLESS_EVENTS:
             await self._write_without_end(fault, headers, writer)
         if fault == "unsealed":
             del headers["Response-Seal"]
@@ -382,7 +410,7 @@
     async def _write_without_end(
         self, fault: str, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
-        beginning, repeated = ENDLESS[fault]
+        beginning, repeated = (ENDLESS | ENDLESS_EVENTS)[fault]
         lines = "\r\n".join(f"{name}: {value}" for name, value in headers.items())
         writer.write(beginning.replace(b"%s", lines.encode()))
         while True:
