Count only connections that their peer ended as disconnects

Cause: a connection that timed out after its host was lost counted as ended by its server, so that what was in hand there was suspected to have crashed it, and held responsible once another server had taken over the address. Change: only a close or a reset is a disconnect. server.still_runs is named server.reachable: the address accepts connections, no more is known. Measured: test_silent_host_does_not_count_as_a_disconnect, two of its cases failed before and pass now.

--- a/cornelpin/gateway/crash_detector.py
+++ b/cornelpin/gateway/crash_detector.py
@@ -93,7 +93,7 @@
                     return
             else:
                 conn.close()
-                logs.event("server.still_runs", server=server.id)
+                logs.event("server.reachable", server=server.id)
                 return
 
     def _confirm(self, incarnation: Incarnation, reason: str) -> None:
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -140,8 +140,12 @@
 
     @property
     def ended_by_peer(self) -> bool:
-        """Whether the peer closed or reset the connection."""
-        return self._eof or (self._error is not None and not self._unusable)
+        """Whether the peer closed or reset the connection.
+
+        A time-out or an unreachable host ends it as well, without any sign of the peer.
+        """
+        reset = isinstance(self._error, ConnectionError)
+        return self._eof or (reset and not self._unusable)
 
     @property
     def send_finished(self) -> bool:
--- a/cornelpin/tests/test_crash_detection.py
+++ b/cornelpin/tests/test_crash_detection.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import TYPE_CHECKING
 
 import pytest
 
+from cornelpin.http1.client import HttpConnection
 from cornelpin.scheduling.crash_evidence import (
     MAX_CRASHED,
     MAX_SUSPECTED,
@@ -138,6 +140,24 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("error", "ended"),
+    [
+        (ConnectionResetError(), True),
+        (None, True),
+        (TimeoutError(), False),
+        (OSError(errno.EHOSTUNREACH, "no route to host"), False),
+    ],
+)
+def test_silent_host_does_not_count_as_a_disconnect(
+    error: Exception | None, *, ended: bool
+) -> None:
+    """Guards against crashes by requests that were in hand when a host was lost."""
+    conn = HttpConnection()
+    conn.connection_lost(error)
+    assert conn.ended_by_peer is ended
+
+
 INCARNATION = ("s", 1)
 RUN = BrokenRun("r s@1", b"content", ("a",))
 # Steps: time, what happens, and whether it confirms a crash or refutes it.
