--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -116,11 +116,11 @@
     timeout: asyncio.Timeout | None = None
 
     def end_by(self, at: float) -> None:
-        """Moves the request's deadline forward to a monotonic time, if it is later."""
+        """Shortens the request's deadline to a monotonic time, unless it is earlier."""
         self.job.deadline = min(self.job.deadline, at)
-        when = self.timeout.when() if self.timeout is not None else None
-        if self.timeout is not None and when is not None and when > at:
-            self.timeout.reschedule(at)
+        if self.timeout is not None:
+            when = self.timeout.when()
+            self.timeout.reschedule(at if when is None else min(at, when))
 
     @property
     def workspace(self) -> Workspace | None:
--- a/cornelpin/scheduling/crash_evidence.py
+++ b/cornelpin/scheduling/crash_evidence.py
@@ -22,8 +22,8 @@
 Incarnation = tuple[str, int]
 """Identity of a server's incarnation (``BackendServer.incarnation``)."""
 SUSPICION_S = 1.5
-"""Time for which a suspected crash may be confirmed: three connection attempts to a
-silent host take longer, and a server that restarts at once registers sooner."""
+"""Time for which the list of servers may confirm a suspected crash: one that restarts
+at once registers sooner, and later changes have other causes."""
 SETTLE_S = 0.2
 """Time after the end of an incarnation within which responses that it has sent before
 may still be read."""
