Take numbers of requests that are out of range as missing

Callers saw: an entry ended after one request with a token count or length hint of more digits than a number in a message to other entries may have. Cause: whole numbers of any length were taken from headers; msgpack and float raise on them in a background task, whose failure ends the entry. Change: a whole number of more than nine digits counts as missing.

--- a/cornelpin/platform/_headers.py
+++ b/cornelpin/platform/_headers.py
@@ -95,6 +95,8 @@
 MS = 1e-3
 """Seconds per millisecond."""
 PERCENT = 1e-2
+MAX_DIGITS = 9
+"""Length of a whole number above which it counts as missing: a billion tokens."""
 MAX_DEADLINE_S = 86_400.0
 """Deadlines at or above this count as missing."""
 
@@ -341,7 +343,8 @@
 
 
 def _integer(raw: bytes) -> int | None:
-    return int(raw) if raw.isdigit() else None
+    """Returns a whole number; None if it is malformed or out of range."""
+    return int(raw) if raw.isdigit() and len(raw) <= MAX_DIGITS else None
 
 
 def _seconds_from_ms(raw: bytes | None) -> float | None:
