--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 	$(PY) -m benchmarks.moves
 
 test: $(READY)
-	$(PY) -m pytest -n 5 --dist worksteal
+	$(PY) -m pytest -n 5 --dist worksteal -m "not isolated"
+	$(PY) -m pytest -m isolated
 
 scenarios: $(READY)
 	$(PY) -m benchmarks.scenarios cornelpin/tests/scenarios/*.jsonc
