Count what callers cost in memory before it is read, and keep descriptors

Callers saw: with crowds of slow, large or many requests an entry used more than the memory of its machine, had no descriptor for servers or the store, or did not respond. Cause: bytes were read and parsed before anything was counted; each connection was accepted; a connection's work in one turn of the event loop had no bound. Change: one owner of the process's memory (http1/memory.py), which counts heads, fields, bodies, buffers and unread bytes by their cost and grants them before they are read; limits of open connections, of which the one without progress ends first (http1/connections.py); costly work takes turns (http1/pacing.py); the listener accepts a few in a turn; datagrams of unlisted senders have a part of the memory; log lines that nobody reads are bounded by size. docs/design/resources.md says what was weighed.

--- a/benchmarks/relaying.py
+++ b/benchmarks/relaying.py
@@ -77,7 +77,7 @@
     async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         conn = await HttpConnection.open(("127.0.0.1", upstream))
-        conn.send(b"GET", b"/", [(b"host", b"h")], b"")
+        conn.send(b"GET", b"/", [(b"host", b"h")], ())
         writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
         splitter = EventSplitter()
         # A part is an h11 Response (headers), Data (data) or EndOfMessage, which has
--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 import os
 import random
 import signal
@@ -16,6 +18,7 @@
 from cornelpin.gateway.limit_coordinator import LimitCoordinator
 from cornelpin.gateway.peers import Peers
 from cornelpin.gateway.request_handler import RequestHandler
+from cornelpin.gateway.resources import allot
 from cornelpin.gateway.rollouts import RolloutController
 from cornelpin.gateway.scheduler import TICK_S, Scheduler
 from cornelpin.gateway.snapshots import SnapshotServer
@@ -23,13 +26,9 @@
 from cornelpin.gateway.status import build_status
 from cornelpin.gateway.store_view import StoreView
 from cornelpin.gateway.suspension import SuspensionDetector
-from cornelpin.http1.server import (
-    BadRequest,
-    ClientConnection,
-    ClientRequest,
-    Limits,
-    Responder,
-)
+from cornelpin.http1.listener import Listener, listening_socket
+from cornelpin.http1.requests import Limits
+from cornelpin.http1.server import RECEIVE_BUFFER_BYTES, Application, ClientConnection
 from cornelpin.platform import (
     BadValue,
     Store,
@@ -43,6 +42,10 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
+    from cornelpin.gateway.metrics import Metrics
+    from cornelpin.http1.connections import Resources
+    from cornelpin.http1.requests import BadRequest, ClientRequest
+    from cornelpin.http1.responder import Responder
     from cornelpin.platform import HostSettings
     from cornelpin.scheduling.hedging import HedgingPolicy
 
@@ -68,8 +71,16 @@
 REGISTRATION_SPREAD_S = 1.0
 """Time over which the entries check their registrations after a restore of the store,
 so that a hundred of them stay within its rate of calls."""
-BACKLOG = 512
-"""Pending connections of each listening socket."""
+MEMORY_USES = (
+    "connections",
+    "received",
+    "head",
+    "body",
+    "unsent",
+    "responses",
+    "unlisted_senders",
+)
+"""Uses of the memory budget that have a metric."""
 
 
 class Entry:
@@ -94,6 +105,7 @@
         self._settings = settings
         self._settings_path = settings_path
         self._lines = lines
+        self.resources = allot(settings)
         self.peers = Peers(
             settings.host,
             settings.ip,
@@ -116,6 +128,7 @@
             },
             on_message=self._on_peer_message,
             on_permits=lambda host, message: self.server_limits.receive(host, message),
+            senders=self.resources.senders,
         )
         self.server_limits = LimitCoordinator(
             self.peers,
@@ -125,6 +138,8 @@
         )
         self.state = GatewayState(
             settings,
+            memory=self.resources.memory,
+            server_connections=self.resources.server_connections,
             limits=self.server_limits,
             fleet_view=self.peers.fleet_view,
             on_change=self.peers.schedule_update,
@@ -146,7 +161,9 @@
             self.store, self.peers, self.state.rollouts, flush=self.peers.flush
         )
         self.request_handler = RequestHandler(
-            self.state, self.scheduler, self.rollout_controller
+            self.state,
+            self.scheduler,
+            self.rollout_controller,
         )
         self.state.on_config = self.request_handler.reconsider
         self._view = StoreView(
@@ -157,10 +174,12 @@
             dispatch=self._on_servers,
         )
         self._snapshots = SnapshotServer(
-            self._view.snapshot_source.changes, self._view.snapshot_source.whole
+            self._view.snapshot_source.changes,
+            self._view.snapshot_source.whole,
+            self.resources.memory,
+            self.resources.transfers,
         )
-        self._connections: set[ClientConnection] = set()
-        self._servers: list[asyncio.Server] = []
+        self._listeners: list[Listener] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
         self._settings_mtime_ns = os.stat(settings_path).st_mtime_ns
@@ -194,25 +213,21 @@
             self._stop.set()
 
     async def _listen(self) -> None:
-        loop = asyncio.get_running_loop()
         settings = self._settings
-        ready, metrics = ReadyEndpoint(self.state), MetricsEndpoint(self)
-        listeners = [
-            (settings.callers, self._accept),
-            (settings.ready, lambda: ClientConnection(ready)),
-            ((settings.ip, settings.metrics_port), lambda: ClientConnection(metrics)),
+        resources = self.resources
+        metrics_address = (settings.ip, settings.metrics_port)
+        listeners: list[tuple[tuple[str, int], Application, Resources]] = [
+            (settings.callers, self, resources.callers),
+            (settings.ready, ReadyEndpoint(self.state), resources.ready),
+            (metrics_address, MetricsEndpoint(self), resources.metrics),
         ]
-        for address, factory in listeners:
-            server = await loop.create_server(factory, *address, backlog=BACKLOG)
-            self._servers.append(server)
+        for address, app, shared in listeners:
+            sock = listening_socket(address, receive_bytes=RECEIVE_BUFFER_BYTES)
+            factory = functools.partial(ClientConnection, app, shared)
+            self._listeners.append(Listener(sock, factory))
         await self._snapshots.start(settings.ip, settings.peer_port)
         await self.peers.start(settings.seeds)
 
-    def _accept(self) -> ClientConnection:
-        conn = _CallerConnection(self, self._connections)
-        self._connections.add(conn)
-        return conn
-
     # Methods that ClientConnection calls.
 
     def limits(self) -> Limits:
@@ -234,7 +249,7 @@
     ) -> list[tuple[bytes, bytes]]:
         """Logs a request that could not be parsed; returns headers of the response."""
         logs.event("request.unreadable", status=exc.status, reason=str(exc))
-        return refusal_headers("", None)
+        return refusal_headers("", exc.retry_after_s)
 
     def status(self) -> dict[str, Any]:
         """Returns what operators see of this entry and the others."""
@@ -318,9 +333,17 @@
             era = self._view.era
             while self._view.era == era:
                 await asyncio.sleep(HOUSEKEEPING_S)
+                if self.resources.senders.listing_due:
+                    await self._list_unlisted_senders()
             await asyncio.sleep(REGISTRATION_SPREAD_S * random.random())
             await self._call_store(self._register_if_lost)
 
+    async def _list_unlisted_senders(self) -> None:
+        """Lists the entries, of which some may have begun to send after a listing."""
+        await asyncio.sleep(REGISTRATION_SPREAD_S * random.random())
+        with contextlib.suppress(StoreUnavailable):
+            await self._list_entries()
+
     async def _call_store(self, call: Callable[[], Awaitable[None]]) -> None:
         """Repeats some calls to the store until they succeed."""
         while True:
@@ -335,10 +358,15 @@
         spec = {"ip": self._settings.ip}
         if not await self.store.create(ENTRY_KIND, self._settings.host, spec):
             await self.store.replace(ENTRY_KIND, self._settings.host, spec)
+        await self._list_entries()
+        self.peers.send_full_state()
+
+    async def _list_entries(self) -> None:
+        """Discovers the other entries."""
+        self.resources.senders.begin_listing()
         listing = await self.store.list(ENTRY_KIND)
         specs = [c.spec for c in listing.objects if isinstance(c.spec, dict)]
-        self.peers.add_addresses(spec.get("ip") for spec in specs)
-        self.peers.send_full_state()
+        self.peers.add_listed(spec.get("ip") for spec in specs)
 
     async def _register_if_lost(self) -> None:
         listing = await self.store.list(ENTRY_KIND)
@@ -423,6 +451,7 @@
             "Servers that name a limit",
             lambda: self.server_limits.limits.limited,
         )
+        self._add_resource_gauges(self.state.metrics)
         slowdowns = self.scheduler.dispatcher.slowdowns
         self.state.metrics.gauge(
             "slow_servers",
@@ -459,8 +488,10 @@
             "Connections to servers",
             lambda: self.state.pool.opened,
         )
+        logged: tuple[int, ...] = (0, 0, 0, 0)
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
+            logged = self._log_resources(logged)
             self._reload_if_changed()
             now = time.monotonic()
             servers = self.state.servers.all(now).values()
@@ -472,6 +503,64 @@
             self.state.expire_poison_parts()
             self.state.expire_evacuations()
 
+    def _add_resource_gauges(self, metrics: Metrics) -> None:
+        memory, callers = self.resources.memory, self.resources.callers.connections
+        for use in MEMORY_USES:
+            metrics.gauge(
+                f"memory_{use}_bytes",
+                f"Memory of {use} of requests and their connections",
+                functools.partial(memory.by_use.__getitem__, use),
+            )
+        metrics.gauge(
+            "memory_refusals",
+            "Requests refused since there was no memory in time",
+            lambda: memory.refused,
+        )
+        metrics.gauge(
+            "datagrams_dropped",
+            "Datagrams of unlisted senders dropped for want of memory",
+            lambda: self.resources.senders.dropped,
+        )
+        metrics.gauge("caller_connections", "Connections of callers", callers.__len__)
+        metrics.gauge(
+            "connections_closed",
+            "Connections of callers closed since there were too many",
+            lambda: callers.closed,
+        )
+        metrics.gauge(
+            "connections_evicted",
+            "Connections of callers ended since they held memory without progress",
+            lambda: callers.evicted,
+        )
+
+    def _log_resources(self, logged: tuple[int, ...]) -> tuple[int, ...]:
+        """Logs refusals and closed connections since the last line, if there are any.
+
+        Args:
+            logged: Return value of the last call.
+        """
+        memory, callers = self.resources.memory, self.resources.callers.connections
+        senders = self.resources.senders
+        counts = (
+            memory.refused,
+            callers.closed,
+            callers.evicted,
+            senders.dropped,
+        )
+        if counts != logged:
+            logs.warning(
+                "resources.short",
+                memory=memory.used,
+                memory_limit=memory.limit,
+                connections=len(callers),
+                connections_limit=callers.limit,
+                refused=counts[0] - logged[0],
+                closed=counts[1] - logged[1],
+                evicted=counts[2] - logged[2],
+                datagrams=counts[3] - logged[3],
+            )
+        return counts
+
     def _reload_if_changed(self) -> None:
         """Reloads the settings file if its modification time has changed."""
         try:
@@ -489,7 +578,7 @@
         except BadValue as exc:
             logs.warning("settings.invalid", reason=str(exc))
             return
-        self.peers.add_addresses(settings.seeds)
+        self.peers.add_listed(settings.seeds)
         logs.event("settings.reloaded", seeds=settings.seeds)
 
     # Shutdown.
@@ -514,8 +603,8 @@
 
     def close(self) -> None:
         """Closes listeners, idle connections and background tasks without draining."""
-        for server in self._servers:
-            server.close()
+        for listener in self._listeners:
+            listener.close()
         self._close_idle_connections()
         for task in self._tasks:
             task.cancel()
@@ -527,22 +616,15 @@
 
     def _close_idle_connections(self) -> None:
         """Closes connections without a request; their clients reconnect elsewhere."""
-        for conn in list(self._connections):
+        for conn in self._connections:
             conn.close_if_idle()
 
+    @property
+    def _connections(self) -> list[ClientConnection]:
+        """Returns the connections of callers."""
+        conns = self.resources.callers.connections
+        return [conn for conn in conns if isinstance(conn, ClientConnection)]
+
     def _in_flight(self) -> int:
         """Returns the number of requests whose responses are not sent to the end."""
         return sum(1 for conn in self._connections if conn.serving or conn.unsent)
-
-
-class _CallerConnection(ClientConnection):
-    """A caller's connection that is in its entry's set while it is open."""
-
-    def __init__(self, entry: Entry, open_connections: set[ClientConnection]) -> None:
-        super().__init__(entry)
-        self._open = open_connections
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Removes the connection from its entry's set."""
-        super().connection_lost(exc)
-        self._open.discard(self)
--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -44,7 +44,8 @@
     from cornelpin.gateway.rollouts import RolloutController
     from cornelpin.gateway.state import GatewayState
     from cornelpin.http1.client import Headers
-    from cornelpin.http1.server import ClientRequest, Responder
+    from cornelpin.http1.requests import ClientRequest
+    from cornelpin.http1.responder import Responder
     from cornelpin.platform import ResponseInfo
     from cornelpin.scheduling.decisions import HeldBackServer
     from cornelpin.scheduling.jobs import Job
--- a/cornelpin/gateway/endpoints.py
+++ b/cornelpin/gateway/endpoints.py
@@ -3,20 +3,19 @@
 from __future__ import annotations
 
 import json
+import time
 from typing import TYPE_CHECKING
 
-from cornelpin.http1.server import (
-    BadRequest,
-    ClientConnection,
-    ClientRequest,
-    Headers,
-    Limits,
-    Responder,
-)
+from cornelpin.http1.requests import Limits
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornelpin.gateway.app import Entry
     from cornelpin.gateway.state import GatewayState
+    from cornelpin.http1.requests import BadRequest, ClientRequest, Headers
+    from cornelpin.http1.responder import Responder
+    from cornelpin.http1.server import ClientConnection
 
 LIMITS = Limits(
     header_bytes=8_192, body_bytes=8_192, header_timeout_s=3.0, idle_timeout_s=10.0
@@ -55,21 +54,41 @@
 """Path of the status; all others show the metrics."""
 
 
+MAX_AGE_S = 0.2
+"""Time for which a report is sent again: it costs as much as many requests."""
+
+
+class _Report:
+    """A report of the process, made again when it is too old."""
+
+    def __init__(self, make: Callable[[], bytes], content_type: bytes) -> None:
+        self._make = make
+        self._body = b""
+        self._made_at = float("-inf")
+        self.headers: Headers = [(b"content-type", content_type)]
+
+    def body(self) -> bytes:
+        now = time.monotonic()
+        if now - self._made_at > MAX_AGE_S:
+            self._body, self._made_at = self._make(), now
+        return self._body
+
+
 class MetricsEndpoint(_Endpoint):
     """Serves the metrics and the status of the process."""
 
     def __init__(self, entry: Entry) -> None:
         self._entry = entry
+        self._status = _Report(
+            lambda: json.dumps(entry.status()).encode(), b"application/json"
+        )
+        self._metrics = _Report(self._metrics_text, b"text/plain; version=0.0.4")
+
+    def _metrics_text(self) -> bytes:
+        metrics = self._entry.state.metrics
+        return metrics.text() if metrics is not None else b""
 
     async def serve(self, req: ClientRequest, responder: Responder) -> None:
         """Responds with the status as JSON, or metrics in Prometheus text format."""
-        if req.target == STATUS_TARGET:
-            body = json.dumps(self._entry.status()).encode()
-            headers = [(b"content-type", b"application/json")]
-            responder.send_response(200, headers, body)
-            return
-        metrics = self._entry.state.metrics
-        body = metrics.text() if metrics is not None else b""
-        responder.send_response(
-            200, [(b"content-type", b"text/plain; version=0.0.4")], body
-        )
+        report = self._status if req.target == STATUS_TARGET else self._metrics
+        responder.send_response(200, report.headers, report.body())
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -42,13 +42,13 @@
 
 @attrs.frozen
 class OutgoingRequest:
-    """A request as it is sent to a server."""
+    """A request as it is sent to a server; its body is in parts."""
 
     request_id: str
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: tuple[bytes, ...]
 
 
 @attrs.frozen
--- a/cornelpin/gateway/logs.py
+++ b/cornelpin/gateway/logs.py
@@ -15,6 +15,8 @@
 
 MAX_QUEUED_LINES = 2_000
 """Lines buffered while nobody reads standard output: about half a megabyte."""
+MAX_QUEUED_BYTES = 1_048_576
+"""Size of these lines; callers' ids may make them long."""
 MAX_LINES_PER_S = 400
 """Rate limit of written lines: several times what one entry logs under full load, about
 60 per second."""
@@ -37,6 +39,7 @@
     def __init__(self, fd: int = STDOUT) -> None:
         self._fd = fd
         self._lines: deque[bytes] = deque()
+        self._queued_bytes = 0
         self._unwritten = b""
         self._scheduled = False
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -55,11 +58,15 @@
         if second != self._second:
             self._second, self._lines_in_second = second, 0
         self._lines_in_second += 1
-        full = len(self._lines) >= MAX_QUEUED_LINES
+        full = (
+            len(self._lines) >= MAX_QUEUED_LINES
+            or self._queued_bytes + len(self._unwritten) > MAX_QUEUED_BYTES
+        )
         if full or self._lines_in_second > MAX_LINES_PER_S:
             self.dropped += 1
             return
         self._lines.append(line)
+        self._queued_bytes += len(line)
         if self._loop is None:
             self.flush()
         elif not self._scheduled:
@@ -74,6 +81,7 @@
         """Writes as much as the file descriptor accepts."""
         data = self._unwritten + b"".join(self._lines)
         self._lines.clear()
+        self._queued_bytes = 0
         if not data:
             return
         try:
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -47,6 +47,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from cornelpin.gateway.senders import Senders
+
 FULL_STATE_INTERVAL_S = 3.0
 """Time between full-state messages to the own data centre, which repair lost ones."""
 HELLO_INTERVAL_S = 12.0
@@ -116,6 +118,7 @@
             an empty incarnation and the message.
         on_permits: Called with the host of the sender of a message about permits, and
             its content.
+        senders: Whose messages are heard; those of all if not given.
 
     Attributes:
         slots_scarce: Whether few slots are free; updates are then sent more often,
@@ -142,6 +145,7 @@
         store_report: Callable[[], StoreReport],
         on_message: Callable[[str, str, dict[str, Any]], None],
         on_permits: Callable[[str, dict[str, Any]], None],
+        senders: Senders | None = None,
     ) -> None:
         self.host = host
         self.incarnation = secrets.token_hex(4)
@@ -160,6 +164,7 @@
         self._store_reported: tuple[Any, Any] = (None, None)
         self._on_message = on_message
         self._on_permits = on_permits
+        self._senders = senders
         self._started = time.monotonic()
         # Hosts of expired peers that may be running on the other side of a partition.
         self._lost: set[str] = set()
@@ -185,7 +190,7 @@
 
     async def start(self, addresses: Iterable[str]) -> None:
         """Opens the port and sends hellos to the known addresses."""
-        self.add_addresses(addresses)
+        self.add_listed(addresses)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self._ip, self._port)
@@ -199,10 +204,17 @@
         if self._transport is not None:
             self._transport.close()
 
-    def add_addresses(self, addresses: Iterable[Any]) -> None:
-        """Adds IP addresses at which entries may run; others are ignored."""
+    def add_listed(self, addresses: Iterable[Any]) -> None:
+        """Adds the IP addresses of entries as listed in the settings or the store."""
+        valid = self._add_addresses(addresses)
+        if self._senders is not None:
+            self._senders.add(valid)
+
+    def _add_addresses(self, addresses: Iterable[Any]) -> set[str]:
+        """Adds IP addresses at which entries may run; returns those that are valid."""
         valid = {ip for ip in addresses if isinstance(ip, str) and is_ip_address(ip)}
         self._remote_or_unknown |= valid - self._local.addresses - {self._ip}
+        return valid
 
     @property
     def addresses(self) -> set[str]:
@@ -523,6 +535,8 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Merges a message of another entry; counts and drops a malformed one."""
+        if self._senders is not None and not self._senders.admit(addr[0], len(data)):
+            return
         try:
             message = msgpack.unpackb(data, strict_map_key=False)
             host, incarnation, sequence, data_centre, link_mbps = message["from"]
@@ -580,7 +594,7 @@
         peer.received_at = time.monotonic()
         if message.get("full"):
             self._clear_in_flight(peer)
-        self.add_addresses(message.get("ips", ()))
+        self._add_addresses(message.get("ips", ()))
         for server_id, (count, tokens) in message.get("in_flight", {}).items():
             self._set_in_flight(peer, server_id, int(count), int(tokens))
         for service, scores in message.get("keys", {}).items():
--- a/cornelpin/gateway/pool.py
+++ b/cornelpin/gateway/pool.py
@@ -66,14 +66,21 @@
     A service's idle limit is the time for which its idle connections are assumed
     usable. It adapts where servers close connections earlier than they announce.
 
+    Args:
+        limit: Number of open connections from which an idle one is closed for each new
+            one; None if it is not limited.
+
     Attributes:
         opened: Number of connections opened so far.
+        open: Number of connections that are open or being opened.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limit: int | None = None) -> None:
+        self._limit = limit
         self._idle: dict[tuple[str, int], list[_Idle]] = {}
         self._idle_limits: dict[str, float] = {}
         self.opened = 0
+        self.open = 0
 
     def has_idle(self, server: BackendServer) -> bool:
         """Returns whether a usable idle connection to a server exists."""
@@ -101,8 +108,34 @@
             if self._usable(server, idle, now):
                 return Lease(idle.conn, server, now - idle.since, reused=True)
             idle.conn.close()
+        return Lease(await self._open(server), server)
+
+    async def _open(self, server: BackendServer) -> HttpConnection:
+        if self._limit is not None and self.open >= self._limit:
+            self._close_longest_idle()
         self.opened += 1
-        return Lease(await HttpConnection.open(server.address), server)
+        self.open += 1
+        try:
+            conn = await HttpConnection.open(server.address)
+        except BaseException:
+            self._on_closed()
+            raise
+        conn.on_closed = self._on_closed
+        if conn.closed:
+            self._on_closed()
+        return conn
+
+    def _on_closed(self) -> None:
+        self.open -= 1
+
+    def _close_longest_idle(self) -> None:
+        oldest = min(
+            (stack for stack in self._idle.values() if stack),
+            key=lambda stack: stack[0].since,
+            default=None,
+        )
+        if oldest is not None:
+            oldest.pop(0).conn.close()
 
     def release(self, lease: Lease, keep_s: float | None) -> None:
         """Returns a connection to the pool after a complete exchange.
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -25,7 +25,8 @@
     from cornelpin.gateway.rollouts import RolloutController
     from cornelpin.gateway.scheduler import Scheduler
     from cornelpin.gateway.state import GatewayState
-    from cornelpin.http1.server import ClientRequest, Responder
+    from cornelpin.http1.requests import ClientRequest
+    from cornelpin.http1.responder import Responder
     from cornelpin.scheduling.routing import Workspace
 
 DEADLINE_GRACE_S = 0.1
@@ -110,7 +111,7 @@
             remaining_s = min(remaining_s, info.deadline_s)
         service = choose_service(route)
         name = grant.workspace.name if grant.workspace is not None else ""
-        content_fingerprint = fingerprint(name, req.target, req.body)
+        content_fingerprint = fingerprint(name, req.target, *req.body)
         first_attempt_at = self._state.client_retries.first_attempt_at(
             content_fingerprint, time.monotonic()
         )
--- a/cornelpin/gateway/response_memory.py
+++ b/cornelpin/gateway/response_memory.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cornelpin.http1.memory import MemoryBudget
+
 MEMORY_SHARE = 0.2
 """Share of the process's memory for responses that are not complete yet; the buffers of
 their connections come to it."""
@@ -16,10 +21,12 @@
 
     Args:
         limit: Bytes that large responses may use together.
+        budget: The memory of which they are a part; None for no other use.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, budget: MemoryBudget | None = None) -> None:
         self._free = limit
+        self._budget = budget
 
     def reserve(self, size: int, held: int) -> bool:
         """Reserves bytes for a response; returns False if it gets too large.
@@ -30,9 +37,16 @@
         """
         if held + size > max(SMALL_RESPONSE_BYTES, self._free // 2):
             return False
-        self._free -= size
+        self._charge(size)
+        if self._budget is not None and self._budget.short:
+            self._budget.make_room(size)
         return True
 
     def release(self, size: int) -> None:
         """Releases bytes that were reserved."""
-        self._free += size
+        self._charge(-size)
+
+    def _charge(self, size: int) -> None:
+        self._free -= size
+        if self._budget is not None:
+            self._budget.charge("responses", size)
--- a/cornelpin/gateway/snapshots.py
+++ b/cornelpin/gateway/snapshots.py
@@ -16,9 +16,16 @@
 import attrs
 import msgpack
 
+from cornelpin.http1.listener import listening_socket
+from cornelpin.http1.memory import Account
+from cornelpin.http1.server import RECEIVE_BUFFER_BYTES
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from cornelpin.http1.connections import OpenConnections
+    from cornelpin.http1.memory import MemoryBudget
+
 IDLE_TIMEOUT_S = 1.0
 """Longest time without a byte of a transfer: several round trips on a full link."""
 TRANSFER_TIMEOUT_S = 10.0
@@ -30,6 +37,8 @@
 MAX_SNAPSHOT_BYTES = 8_388_608
 """Size limit of a snapshot, compressed or not; a larger one is not read."""
 MAX_REQUEST_BYTES = 65_536
+BACKLOG = 64
+"""Connections that wait to be accepted, and that are accepted at once."""
 READ_BYTES = 65_536
 """Most bytes read at once."""
 COMPRESSION_LEVEL = 1
@@ -67,20 +76,31 @@
     Args:
         changes: Returns the response to a request.
         whole: Returns a whole snapshot, for entries of earlier builds.
+        memory: Memory of the responses.
+        transfers: The open connections; the oldest ends for a new one.
     """
 
     def __init__(
         self,
         changes: Callable[[Mapping[str, Any]], dict[str, Any]],
         whole: Callable[[], dict[str, Any]],
+        memory: MemoryBudget,
+        transfers: OpenConnections,
     ) -> None:
         self._changes = changes
         self._whole = whole
+        self._memory = memory
+        self._transfers = transfers
         self._server: asyncio.Server | None = None
 
     async def start(self, ip: str, port: int) -> None:
         """Starts listening for other entries."""
-        self._server = await asyncio.start_server(self._serve, ip, port)
+        self._server = await asyncio.start_server(
+            self._serve,
+            sock=listening_socket((ip, port), receive_bytes=RECEIVE_BUFFER_BYTES),
+            limit=MAX_REQUEST_BYTES,
+            backlog=BACKLOG,
+        )
 
     def close(self) -> None:
         """Stops listening."""
@@ -90,15 +110,25 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        transfer = _Transfer(Account(self._memory), writer)
+        if not self._transfers.add(transfer):
+            transfer.abort()
+            return
         try:
             data = msgpack.packb(await self._response(reader))
+            transfer.account.set("unsent", 2 * len(data))
+            if self._memory.short and not self._memory.make_room(len(data)):
+                raise ValueError(f"no memory for {len(data)} bytes")
             writer.write(LENGTH.pack(len(data)) + data)
+            writer.close()
             async with asyncio.timeout(TRANSFER_TIMEOUT_S):
-                await writer.drain()
+                await writer.wait_closed()
         except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
-            writer.transport.abort()
+            pass
         finally:
-            writer.close()
+            transfer.abort()
+            transfer.account.release()
+            self._transfers.discard(transfer)
 
     async def _response(self, reader: asyncio.StreamReader) -> dict[str, Any]:
         try:
@@ -112,6 +142,26 @@
         return self._changes(request if isinstance(request, dict) else {})
 
 
+class _Transfer:
+    """An open connection of a ``SnapshotServer``."""
+
+    def __init__(self, account: Account, writer: asyncio.StreamWriter) -> None:
+        self.account = account
+        self.progress_at = time.monotonic()
+        self._writer = writer
+
+    def check_progress(self) -> None:
+        """Does nothing: a transfer has a time limit."""
+
+    def evict(self) -> None:
+        """Closes the connection."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Closes the connection."""
+        self._writer.transport.abort()
+
+
 @attrs.define
 class Fetched:
     """A response fetched from another entry, or a failed transfer.
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -12,6 +12,7 @@
 from cornelpin.gateway.crash_detector import CrashDetector
 from cornelpin.gateway.pool import ConnectionPool
 from cornelpin.gateway.response_memory import MEMORY_SHARE, ResponseMemory
+from cornelpin.http1.shares import MB
 from cornelpin.scheduling.budget import BudgetBounds, RetryBudget
 from cornelpin.scheduling.client_retries import ClientRetries
 from cornelpin.scheduling.crash_evidence import BrokenRun
@@ -29,16 +30,13 @@
 
     from cornelpin.gateway.limit_coordinator import LimitCoordinator
     from cornelpin.gateway.metrics import Metrics
+    from cornelpin.http1.memory import MemoryBudget
     from cornelpin.platform import CallReport, HostSettings
     from cornelpin.scheduling.jobs import Job
     from cornelpin.scheduling.routing import RoutingConfig, Workspace
     from cornelpin.scheduling.servers import BackendServer
 
 
-MB = 1_048_576
-"""Bytes per MB."""
-
-
 async def _current() -> bool:
     return True
 
@@ -60,6 +58,9 @@
 
     Args:
         settings: Settings of this host.
+        memory: Memory for requests and responses.
+        server_connections: Number of connections to servers from which idle ones are
+            closed for new ones.
         limits: Keeps the entries within the limits that servers name.
         fleet_view: Returns the numbers of live and of known entries.
         on_change: Called after a change that the next update to the other entries
@@ -88,6 +89,8 @@
         self,
         settings: HostSettings,
         *,
+        memory: MemoryBudget,
+        server_connections: int,
         limits: LimitCoordinator,
         fleet_view: Callable[[], FleetView],
         on_change: Callable[[], None],
@@ -98,9 +101,9 @@
         self.config: RoutingConfig | None = None
         self._configured = asyncio.Event()
         self.servers = ServerList(bounds.drain_s)
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(server_connections)
         self.response_memory = ResponseMemory(
-            int(MEMORY_SHARE * settings.memory_mb * MB)
+            int(MEMORY_SHARE * settings.memory_mb * MB), memory
         )
         self.quotas = Quotas(
             time.monotonic(),
--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -9,8 +9,10 @@
 
 import h11
 
+from cornelpin.http1.writer import PART_BYTES, PartWriter
+
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Iterator, Sequence
 
 CONNECT_TIMEOUT_S = 0.6
 """Connect timeout, shorter than the 1 s after which the kernel resends a lost SYN, so
@@ -83,6 +85,8 @@
         waits: Number of times that the reader has waited for data.
         received_bytes: Number of bytes received.
         retired: Whether it takes no further request after the current one.
+        closed: Whether its descriptor is closed.
+        on_closed: Called then.
         refused: Ids of the requests that were refused on it. A copy of a refusal may
             arrive later, so they are not sent on it again.
     """
@@ -92,6 +96,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._transport: asyncio.Transport | None = None
+        self._writer: PartWriter | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._eof = False
         self._eof_parsed = False
@@ -99,6 +104,8 @@
         self._busy = False
         self._unusable = False
         self.retired = False
+        self.closed = False
+        self.on_closed: Callable[[], None] = lambda: None
         self._pending_bytes = 0
         self._request: tuple[bytes, bytes, Headers] | None = None
         self.exchanges = 0
@@ -150,35 +157,47 @@
     @property
     def send_finished(self) -> bool:
         """Whether all bytes written so far were passed to the kernel."""
-        return (
-            self._transport is not None and not self._transport.get_write_buffer_size()
-        )
+        return self._writer is not None and not self._writer.unsent
 
-    def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+    def send(
+        self, method: bytes, target: bytes, headers: Headers, body: Sequence[bytes]
+    ) -> None:
         """Sends a whole request.
 
+        Args:
+            method: Method.
+            target: Path and query.
+            headers: Headers, without those of the body's framing.
+            body: Parts of the body; they must not be changed before they are sent.
+
         Raises:
             ConnectionBroken: If the connection is not reusable; nothing was sent.
         """
-        if not self.reusable or self._transport is None:
+        if not self.reusable or self._writer is None:
             raise ConnectionBroken("connection has ended")
         framed = [*headers]
         if body or method not in {b"GET", b"HEAD", b"DELETE"}:
-            framed.append((b"content-length", str(len(body)).encode()))
+            framed.append((b"content-length", str(sum(map(len, body))).encode()))
         self._request = (method, target, framed)
         if self.exchanges:
             self._http.start_next_cycle()
         head = self._http.send(
             h11.Request(method=method, target=target, headers=framed)
         )
-        rest = self._finish_request(body)
         self._busy = True
         self.exchanges += 1
-        self._transport.write(head + rest)
+        for part in self._join_small([head or b"", *self._finish_request(body)]):
+            self._writer.write(part)
 
-    def _finish_request(self, body: bytes) -> bytes:
-        data = self._http.send(h11.Data(data=body)) if body else b""
-        return (data or b"") + (self._http.send(h11.EndOfMessage()) or b"")
+    def _finish_request(self, body: Sequence[bytes]) -> Iterator[bytes]:
+        for part in body:
+            yield from self._http.send_with_data_passthrough(h11.Data(data=part)) or ()
+        yield from self._http.send_with_data_passthrough(h11.EndOfMessage()) or ()
+
+    @staticmethod
+    def _join_small(parts: list[bytes]) -> list[bytes]:
+        """Joins the parts of a small request, so that it is sent in one packet."""
+        return [b"".join(parts)] if sum(map(len, parts)) <= PART_BYTES else parts
 
     async def next_event(self) -> Event:
         """Returns the next part of the response.
@@ -276,6 +295,7 @@
         """Stores the transport and sets its socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._writer = PartWriter(transport)
         limit_reads(transport)
         self.opened_at = time.monotonic()
         set_socket_options(transport)
@@ -295,6 +315,16 @@
             self._transport.pause_reading()
         self._wake()
 
+    def pause_writing(self) -> None:
+        """Waits with the rest of a large request: the server reads slowly."""
+        assert self._writer is not None
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Writes the next part of it."""
+        assert self._writer is not None
+        self._writer.resume()
+
     def eof_received(self) -> bool:
         """Records the server's end of stream."""
         self._eof = True
@@ -305,7 +335,11 @@
         """Records the loss of the connection."""
         if not self._eof:
             self._error = exc or ConnectionResetError("connection lost")
+        if self._writer is not None:
+            self._writer.clear()
         self._wake()
+        self.closed = True
+        self.on_closed()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/cornelpin/http1/pacing.py
+++ b/cornelpin/http1/pacing.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from collections import deque
 
 STEPS_PER_TURN = 4
 """Parts or events of one message that are handled before other tasks run, unless the
@@ -27,6 +28,10 @@
 """Parts of a message, however small: more than a sound peer flushes one by one."""
 MIN_MEAN_BYTES = 64
 """Mean size of the parts beyond them."""
+LONG_PIECE_S = 0.001
+"""Duration of a piece of work from which others get as much time after it."""
+SLICE_S = 0.002
+"""Time after which a piece of work that can be divided is interrupted."""
 
 
 def has_too_small_parts(parts: int, size: int) -> bool:
@@ -65,3 +70,46 @@
         excess = self._small - SMALL_PART_BURST - SMALL_PARTS_PER_S * elapsed_s
         if excess > MAX_EXCESS:
             await asyncio.sleep(excess / SMALL_PARTS_PER_S)
+
+
+class TurnGate:
+    """Lets costly pieces of work run one by one, in different turns of the loop.
+
+    After a long piece as much time is left to others, so that costly work takes at most
+    half of the processor's time.
+    """
+
+    def __init__(self) -> None:
+        self._busy = False
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._began = 0.0
+
+    async def __aenter__(self) -> None:
+        if self._busy:
+            fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiting.append(fut)
+            try:
+                await fut
+            except BaseException:
+                # The turn may have come while the waiting task was cancelled.
+                if fut.done() and not fut.cancelled():
+                    self._next()
+                raise
+        self._busy = True
+        self._began = time.monotonic()
+
+    async def __aexit__(self, *exc: object) -> None:
+        took_s = time.monotonic() - self._began
+        loop = asyncio.get_running_loop()
+        if took_s > LONG_PIECE_S:
+            loop.call_later(took_s, self._next)
+        else:
+            loop.call_soon(self._next)
+
+    def _next(self) -> None:
+        while self._waiting:
+            fut = self._waiting.popleft()
+            if not fut.done():
+                fut.set_result(None)
+                return
+        self._busy = False
--- a/cornelpin/platform/_store.py
+++ b/cornelpin/platform/_store.py
@@ -387,7 +387,7 @@
         if body is not None:
             headers.append((b"content-type", b"application/json"))
             data = json.dumps(body).encode()
-        conn.send(method.encode(), path.encode(), headers, data)
+        conn.send(method.encode(), path.encode(), headers, (data,) if data else ())
         sent_at = now()
         status = 0
         era: int | None = None
--- a/cornelpin/scheduling/client_retries.py
+++ b/cornelpin/scheduling/client_retries.py
@@ -23,14 +23,15 @@
 """Size of a fingerprint; peers exchange many of them."""
 
 
-def fingerprint(workspace: str, target: bytes, body: bytes) -> bytes:
+def fingerprint(workspace: str, target: bytes, *body: bytes) -> bytes:
     """Returns a digest that a request and its client retries have in common.
 
-    Its key is the workspace's name, cut to the longest key that BLAKE2b accepts.
+    Its key is the workspace's name, cut to the longest key that BLAKE2b accepts. The
+    body may be given in parts.
     """
-    digest = hashlib.blake2b(
-        body, digest_size=DIGEST_BYTES, key=workspace.encode()[:64]
-    )
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES, key=workspace.encode()[:64])
+    for part in body:
+        digest.update(part)
     digest.update(b"\0" + target)
     return digest.digest()
 
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -131,6 +131,7 @@
         self._peers = peers
         self._evacuated = evacuated
         self._rng = rng
+        self._servers = servers
         self._services: dict[str, ServiceState] = {}
         self._candidates = Candidates(
             servers=servers,
@@ -194,9 +195,14 @@
     def merge_class_counts(
         self, entry: str, figures: dict[str, dict[str, list[float]]], now: float
     ) -> None:
-        """Merges the class counts and rank sizes of another entry, by service."""
+        """Merges the class counts and rank sizes of another entry, by service.
+
+        Those of a service without servers are of no use, and its state is large.
+        """
         for name, exported in figures.items():
-            self._service(name).queue.classes.merge_from(entry, exported, now)
+            if name in self._services or any(self._servers(name, now)):
+                classes = self._service(name).queue.classes
+                classes.merge_from(entry, exported, now)
 
     def offer(self, job: Job, now: float) -> Refused | None:
         """Queues a job, or returns a refusal if it could not be served in time.
