Serve a request whose bytes come in the turn of the loop of its time-out

Callers saw: 408 to a request that had come in time, after a pause of the process or on a connection about to be idle too long. Cause: bytes and time-out are handled in one turn; the time-out was looked at alone. Evidence: test_late_reads.py, red four of four before. Change: bytes that have arrived go before the time-out.

--- a/cornelpin/http1/server.py
+++ b/cornelpin/http1/server.py
@@ -521,6 +521,9 @@
             async with asyncio.timeout_at(self._read_deadline()):
                 await self._data_arrived.wait()
         except TimeoutError:
+            if self._data_arrived.is_set() and not self._evicted:
+                # Bytes and time-out come in one turn of the loop, as after a pause.
+                return
             if self._first_byte_at is None:
                 # A new configuration may allow connections to be idle for longer.
                 self._limits = self._with_longer_idle_timeout(self.app.limits())
