Leave connections to others where requests run for long

Callers saw: with a crowd that waits for a slow server, other callers were not served: requests in hand held all connections, and those can't be closed for new ones. Change: from nine tenths of the connections on, a service and workspace that holds its equal share gets 503 with Retry-After, not run.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -164,6 +164,7 @@
             self.state,
             self.scheduler,
             self.rollout_controller,
+            self.resources.requests,
         )
         self.state.on_config = self.request_handler.reconsider
         self._view = StoreView(
@@ -516,6 +517,11 @@
             "Requests refused since there was no memory in time",
             lambda: memory.refused,
         )
+        metrics.gauge(
+            "share_refusals",
+            "Requests refused since their service and workspace held their share",
+            lambda: self.resources.requests.refused,
+        )
         metrics.gauge(
             "datagrams_dropped",
             "Datagrams of unlisted senders dropped for want of memory",
@@ -542,7 +548,7 @@
         memory, callers = self.resources.memory, self.resources.callers.connections
         senders = self.resources.senders
         counts = (
-            memory.refused,
+            memory.refused + self.resources.requests.refused,
             callers.closed,
             callers.evicted,
             senders.dropped,
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -22,6 +24,9 @@
 from cornelpin.scheduling.jobs import Job
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from cornelpin.gateway.request_shares import RequestShares
     from cornelpin.gateway.rollouts import RolloutController
     from cornelpin.gateway.scheduler import Scheduler
     from cornelpin.gateway.state import GatewayState
@@ -31,6 +36,9 @@
 
 DEADLINE_GRACE_S = 0.1
 """Time past a request's deadline for the server's own time-out response to arrive."""
+SHARE_RETRY_S = (0.5, 1.5)
+"""Range of Retry-After, in seconds, for a request over its share of the connections.
+The random value spreads the retries."""
 CONFIG_WAIT_S = 0.25
 """Time for which a request waits for the first configuration of an entry that has just
 started: several times what a start takes, and less than callers notice."""
@@ -44,10 +52,12 @@
         state: GatewayState,
         scheduler: Scheduler,
         rollout_controller: RolloutController,
+        shares: RequestShares,
     ) -> None:
         self._state = state
         self._scheduler = scheduler
         self._rollout_controller = rollout_controller
+        self._shares = shares
         self._authorization = Authorization(state)
         # Requests that are queued or run.
         self._attempts: dict[Job, Attempts] = {}
@@ -71,9 +81,10 @@
             grant = await self._authorization.admit(info, path)
             job = self._make_job(grant, info, req)
             self._reject_if_too_long(job)
-            status = await self._within_deadline(
-                job, grant, path, req, info, responder, progress
-            )
+            with self._share(job):
+                status = await self._within_deadline(
+                    job, grant, path, req, info, responder, progress
+                )
         except Rejected as exc:
             status, reason = exc.status, exc.reason
             if status in {429, 503} and job is not None:
@@ -104,6 +115,19 @@
         if upper_s is None or time.monotonic() + upper_s > stop_at:
             raise Rejected(503, "this entry stops", STOPPING_RETRY_S)
 
+    @contextlib.contextmanager
+    def _share(self, job: Job) -> Iterator[None]:
+        """Counts a request as in hand; rejects it if it has no share left."""
+        # A new configuration may move the job to another service.
+        group = job.service, job.workspace
+        if not self._shares.admit(*group):
+            reason = "requests like this hold too many connections"
+            raise Rejected(503, reason, random.uniform(*SHARE_RETRY_S))
+        try:
+            yield
+        finally:
+            self._shares.release(*group)
+
     def _make_job(self, grant: Grant, info: RequestInfo, req: ClientRequest) -> Job:
         route = grant.route
         remaining_s = route.timeout_s
--- a/cornelpin/gateway/resources.py
+++ b/cornelpin/gateway/resources.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cornelpin.gateway.request_shares import RequestShares
 from cornelpin.gateway.senders import Senders
 from cornelpin.http1.connections import Resources
 from cornelpin.http1.pacing import TurnGate
@@ -41,6 +42,7 @@
     Attributes:
         memory: Memory for requests, responses and their connections.
         callers: Connections of callers.
+        requests: Shares of these that requests in hand may hold.
         ready: Connections of readiness probes.
         metrics: Connections to the metrics.
         transfers: Transfers to other entries.
@@ -51,6 +53,7 @@
 
     memory: MemoryBudget
     callers: Resources
+    requests: RequestShares
     ready: Resources
     metrics: Resources
     transfers: OpenConnections
@@ -73,6 +76,7 @@
     return ProcessResources(
         memory=memory,
         callers=Resources(memory, gate, callers),
+        requests=RequestShares(callers.limit),
         ready=Resources(memory, gate, ready),
         metrics=Resources(memory, gate, metrics),
         transfers=transfers,
