Serve the daemon's HTTP on connections that count memory

Cause: waitress reads before anything is counted, and accepts none beyond its limit. Change: the gateway's connections in an event loop of their own, handlers in threads, whole responses handed over in one call; settings limits.memory_mb and limits.max_fds; short_of_memory as a reason; heaps and descriptors limited at the start.

--- a/cornelpin/core/execution.py
+++ b/cornelpin/core/execution.py
@@ -34,6 +34,7 @@
     OVER_LIMIT = "over_limit"
     NO_SERVER = "no_server"
     NOT_READY = "not_ready"
+    SHORT_OF_MEMORY = "short_of_memory"
     LEAVING = "leaving"
     STORE_UNAVAILABLE = "store_unavailable"
     DEADLINE = "deadline"
@@ -58,6 +59,7 @@
     Reason.OVER_LIMIT: 429,
     Reason.NO_SERVER: 503,
     Reason.NOT_READY: 503,
+    Reason.SHORT_OF_MEMORY: 503,
     Reason.LEAVING: 503,
     Reason.STORE_UNAVAILABLE: 503,
     Reason.DEADLINE: 504,
--- a/cornelpin/daemon/__main__.py
+++ b/cornelpin/daemon/__main__.py
@@ -13,9 +13,9 @@
 from cornelpin.daemon.entry import Entry
 from cornelpin.daemon.http.health import HealthApi
 from cornelpin.daemon.http.server import HttpServer
-from cornelpin.daemon.http.wsgi import as_wsgi
 from cornelpin.daemon.logs import set_up_logs
 from cornelpin.daemon.process import Process
+from cornelpin.daemon.process_limits import limit_heaps, raise_descriptor_limit
 from cornelpin.daemon.settings import Settings, SettingsFaults, load_settings
 from cornelpin.daemon.side import Side
 
@@ -54,6 +54,8 @@
 def run(settings: Settings) -> None:
     """Runs the process until a signal has shut it down."""
     set_up_logs(settings)
+    limit_heaps()
+    raise_descriptor_limit(settings.limits.max_fds)
     process = Process(settings)
     role = Entry(process) if settings.role == "entry" else Side(process)
     signalled = threading.Event()
@@ -82,10 +84,11 @@
 
 def _serve_health(process: Process, port: int) -> None:
     server = HttpServer(
-        as_wsgi(HealthApi(process).handle),
+        HealthApi(process).handle,
         address=process.settings.address,
         port=port,
         threads=HEALTH_THREADS,
+        limits=process.settings.limits,
     )
     server.start()
 
--- a/cornelpin/daemon/_settings_classes.py
+++ b/cornelpin/daemon/_settings_classes.py
@@ -33,6 +33,10 @@
 DEFAULT_HELD_REQUESTS = 400
 DEFAULT_HTTP_THREADS = 512
 DEFAULT_HEADER_BYTES = 64 * 1024
+MIN_MEMORY_MB = 64
+MIN_FDS = 256
+DEFAULT_MEMORY_MB = 8192
+DEFAULT_MAX_FDS = 4096
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -139,6 +143,8 @@
         held_requests: Most requests of an entry that are accepted and not yet answered.
         http_threads: Threads that serve HTTP requests.
         header_bytes: Largest head of a caller's request.
+        memory_mb: Memory of the process, of which requests may use a part.
+        max_fds: File descriptors of the process.
     """
 
     max_body_bytes: int = field(
@@ -153,6 +159,12 @@
     header_bytes: int = field(
         default=DEFAULT_HEADER_BYTES, metadata=checked(integer(low=1024))
     )
+    memory_mb: int = field(
+        default=DEFAULT_MEMORY_MB, metadata=checked(integer(low=MIN_MEMORY_MB))
+    )
+    max_fds: int = field(
+        default=DEFAULT_MAX_FDS, metadata=checked(integer(low=MIN_FDS))
+    )
 
 
 @frozen(kw_only=True)
--- a/cornelpin/daemon/durable.py
+++ b/cornelpin/daemon/durable.py
@@ -38,7 +38,7 @@
 from cornelpin.daemon.blobs import StoredAnswer, StoredCall
 from cornelpin.daemon.http.acceptance import encode_prompt
 from cornelpin.daemon.http.completion_events import format_sse, merge_events
-from cornelpin.daemon.http.wsgi import JSON_TYPE
+from cornelpin.daemon.http.messages import JSON_TYPE
 from cornelpin.daemon.record_store import CHANGE_TIMEOUT_S
 
 if TYPE_CHECKING:
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -36,7 +36,6 @@
 from cornelpin.daemon.http.app import EntryApp
 from cornelpin.daemon.http.callers import CallerApi
 from cornelpin.daemon.http.server import HttpServer
-from cornelpin.daemon.http.wsgi import as_wsgi
 from cornelpin.daemon.links import Link, LinkTable
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.liveness import CHECK_INTERVAL_S, Pinger
@@ -146,12 +145,11 @@
         process.view.on_change(self._on_config)
         app = EntryApp(process, self._caller_api(), AdminApi(self))
         self._http = HttpServer(
-            as_wsgi(app.handle),
+            app.handle,
             address=settings.address,
             port=settings.http_port or 0,
             threads=settings.limits.http_threads,
-            max_body_bytes=settings.limits.max_body_bytes,
-            max_header_bytes=settings.limits.header_bytes,
+            limits=settings.limits,
         )
 
     def start(self) -> None:
--- a/cornelpin/daemon/http/acceptance.py
+++ b/cornelpin/daemon/http/acceptance.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from cornelpin.core.config import Config, Route, Workspace
-    from cornelpin.daemon.http.wsgi import HttpRequest
+    from cornelpin.daemon.http.messages import HttpRequest
 
 # Assumed output of a completion without a token limit.
 DEFAULT_OUTPUT_TOKENS = 64
--- a/cornelpin/daemon/http/admin.py
+++ b/cornelpin/daemon/http/admin.py
@@ -10,7 +10,7 @@
 
 from cornelpin.core import configstore
 from cornelpin.core.execution import Reason, Refusal
-from cornelpin.daemon.http.wsgi import (
+from cornelpin.daemon.http.messages import (
     HttpRequest,
     HttpResponse,
     json_response,
--- a/cornelpin/daemon/http/app.py
+++ b/cornelpin/daemon/http/app.py
@@ -10,7 +10,7 @@
 from cornelpin.daemon.http.callers import new_request_id
 from cornelpin.daemon.http.durable import REQUESTS_PREFIX
 from cornelpin.daemon.http.health import HEALTH_PATHS, HealthApi
-from cornelpin.daemon.http.wsgi import HttpRequest, HttpResponse, problem
+from cornelpin.daemon.http.messages import HttpRequest, HttpResponse, problem
 
 if TYPE_CHECKING:
     from cornelpin.daemon.http.admin import AdminApi
--- a/cornelpin/daemon/http/durable.py
+++ b/cornelpin/daemon/http/durable.py
@@ -25,7 +25,7 @@
     store_refusal,
     validate_key,
 )
-from cornelpin.daemon.http.wsgi import HttpRequest, HttpResponse, json_response
+from cornelpin.daemon.http.messages import HttpRequest, HttpResponse, json_response
 from cornelpin.daemon.record_store import RecordStoreUnavailable
 
 if TYPE_CHECKING:
--- a/cornelpin/daemon/http/exchange_responses.py
+++ b/cornelpin/daemon/http/exchange_responses.py
@@ -9,7 +9,7 @@
 
 from cornelpin.core.execution import ExecutionStatus, Reason, Refusal
 from cornelpin.daemon.http.completion_events import format_sse, merge_events
-from cornelpin.daemon.http.wsgi import JSON_TYPE, HttpResponse
+from cornelpin.daemon.http.messages import JSON_TYPE, HttpResponse
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -61,7 +61,7 @@
 
 
 class _StreamedChunks:
-    """Iterates over a streamed response; waitress always calls ``close``."""
+    """Iterates over a streamed response; the server always calls ``close``."""
 
     def __init__(self, exchange: Exchange) -> None:
         self._exchange = exchange
--- a/cornelpin/daemon/http/health.py
+++ b/cornelpin/daemon/http/health.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING
 
 from cornelpin.core.execution import Reason, Refusal
-from cornelpin.daemon.http.wsgi import HttpRequest, HttpResponse, json_response, problem
+from cornelpin.daemon.http.messages import (
+    HttpRequest,
+    HttpResponse,
+    json_response,
+    problem,
+)
 
 if TYPE_CHECKING:
     from cornelpin.daemon.process import Process
--- a/cornelpin/daemon/http/keyed.py
+++ b/cornelpin/daemon/http/keyed.py
@@ -28,7 +28,7 @@
 from cornelpin.core.execution import ExecutionStatus, Reason, Refusal
 from cornelpin.daemon.blobs import StoredAnswer
 from cornelpin.daemon.http.completion_events import END_EVENT
-from cornelpin.daemon.http.wsgi import HttpResponse
+from cornelpin.daemon.http.messages import HttpResponse
 from cornelpin.daemon.record_store import CHANGE_TIMEOUT_S, RecordStoreUnavailable
 
 if TYPE_CHECKING:
--- a/cornelpin/daemon/http/wsgi.py
+++ b/cornelpin/daemon/http/messages.py
@@ -1,9 +1,9 @@
-"""Requests and responses between waitress and the handlers."""
+"""Requests and responses between the HTTP server and the handlers."""
 
 from __future__ import annotations
 
 import json
-from http.client import responses
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -11,12 +11,20 @@
 from cornelpin.core.execution import Reason, Refusal
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 
 
+UNLISTED_HEADERS = frozenset({"content-length", "transfer-encoding"})
+"""Headers that tell the length of a body, which is known here."""
+
+
+def _is_connected() -> bool:
+    return False
+
+
 @attrs.frozen
 class HttpRequest:
     """An HTTP request as handlers receive it.
@@ -26,32 +34,28 @@
         path: Path without the query.
         query: Query string.
         body: Request body.
-        environ: WSGI environment.
+        fields: Values by lower-case name; those of a repeated field are joined.
+        is_disconnected: Returns whether the client has left.
     """
 
     method: str
     path: str
     query: str
     body: bytes
-    environ: dict[str, Any]
+    fields: dict[str, str] = attrs.field(factory=dict)
+    is_disconnected: Callable[[], bool] = _is_connected
 
     def header(self, name: str) -> str:
         """Returns a header's value, or an empty string."""
-        key = name.upper().replace("-", "_")
-        if key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
-            key = f"HTTP_{key}"
-        return str(self.environ.get(key, ""))
+        return self.fields.get(name.lower(), "")
 
     def headers(self) -> dict[str, str]:
-        """Returns all headers."""
-        headers = {
-            key[5:].replace("_", "-").title(): str(value)
-            for key, value in self.environ.items()
-            if key.startswith("HTTP_")
+        """Returns all headers except those that tell the length of the body."""
+        return {
+            name.title(): value
+            for name, value in self.fields.items()
+            if name not in UNLISTED_HEADERS
         }
-        if self.environ.get("CONTENT_TYPE"):
-            headers["Content-Type"] = str(self.environ["CONTENT_TYPE"])
-        return headers
 
     def bearer_token(self) -> str:
         """Returns the bearer token, or an empty string."""
@@ -119,26 +123,3 @@
     resp = json_response(document, status=refusal.status, headers=headers)
     resp.headers["Content-Type"] = PROBLEM_TYPE
     return resp
-
-
-def as_wsgi(
-    handle: Callable[[HttpRequest], HttpResponse],
-) -> Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]:
-    """Wraps a handler as a WSGI application."""
-
-    def app(
-        environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
-        req = HttpRequest(
-            method=environ["REQUEST_METHOD"],
-            path=environ.get("PATH_INFO", "/"),
-            query=environ.get("QUERY_STRING", ""),
-            body=environ["wsgi.input"].read(),
-            environ=environ,
-        )
-        resp = handle(req)
-        phrase = responses.get(resp.status, "Refused")
-        start_response(f"{resp.status} {phrase}", list(resp.headers.items()))
-        return resp.chunks
-
-    return app
--- a/cornelpin/daemon/http/server.py
+++ b/cornelpin/daemon/http/server.py
@@ -1,65 +1,81 @@
-"""Serves a WSGI application with waitress."""
+"""Serves HTTP: connections in an event loop of their own, handlers in threads."""
 
 from __future__ import annotations
 
+import asyncio
 import threading
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from waitress.server import create_server
-
-from cornelpin.daemon.http._errors import ProblemChannel
+from cornelpin.daemon.http._errors import ProblemConnection
+from cornelpin.daemon.http.threads import ThreadedApp
+from cornelpin.daemon.process_limits import descriptor_limit
+from cornelpin.http1.connections import Resources
+from cornelpin.http1.listener import Listener, listening_socket
+from cornelpin.http1.pacing import TurnGate
+from cornelpin.http1.requests import Limits
+from cornelpin.http1.server import RECEIVE_BUFFER_BYTES
+from cornelpin.http1.shares import caller_connections, traffic_memory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-OUTPUT_BUFFER_BYTES = 1024 * 1024
-# An idle connection is closed after this time; checked at the cleanup interval.
-CHANNEL_TIMEOUT_S = 120
-CLEANUP_INTERVAL_S = 10
-MAX_CONNECTIONS = 4000
-BACKLOG = 1024
-REQUEST_LOOKAHEAD = 5
-MIB = 1024 * 1024
+    from cornelpin.daemon.http.messages import HttpRequest, HttpResponse
+    from cornelpin.daemon.settings import LimitSettings
+
+HEADER_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 120.0
+FILE_DESCRIPTORS = 200
+"""Descriptors that are not for sockets."""
 
 
 class HttpServer:
-    """A waitress server whose loop runs in its own thread."""
+    """An HTTP server whose event loop runs in its own thread.
+
+    Args:
+        handle: Returns the response to a request; it is called in a thread.
+        address: IP address to listen on.
+        port: Port to listen on.
+        threads: Number of requests that are handled at once.
+        limits: Limits of the process.
+    """
 
     def __init__(
         self,
-        app: Callable[..., Any],
+        handle: Callable[[HttpRequest], HttpResponse],
         *,
         address: str,
         port: int,
         threads: int,
-        max_body_bytes: int = MIB,
-        max_header_bytes: int = 64 * 1024,
+        limits: LimitSettings,
     ) -> None:
-        self._server = create_server(
-            app,
-            host=address,
-            port=port,
-            threads=threads,
-            ident="cornelpin",
-            # Sends stream events at once instead of waiting for a full buffer.
-            send_bytes=1,
-            outbuf_high_watermark=OUTPUT_BUFFER_BYTES,
-            max_request_body_size=max_body_bytes,
-            max_request_header_size=max_header_bytes,
-            connection_limit=MAX_CONNECTIONS,
-            backlog=BACKLOG,
-            channel_timeout=CHANNEL_TIMEOUT_S,
-            cleanup_interval=CLEANUP_INTERVAL_S,
-            # Lets waitress detect clients that disconnect while their request runs.
-            channel_request_lookahead=REQUEST_LOOKAHEAD,
-            asyncore_use_poll=True,
+        self._handle = handle
+        self._threads = threads
+        self._limits = Limits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=HEADER_TIMEOUT_S,
+            idle_timeout_s=IDLE_TIMEOUT_S,
         )
-        self._server.channel_class = ProblemChannel
+        self._sock = listening_socket(
+            (address, port), receive_bytes=RECEIVE_BUFFER_BYTES
+        )
+        memory = traffic_memory(limits.memory_mb)
+        sockets = max(0, descriptor_limit(limits.max_fds) - FILE_DESCRIPTORS)
+        callers = caller_connections(limits.memory_mb, sockets)
+        memory.make_room = callers.evict_stalled
+        self._resources = Resources(memory, TurnGate(), callers)
 
     def start(self) -> None:
         """Starts serving."""
-        threading.Thread(target=self._server.run, name="http", daemon=True).start()
+        threading.Thread(target=self._run, name="http", daemon=True).start()
+
+    def _run(self) -> None:
+        asyncio.run(self._serve())
 
-    def stop(self) -> None:
-        """Closes the listening socket."""
-        self._server.close()
+    async def _serve(self) -> None:
+        app = ThreadedApp(self._handle, self._limits, threads=self._threads)
+        listener = Listener(self._sock, lambda: ProblemConnection(app, self._resources))
+        try:
+            await asyncio.Event().wait()
+        finally:
+            listener.close()
--- /dev/null
+++ b/cornelpin/tests/test_daemon_crowds.py
@@ -0,0 +1,115 @@
+"""Crowds of clients that do not behave, at the addresses of the daemon.
+
+The checks are those of ``test_crowds``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from cornelpin.tests.crowds import KINDS, LARGE_FRAMES, Crowd, Kind
+from cornelpin.tests.daemon_crowd_bed import (
+    ENTRY,
+    FILES,
+    MAX_FDS,
+    MEMORY_MB,
+    MIB,
+    ROUTE,
+    SERVICE,
+    LimitedTestbed,
+    Probe,
+    deployment,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+pytestmark = pytest.mark.isolated
+
+SEED = 47
+CROWD_S = 4.0
+"""Time for which a crowd sends at most."""
+SIDE = f"side-{SERVICE}"
+# Process and path; no path for the address for other processes.
+DOORS = {
+    "route": (ENTRY, ROUTE),
+    "none": (ENTRY, "/nothing/x"),
+    "readiness": (ENTRY, "/readyz"),
+    "peers": (ENTRY, None),
+    "side_none": (SIDE, "/nothing/x"),
+    "side_readiness": (SIDE, "/readyz"),
+    "side_peers": (SIDE, None),
+}
+
+
+class Beds:
+    """The testbed of these tests; a new one after a test that failed."""
+
+    def __init__(self) -> None:
+        self._bed: LimitedTestbed | None = None
+
+    def get(self) -> LimitedTestbed:
+        """Returns the testbed, started."""
+        if self._bed is None:
+            bed = LimitedTestbed(deployment(), seed=SEED)
+            bed.__enter__()
+            self._bed = bed
+        return self._bed
+
+    def drop(self) -> None:
+        """Ends the testbed."""
+        if self._bed is not None:
+            self._bed.close()
+            self._bed.remove_folder()
+        self._bed = None
+
+
+@pytest.fixture(scope="module")
+def beds() -> Iterator[Beds]:
+    beds = Beds()
+    yield beds
+    beds.drop()
+
+
+async def check_crowd(probe: Probe, crowd: Crowd) -> None:
+    """Lets a crowd come and checks what holds meanwhile and afterwards."""
+    measuring = asyncio.ensure_future(probe.measure())
+    try:
+        await crowd.run(CROWD_S)
+        assert probe.running
+        assert await probe.ordinary_request_is_answered(), "beside the crowd"
+        assert await probe.is_ready(), "beside the crowd"
+    finally:
+        await crowd.close()
+    assert await probe.ordinary_request_is_answered(), "after the crowd"
+    measuring.cancel()
+    assert probe.running
+    assert probe.peak_bytes < MEMORY_MB * MIB
+    assert probe.peak_sockets <= MAX_FDS - FILES
+
+
+def run_crowd(beds: Beds, kind: Kind, name: str, path: str | None) -> None:
+    """Runs a crowd at a door of a process; a failure ends the testbed."""
+    try:
+        probe = Probe(beds.get(), name)
+        door = probe.door(path or "/", peers=path is None)
+        asyncio.run(check_crowd(probe, Crowd(kind, door)))
+    except BaseException:
+        beds.drop()
+        raise
+
+
+@pytest.mark.parametrize("door", DOORS)
+@pytest.mark.parametrize("kind", KINDS)
+def test_crowd_leaves_the_daemon_and_its_callers_alone(
+    kind: str, door: str, beds: Beds
+) -> None:
+    run_crowd(beds, KINDS[kind], *DOORS[door])
+
+
+@pytest.mark.parametrize("name", [ENTRY, SIDE])
+def test_large_frames_before_a_proof_of_the_key(name: str, beds: Beds) -> None:
+    run_crowd(beds, LARGE_FRAMES, name, None)
