--- a/cornelpin/daemon/peer.py
+++ b/cornelpin/daemon/peer.py
@@ -38,6 +38,8 @@
 IDLE_TIMEOUT_S = 20.0
 SEND_QUEUE_FRAMES = 20_000
 RECEIVE_BYTES = 65_536
+HANDSHAKE_FRAME_BYTES = 4_096
+"""Largest frame before the other end has proved knowledge of the shared key."""
 BATCH_BYTES = 65_536
 NONCE_BYTES = 16
 
@@ -101,6 +103,7 @@
         self._clock = clock
         self._cost = cost
         self._handling_since: float | None = None
+        self._max_frame_bytes = HANDSHAKE_FRAME_BYTES
         self._buffer = bytearray()
         self._frames: queue.SimpleQueue[bytes | threading.Event | None] = (
             queue.SimpleQueue()
@@ -153,6 +156,7 @@
         self.name = theirs.name
         self.role = theirs.role
         self.incarnation = theirs.incarnation
+        self._max_frame_bytes = MAX_FRAME_BYTES
         self._sock.settimeout(IDLE_TIMEOUT_S)
         threading.Thread(
             target=self._write_loop, name=f"write-{self.name}", daemon=True
@@ -182,8 +186,10 @@
         """
         self._end_handling()
         size = LENGTH_PREFIX.unpack(self._read(LENGTH_PREFIX.size))[0]
-        if size > MAX_FRAME_BYTES:
-            raise ProtocolError(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES}")
+        if size > self._max_frame_bytes:
+            raise ProtocolError(
+                f"frame of {size} bytes exceeds {self._max_frame_bytes}"
+            )
         frame = self._read(size)
         started = time.thread_time()
         msg, stamp = decode(frame)
