Return from the start of the daemon's HTTP server once it listens

Callers saw: a connection was refused by a process that had said it was started. Cause: the socket began to listen in the server's thread, after start() had returned. Change: start() waits for the listener, and raises if it can't listen.

--- a/cornelpin/daemon/http/server.py
+++ b/cornelpin/daemon/http/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import threading
+from concurrent.futures import Future
 from typing import TYPE_CHECKING
 
 from cornelpin.daemon.http._errors import ProblemConnection
@@ -64,17 +65,30 @@
         callers = caller_connections(limits.memory_mb, sockets)
         memory.make_room = callers.evict_stalled
         self._resources = Resources(memory, TurnGate(), callers)
+        self._listening: Future[None] = Future()
 
     def start(self) -> None:
-        """Starts serving."""
+        """Starts serving; returns once connections are accepted.
+
+        Raises:
+            OSError: If the socket can't listen.
+        """
         threading.Thread(target=self._run, name="http", daemon=True).start()
+        self._listening.result()
 
     def _run(self) -> None:
         asyncio.run(self._serve())
 
     async def _serve(self) -> None:
         app = ThreadedApp(self._handle, self._limits, threads=self._threads)
-        listener = Listener(self._sock, lambda: ProblemConnection(app, self._resources))
+        try:
+            listener = Listener(
+                self._sock, lambda: ProblemConnection(app, self._resources)
+            )
+        except OSError as exc:
+            self._listening.set_exception(exc)
+            return
+        self._listening.set_result(None)
         try:
             await asyncio.Event().wait()
         finally:
--- a/cornelpin/tests/test_threaded_app.py
+++ b/cornelpin/tests/test_threaded_app.py
@@ -137,6 +137,17 @@
     }
 
 
+def test_started_server_takes_connections() -> None:
+    allocator = PortAllocator()
+    refused = []
+    for _ in range(20):
+        sock = socket.socket()
+        server = Running(allocator)
+        refused.append(sock.connect_ex((LOOPBACK, server.port)))
+        sock.close()
+    assert refused == [0] * 20
+
+
 @pytest.mark.parametrize("path", ["/error", "/bad-name", "/bad-value"])
 def test_failure_of_a_handler_may_have_run(running: Running, path: str) -> None:
     conn = running.connect()
