Place the streams of the hedging tests at the server that turns slow

Cause: requests that come one by one go to the server that was the fastest; which one of two equal ones that is was luck. Change: the other servers are slower from the start, as in the test of plain requests; the checks are the same.

--- a/cornelpin/tests/test_hedging.py
+++ b/cornelpin/tests/test_hedging.py
@@ -531,8 +531,11 @@
     """
     enable(harness, 0.2)
     path = "/stream/resumable/x"
-    assert await serve(harness, 120, path) == [OK] * 120
     slow, *others = harness.servers
+    # The fastest server gets requests that come one by one.
+    for server in others:
+        server.behaviour.gap_s = 0.02
+    assert await serve(harness, 120, path) == [OK] * 120
     slow.behaviour.gap_s = 0.5
     for server in others:
         server.behaviour.fault = fault
