Keep lines of state changes when requests write many

Cause: one limit of 400 lines a second for all, which lines of requests use up. Change: lines of requests have a limit and three quarters of the queue of their own.

--- a/cornelpin/gateway/logs.py
+++ b/cornelpin/gateway/logs.py
@@ -18,8 +18,12 @@
 MAX_QUEUED_BYTES = 1_048_576
 """Size of these lines; callers' ids may make them long."""
 MAX_LINES_PER_S = 400
-"""Rate limit of written lines: several times what one entry logs under full load, about
-60 per second."""
+"""Rate limit of lines of requests, and of all other lines: several times what one entry
+logs under full load, about 60 per second."""
+MAX_QUEUED_SHARE = 0.75
+"""Share of the queue that lines of requests may fill."""
+REQUEST_EVENTS = "request."
+"""Prefix of events of which callers determine how many there are."""
 WRITE_INTERVAL_S = 0.05
 """Time for which lines are collected before they are written together."""
 STDOUT = 1
@@ -29,6 +33,9 @@
 class LineWriter:
     """Writes queued lines without blocking; drops lines over the limits.
 
+    Lines of requests have limits of their own, so that many requests do not hide what
+    changes at the entry.
+
     Args:
         fd: File descriptor to write to.
 
@@ -44,7 +51,8 @@
         self._scheduled = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self._second = 0
-        self._lines_in_second = 0
+        # Lines of requests, and others.
+        self._lines_in_second = {True: 0, False: 0}
         self.dropped = 0
 
     def attach(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -52,17 +60,14 @@
         self._loop = loop
         os.set_blocking(self._fd, False)
 
-    def put(self, line: bytes) -> None:
-        """Queues a line, or drops it if the queue is full or the rate exceeded."""
-        second = int(time.monotonic())
-        if second != self._second:
-            self._second, self._lines_in_second = second, 0
-        self._lines_in_second += 1
-        full = (
-            len(self._lines) >= MAX_QUEUED_LINES
-            or self._queued_bytes + len(self._unwritten) > MAX_QUEUED_BYTES
-        )
-        if full or self._lines_in_second > MAX_LINES_PER_S:
+    def put(self, line: bytes, *, of_request: bool = False) -> None:
+        """Queues a line, or drops it if the queue is full or the rate exceeded.
+
+        Args:
+            line: The line.
+            of_request: Whether it is about one request.
+        """
+        if not self._take(of_request) or self._is_full(of_request):
             self.dropped += 1
             return
         self._lines.append(line)
@@ -73,6 +78,22 @@
             self._scheduled = True
             self._loop.call_later(WRITE_INTERVAL_S, self._flush_later)
 
+    def _take(self, of_request: bool) -> bool:
+        """Counts a line; returns False if there are too many in this second."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._lines_in_second = second, {True: 0, False: 0}
+        self._lines_in_second[of_request] += 1
+        return self._lines_in_second[of_request] <= MAX_LINES_PER_S
+
+    def _is_full(self, of_request: bool) -> bool:
+        share = MAX_QUEUED_SHARE if of_request else 1.0
+        queued_bytes = self._queued_bytes + len(self._unwritten)
+        return (
+            len(self._lines) >= share * MAX_QUEUED_LINES
+            or queued_bytes > share * MAX_QUEUED_BYTES
+        )
+
     def _flush_later(self) -> None:
         self._scheduled = False
         self.flush()
@@ -111,7 +132,8 @@
             **record["extra"],
         }
         writer.put(
-            json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n"
+            json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n",
+            of_request=record["message"].startswith(REQUEST_EVENTS),
         )
 
     logger.add(write, level="INFO", format="{message}", catch=True)
