Show in a trace that its entry was short of memory or connections

Cause: explain did not know resources.short. Change: lines of it by the request's entry from 5 s before it to 5 s after it are shown.

--- a/cornelpin/gateway/request_trace.py
+++ b/cornelpin/gateway/request_trace.py
@@ -10,9 +10,10 @@
 
 LogLine = dict[str, Any]
 
-SERVER_EVENT_MARGIN_S = 5.0
-"""Time before and after a request within which events of its servers are included,
-in seconds."""
+EVENT_MARGIN_S = 5.0
+"""Time before and after a request within which events of its servers, and of a lack of
+memory or connections, are included, in seconds."""
+SHORT_EVENT = "resources.short"
 STORE_EVENTS = {"store.lost", "store.regained", "store.copied", "store.history_lost"}
 LAG_EVENTS = {"store.behind", "store.caught_up"}
 COPY_EVENTS = {"store.copied", "store.copy_failed"}
@@ -61,8 +62,8 @@
 
     These are the request's own lines and, from the entry that served it:
 
-    * events of the servers it was sent to, from ``SERVER_EVENT_MARGIN_S`` before the
-      request to as long after it;
+    * events of the servers it was sent to, and lines of a lack of memory or
+      connections, from ``EVENT_MARGIN_S`` before the request to as long after it;
     * the last line before the end of the request about the configuration, about each
       kind of store objects and about the process;
     * the kinds of store objects of which the entry is behind others at that time;
@@ -92,10 +93,9 @@
         if line.get("host") != host or line in own:
             continue
         event = line["event"]
-        near = (
-            began - SERVER_EVENT_MARGIN_S <= line["at"] <= ended + SERVER_EVENT_MARGIN_S
-        )
-        if _is_about_server(event) and line.get("server") in servers and near:
+        near = began - EVENT_MARGIN_S <= line["at"] <= ended + EVENT_MARGIN_S
+        of_server = _is_about_server(event) and line.get("server") in servers
+        if near and (of_server or event == SHORT_EVENT):
             chosen.append(line)
         elif line["at"] > ended:
             continue
--- a/cornelpin/tests/test_explain.py
+++ b/cornelpin/tests/test_explain.py
@@ -141,6 +141,22 @@
         [{"at": 4.6, "host": "a", "event": "server.disconnected", "server": "i-1"}],
         [4.6],
     ),
+    (
+        "short of memory or connections around it",
+        [
+            {"at": 4.5, "host": "a", "event": "resources.short"},
+            {"at": 5.4, "host": "a", "event": "resources.short"},
+        ],
+        [4.5, 5.4],
+    ),
+    (
+        "short at another entry, or at another time",
+        [
+            {"at": 4.5, "host": "b", "event": "resources.short"},
+            {"at": 25.0, "host": "a", "event": "resources.short"},
+        ],
+        [],
+    ),
 ]
 
 
