Raise from the start of the daemon's HTTP server what ends its loop

Cause: an exception before the listener was made, such as no descriptor for the loop, ended the thread, and start() would have waited for good; found when the diff was read again. Change: whatever ends the thread before it listens is raised.

--- a/cornelpin/daemon/http/server.py
+++ b/cornelpin/daemon/http/server.py
@@ -77,17 +77,16 @@
         self._listening.result()
 
     def _run(self) -> None:
-        asyncio.run(self._serve())
+        try:
+            asyncio.run(self._serve())
+        except Exception as exc:
+            if self._listening.done():
+                raise
+            self._listening.set_exception(exc)
 
     async def _serve(self) -> None:
         app = ThreadedApp(self._handle, self._limits, threads=self._threads)
-        try:
-            listener = Listener(
-                self._sock, lambda: ProblemConnection(app, self._resources)
-            )
-        except OSError as exc:
-            self._listening.set_exception(exc)
-            return
+        listener = Listener(self._sock, lambda: ProblemConnection(app, self._resources))
         self._listening.set_result(None)
         try:
             await asyncio.Event().wait()
