Start background tasks again that fail

Cause: the failure of any task stopped the process. Change: a failed task is logged, counted (cornelpin_task_failures) and started again with back-off; after eight failures in a row the entry drains and stops. The gauges move to a module of their own, made once, so that housekeeping can be started again. Evidence: test_background_tasks.py; with one failure allowed, as before, its four cases over sockets fail.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -14,6 +14,7 @@
 import attrs
 
 from cornelpin.gateway import logs
+from cornelpin.gateway.background import BackgroundTasks
 from cornelpin.gateway.endpoints import MetricsEndpoint, ReadyEndpoint
 from cornelpin.gateway.limit_coordinator import LimitCoordinator
 from cornelpin.gateway.peers import Peers
@@ -40,9 +41,8 @@
 from cornelpin.scheduling.valuation import Valuation
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Coroutine
+    from collections.abc import Awaitable, Callable
 
-    from cornelpin.gateway.metrics import Metrics
     from cornelpin.http1.connections import Resources
     from cornelpin.http1.requests import BadRequest, ClientRequest
     from cornelpin.http1.responder import Responder
@@ -71,16 +71,6 @@
 REGISTRATION_SPREAD_S = 1.0
 """Time over which the entries check their registrations after a restore of the store,
 so that a hundred of them stay within its rate of calls."""
-MEMORY_USES = (
-    "connections",
-    "received",
-    "head",
-    "body",
-    "unsent",
-    "responses",
-    "unlisted_senders",
-)
-"""Uses of the memory budget that have a metric."""
 
 
 class Entry:
@@ -181,12 +171,13 @@
             self.resources.transfers,
         )
         self._listeners: list[Listener] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._logged_resources = (0, 0, 0, 0)
         self._stop = asyncio.Event()
+        self.tasks = BackgroundTasks(self._stop.set)
         self._settings_mtime_ns = os.stat(settings_path).st_mtime_ns
 
     async def run(self) -> None:
-        """Serves until a stop signal or the failure of a background task."""
+        """Serves until a stop signal, or until a background task is given up."""
         loop = asyncio.get_running_loop()
         self._lines.attach(loop)
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
@@ -194,25 +185,15 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._listen()
         logs.event("entry.started", incarnation=self.peers.incarnation)
-        for task in self._view.tasks():
-            self._start(task)
-        self._start(self._tick())
-        self._start(self._write_statuses())
-        self._start(self._housekeeping())
-        self._start(self._keep_registered())
+        for name, keep_current in self._view.tasks():
+            self.tasks.start(name, keep_current)
+        self.tasks.start("tick", self._tick)
+        self.tasks.start("statuses", self._write_statuses)
+        self.tasks.start("housekeeping", self._housekeeping)
+        self.tasks.start("registration", self._keep_registered)
         await self._stop.wait()
         await self._drain()
 
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        task.add_done_callback(self._on_task_end)
-        self._tasks.append(task)
-
-    def _on_task_end(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            logs.warning("task.failed", error=repr(task.exception()))
-            self._stop.set()
-
     async def _listen(self) -> None:
         settings = self._settings
         resources = self.resources
@@ -397,102 +378,15 @@
             await self.rollout_controller.write_statuses()
 
     async def _housekeeping(self) -> None:
-        # Imported after the listeners are open, to shorten the start. Until then
-        # state.metrics is None, and nothing is counted.
-        from cornelpin.gateway.metrics import Metrics
+        if self.state.metrics is None:
+            # Imported after the listeners are open, to shorten the start. Until then
+            # nothing is counted.
+            from cornelpin.gateway.gauges import make_metrics
 
-        self.state.metrics = Metrics()
-        self.state.metrics.gauge(
-            "waiting", "Requests waiting", self.scheduler.dispatcher.queued
-        )
-        self.state.metrics.gauge("peers", "Entries heard", lambda: self.peers.count)
-        self.state.metrics.gauge(
-            "log_lines_dropped", "Log lines dropped", lambda: self._lines.dropped
-        )
-        self.state.metrics.gauge(
-            "store_calls", "Calls to the store", lambda: self.store.calls
-        )
-        self.state.metrics.gauge(
-            "config_version",
-            "Version of the configuration in force, -1 without one",
-            lambda: self.state.config.version if self.state.config else -1,
-        )
-        self.state.metrics.gauge(
-            "config_age_seconds",
-            "Seconds since the configuration in force was known to be current",
-            lambda: self._view.config_age_s,
-        )
-        self.state.metrics.gauge(
-            "behind_kinds",
-            "Kinds of the store's objects of which others have later changes",
-            lambda: len(self._view.behind),
-        )
-        self.state.metrics.gauge(
-            "odd_objects",
-            "Objects in the store that can't be used, since the start",
-            lambda: self._view.odd_objects,
-        )
-        self.state.metrics.gauge(
-            "outdated_responses",
-            "Responses of the store older than what other entries have",
-            lambda: self._view.outdated,
-        )
-        self.state.metrics.gauge(
-            "copied_bytes",
-            "Bytes of snapshots copied from other entries",
-            lambda: self._view.copied_bytes,
-        )
-        self.state.metrics.gauge(
-            "quarantined_parts",
-            "Quarantined parts of prompts",
-            lambda: len(self.state.poison_parts.quarantined),
-        )
-        self.state.metrics.gauge(
-            "limited_servers",
-            "Servers that name a limit",
-            lambda: self.server_limits.limits.limited,
-        )
-        self._add_resource_gauges(self.state.metrics)
-        slowdowns = self.scheduler.dispatcher.slowdowns
-        self.state.metrics.gauge(
-            "slow_servers",
-            "Servers that state that work takes half as long again as usual, or more",
-            lambda: slowdowns.slow(1.5, time.monotonic()),
-        )
-        self.state.metrics.gauge(
-            "bad_slowdowns",
-            "Responses with an invalid slowdown",
-            lambda: slowdowns.invalid,
-        )
-        self.state.metrics.gauge(
-            "cold_servers",
-            "Servers that count as cold",
-            lambda: len(self.server_limits.cold),
-        )
-        self.state.metrics.gauge(
-            "bad_cold_times",
-            "Warm-up times over the bound",
-            lambda: self.server_limits.cold.invalid,
-        )
-        self.state.metrics.gauge(
-            "evacuated_data_centres",
-            "Data centres whose servers get no requests",
-            lambda: len(self.state.evacuations),
-        )
-        self.state.metrics.gauge(
-            "bad_limits",
-            "Responses with an invalid limit",
-            lambda: self.server_limits.invalid,
-        )
-        self.state.metrics.gauge(
-            "connections_opened",
-            "Connections to servers",
-            lambda: self.state.pool.opened,
-        )
-        logged: tuple[int, ...] = (0, 0, 0, 0)
+            self.state.metrics = make_metrics(self, view=self._view, lines=self._lines)
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            logged = self._log_resources(logged)
+            self._log_resources()
             self._reload_if_changed()
             now = time.monotonic()
             servers = self.state.servers.all(now).values()
@@ -504,47 +398,8 @@
             self.state.expire_poison_parts()
             self.state.expire_evacuations()
 
-    def _add_resource_gauges(self, metrics: Metrics) -> None:
-        memory, callers = self.resources.memory, self.resources.callers.connections
-        for use in MEMORY_USES:
-            metrics.gauge(
-                f"memory_{use}_bytes",
-                f"Memory of {use} of requests and their connections",
-                functools.partial(memory.by_use.__getitem__, use),
-            )
-        metrics.gauge(
-            "memory_refusals",
-            "Requests refused since there was no memory in time",
-            lambda: memory.refused,
-        )
-        metrics.gauge(
-            "share_refusals",
-            "Requests refused since their service and workspace held their share",
-            lambda: self.resources.requests.refused,
-        )
-        metrics.gauge(
-            "datagrams_dropped",
-            "Datagrams of unlisted senders dropped for want of memory",
-            lambda: self.resources.senders.dropped,
-        )
-        metrics.gauge("caller_connections", "Connections of callers", callers.__len__)
-        metrics.gauge(
-            "connections_closed",
-            "Connections of callers closed since there were too many",
-            lambda: callers.closed,
-        )
-        metrics.gauge(
-            "connections_evicted",
-            "Connections of callers ended since they held memory without progress",
-            lambda: callers.evicted,
-        )
-
-    def _log_resources(self, logged: tuple[int, ...]) -> tuple[int, ...]:
-        """Logs refusals and closed connections since the last line, if there are any.
-
-        Args:
-            logged: Return value of the last call.
-        """
+    def _log_resources(self) -> None:
+        """Logs refusals and closed connections since the last line, if any."""
         memory, callers = self.resources.memory, self.resources.callers.connections
         senders = self.resources.senders
         counts = (
@@ -553,6 +408,7 @@
             callers.evicted,
             senders.dropped,
         )
+        logged, self._logged_resources = self._logged_resources, counts
         if counts != logged:
             logs.warning(
                 "resources.short",
@@ -565,7 +421,6 @@
                 evicted=counts[2] - logged[2],
                 datagrams=counts[3] - logged[3],
             )
-        return counts
 
     def _reload_if_changed(self) -> None:
         """Reloads the settings file if its modification time has changed."""
@@ -612,8 +467,7 @@
         for listener in self._listeners:
             listener.close()
         self._close_idle_connections()
-        for task in self._tasks:
-            task.cancel()
+        self.tasks.cancel()
         self._snapshots.close()
         self.peers.close()
         self.state.crashes.close()
--- a/cornelpin/gateway/store_view.py
+++ b/cornelpin/gateway/store_view.py
@@ -37,8 +37,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterator
+    from collections.abc import Callable, Iterator
 
+    from cornelpin.gateway.background import Run
     from cornelpin.gateway.peers import Peers
     from cornelpin.gateway.rollouts import RolloutController
     from cornelpin.gateway.state import GatewayState
@@ -213,10 +214,11 @@
         share = self._peers.count / PROBING_ENTRIES
         return min(MAX_PROBE_S, RESEND_S * max(1.0, share))
 
-    def tasks(self) -> Iterator[Coroutine[Any, Any, None]]:
-        """Returns the coroutines that keep the caches current, to be run as tasks."""
-        yield from (cache.run() for cache in self._caches.values())
-        yield self._catch_up.run()
+    def tasks(self) -> Iterator[tuple[str, Run]]:
+        """Returns names and functions of the tasks that keep the caches current."""
+        for kind, cache in self._caches.items():
+            yield f"watch {kind}", cache.run
+        yield "catch up", self._catch_up.run
 
     async def _confirm_config(self) -> bool:
         """Returns whether the configuration is known to be current, or asks the store.
