Try a quarantined content once at one entry, ever later after a crash

Cause: the record of a content ended 60 s after its last crash, whatever kept coming. Change: the quarantine stays; 60 s after the last crash one request is tried at the one entry that all entries select, and each crash makes the next trial wait four times as long. A whole answer ends the quarantine, as before.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -132,6 +132,7 @@
             server_connections=self.resources.server_connections,
             limits=self.server_limits,
             fleet_view=self.peers.fleet_view,
+            live_hosts=self.peers.live_hosts,
             on_change=self.peers.schedule_update,
             flush=self.peers.flush,
         )
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -19,7 +19,7 @@
 from cornelpin.scheduling.durations import RouteDurations
 from cornelpin.scheduling.hedging import RETRY_BUDGET_PART
 from cornelpin.scheduling.poison_parts import PoisonParts
-from cornelpin.scheduling.poison_requests import PoisonDetector
+from cornelpin.scheduling.poison_requests import PoisonDetector, select_trier
 from cornelpin.scheduling.quota import FleetView, Quotas, QuotaTolerance
 from cornelpin.scheduling.restrictions import Evacuations
 from cornelpin.scheduling.rollouts import Rollouts
@@ -63,6 +63,7 @@
             closed for new ones.
         limits: Keeps the entries within the limits that servers name.
         fleet_view: Returns the numbers of live and of known entries.
+        live_hosts: Returns the hosts of live entries, the own one included.
         on_change: Called after a change that the next update to the other entries
             carries.
         flush: Called to send an update to the other entries at once.
@@ -93,6 +94,7 @@
         server_connections: int,
         limits: LimitCoordinator,
         fleet_view: Callable[[], FleetView],
+        live_hosts: Callable[[], Iterable[str]],
         on_change: Callable[[], None],
         flush: Callable[[], None],
     ) -> None:
@@ -135,6 +137,7 @@
         self.stop_at: float | None = None
         self.durations = RouteDurations()
         self.fleet_view = fleet_view
+        self._live_hosts = live_hosts
         self._unsent_leaving: list[tuple[str, int]] = []
         self._unsent_refuted: list[str] = []
         self._on_change = on_change
@@ -318,12 +321,25 @@
 
     def quarantine_reason(self, job: Job, now: float) -> str:
         """Returns why a request is rejected as poison; empty if it is not."""
-        if self.poison_detector.is_quarantined(job.fingerprint, now):
+        quarantined = self.poison_detector.is_quarantined(job.fingerprint)
+        if quarantined and not self._is_on_trial(job, now):
             return "its content has broken several servers"
         if self.poison_parts.find(job.shared_parts) is not None:
             return "a part of its prompt has broken several servers"
         return ""
 
+    def _is_on_trial(self, job: Job, now: float) -> bool:
+        """Returns whether a request is the one that tries its quarantined content."""
+        content = job.fingerprint
+        if self.poison_detector.is_on_trial(content, job.request_id, now):
+            return True
+        if select_trier(content, self._live_hosts()) != self.settings.host:
+            return False
+        if not self.poison_detector.begin_trial(content, job.request_id, now):
+            return False
+        logs.event("request.trial", id=job.request_id)
+        return True
+
     def suspect_crash(self, job: Job, server: BackendServer, *, begun: bool) -> None:
         """Records a run whose connection ended before its response did.
 
--- a/cornelpin/tests/test_crash_detection.py
+++ b/cornelpin/tests/test_crash_detection.py
@@ -217,12 +217,12 @@
         parts.record_crash(f"s{number}@1", ["a"], 1.0)
         contents.record_failure(b"x", f"r{number} s{number}@1", 1.0)
     exported = parts.export(1.0)
-    assert parts.find(["a"]) and contents.is_quarantined(b"x", 1.0)
+    assert parts.find(["a"]) and contents.is_quarantined(b"x")
     for table in (parts, contents):
         table.retract_crash("s1@1")
     parts.merge_from(exported, 2.0)
     parts.merge_crashes([("s1@1", ["a"])], 2.0)
-    assert parts.find(["a"]) is None and not contents.is_quarantined(b"x", 2.0)
+    assert parts.find(["a"]) is None and not contents.is_quarantined(b"x")
 
 
 def test_whole_answer_clears_its_content_at_all_entries() -> None:
@@ -233,7 +233,7 @@
     second.record_sound(b"x")
     first.merge_sound(second.take_unsent_sound())
     for detector in (first, second):
-        assert not detector.is_quarantined(b"x", 1.0)
+        assert not detector.is_quarantined(b"x")
 
 
 def test_memory_for_crashes_is_bounded() -> None:
