Keep a silent stream that can go on nowhere else

Cause: a send was given up before it was asked whether another one may follow; without room in the retry budget the client's connection was then aborted. Change: a stream of which the client has a part is given up only if an attempt, time, the retry budget and another sound server are left; otherwise it is looked at again each 0.1 s.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -439,6 +439,7 @@
             sink,
             idle_timeouts,
             may_send=lambda: self._may_send(placement),
+            may_give_up=lambda: self._may_give_up(placement),
             memory=self.state.response_memory,
         )
         self.progress.may_have_run = True
@@ -468,6 +469,23 @@
             and self._within_limit(placement, now)
         )
 
+    def _may_give_up(self, placement: Placement) -> bool:
+        """Returns whether a send that makes no progress may be given up.
+
+        A stream of which the client has a part is kept if it could not go on at another
+        server: the silent one may.
+        """
+        if not self.responder.started:
+            return True
+        job, now = self.job, time.monotonic()
+        return (
+            self.progress.last_event is not None
+            and self.progress.sends < MAX_SENDS
+            and now + MIN_SEND_S <= job.deadline
+            and self.state.has_retry(job.service, now)
+            and self.scheduler.dispatcher.has_other_server(job, placement.server, now)
+        )
+
     def _within_limit(self, placement: Placement, now: float) -> bool:
         """Returns whether the server has no limit, or this send a recent permit."""
         if self.state.limits.limit_per_s(placement.server) is None:
--- a/cornelpin/gateway/exchange.py
+++ b/cornelpin/gateway/exchange.py
@@ -36,6 +36,8 @@
 byte now and then, and a sound one that is slow sends more."""
 FEED_BYTES = 1_024
 """Bytes of a stream that are split into events at once."""
+GIVE_UP_CHECK_S = 0.1
+"""Interval at which a silent send that may not be given up is looked at again."""
 REJECTION_TIMEOUT_S = 0.1
 """Time to read the rest of a rejection: a new connection costs less."""
 
@@ -167,6 +169,7 @@
         sink: Receives a streamed response.
         timeouts: Limits on the time without data from the server; None for no limits.
         may_send: Returns whether the request may still be sent to the server.
+        may_give_up: Returns whether the send may be given up for a lack of progress.
         memory: Memory for incomplete responses; None for no limit but the one on each.
     """
 
@@ -179,6 +182,7 @@
         timeouts: IdleTimeouts | None = None,
         *,
         may_send: Callable[[], bool] = lambda: True,
+        may_give_up: Callable[[], bool] = lambda: True,
         memory: ResponseMemory | None = None,
     ) -> None:
         self._pool = pool
@@ -187,6 +191,7 @@
         self._sink = sink
         self._timeouts = timeouts
         self._may_send = may_send
+        self._may_give_up = may_give_up
         self._memory = memory
         self._held = 0
         self._foreign_limit = 0
@@ -282,17 +287,20 @@
         limit_s = (
             self._timeouts.event_gap_s if self._forwarding else self._timeouts.first_s
         )
-        try:
-            remaining_s = self._progress_at + limit_s - time.monotonic()
-            async with asyncio.timeout(max(0.0, remaining_s)):
-                return await conn.next_event()
-        except TimeoutError as exc:
-            # After a pause of the process, the part may have arrived in time.
-            part = conn.next_received_event()
-            if part is not None:
-                self._record_progress()
-                return part
-            raise ConnectionBroken(f"no progress for {limit_s:.1f} s") from exc
+        until = self._progress_at + limit_s
+        while True:
+            try:
+                async with asyncio.timeout(max(0.0, until - time.monotonic())):
+                    return await conn.next_event()
+            except TimeoutError as exc:
+                # After a pause of the process, the part may have arrived in time.
+                part = conn.next_received_event()
+                if part is not None:
+                    self._record_progress()
+                    return part
+                if self._may_give_up():
+                    raise ConnectionBroken(f"no progress for {limit_s:.1f} s") from exc
+                until = time.monotonic() + GIVE_UP_CHECK_S
 
     async def _step(self, size: int, weight: int = 1) -> None:
         """Bounds the work for parts that come without a pause (``Pacer.step``)."""
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -271,6 +271,10 @@
         """
         return self.budget(service).take(now, self.fleet_view().all_entries)
 
+    def has_retry(self, service: str, now: float) -> bool:
+        """Returns whether ``take_retry`` would take a retry."""
+        return self.budget(service).has_room(now, self.fleet_view().all_entries)
+
     def take_hedge(self, service: str, now: float) -> bool:
         """Takes a second send from a service's retry budget, after all retries."""
         return self.budget(service).take(
--- a/cornelpin/scheduling/budget.py
+++ b/cornelpin/scheduling/budget.py
@@ -51,14 +51,18 @@
             entries: Number of entries that share the budget.
             part: Part of the budget that may be used up.
         """
+        if not self.has_room(now, entries, part=part):
+            return False
+        self._retries.append(now)
+        return True
+
+    def has_room(self, now: float, entries: int, *, part: float = 1.0) -> bool:
+        """Returns whether a retry is left in the budget; for arguments see ``take``."""
         _expire(self._requests, now - self._bounds.window_s)
         _expire(self._retries, now - self._bounds.window_s)
         own = self._bounds.ratio * len(self._requests)
         limit = BUDGET_SHARE * (own + self._bounds.extra / max(1, entries))
-        if len(self._retries) + 1 > part * limit:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= part * limit
 
 
 def _expire(times: deque[float], before: float) -> None:
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -444,6 +444,15 @@
             return NO_BUDGET
         return self._place(job, ranked[0], snapshot.candidates, now)
 
+    def has_other_server(self, job: Job, server: BackendServer, now: float) -> bool:
+        """Returns whether a sound server but the given one may run a job again."""
+        return any(
+            not candidate.health.is_ejected(now)
+            and candidate.server is not server
+            and candidate.server.id not in job.avoid
+            for candidate in self._candidates.of_service(job.service, now)
+        )
+
     def note_request(self, job: Job) -> None:
         """Counts a request towards the share that may be hedged."""
         self._service(job.service).hedging.note_request()
--- a/cornelpin/tests/test_gateway_path.py
+++ b/cornelpin/tests/test_gateway_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -429,6 +430,39 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("servers", "budget"), [(2, False), (1, True), (1, False)])
+def test_silent_stream_is_kept_if_it_can_go_on_nowhere_else(
+    servers: int, budget: bool
+) -> None:
+    """Guards against a client's stream that is cut although its server goes on."""
+
+    async def scenario() -> None:
+        async with run_harness(servers=servers, routes=LONG_ROUTES) as harness:
+            await learn_speeds(harness)
+            for server in harness.servers:
+                server.behaviour.gap_s = 0.2
+                server.behaviour.events = 2
+            stream = fetch(
+                entry_address(harness),
+                "/stream/resumable/x",
+                method="POST",
+                headers=LONG,
+            )
+            task = asyncio.create_task(stream)
+            await until(lambda: any(server.running for server in harness.servers))
+            state = harness.entries[0].state
+            while not budget and state.take_retry("app", time.monotonic()):
+                pass
+            for server in harness.servers:
+                # From the next event on longer than the time-out of a gap.
+                server.behaviour.gap_s = 2.4
+            response = await task
+            assert (response.status, response.complete) == (200, True)
+            assert sum(sum(s.runs.values()) for s in harness.servers) == 13
+
+    asyncio.run(scenario())
+
+
 def test_route_timeout_takes_precedence_over_a_longer_deadline() -> None:
     async def scenario() -> None:
         fields = config()
