Give a silent stream up only for a slot that is free for it

Cause: any sound server counted, also one without a free slot, or one whose slots others wait for. Change: free slots at sound servers that the job has not been at must exceed the jobs that wait.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -483,7 +483,7 @@
             and self.progress.sends < MAX_SENDS
             and now + MIN_SEND_S <= job.deadline
             and self.state.has_retry(job.service, now)
-            and self.scheduler.dispatcher.has_other_server(job, placement.server, now)
+            and self.scheduler.dispatcher.can_move(job, placement.server, now)
         )
 
     def _within_limit(self, placement: Placement, now: float) -> bool:
--- a/cornelpin/scheduling/dispatcher.py
+++ b/cornelpin/scheduling/dispatcher.py
@@ -444,14 +444,24 @@
             return NO_BUDGET
         return self._place(job, ranked[0], snapshot.candidates, now)
 
-    def has_other_server(self, job: Job, server: BackendServer, now: float) -> bool:
-        """Returns whether a sound server but the given one may run a job again."""
-        return any(
-            not candidate.health.is_ejected(now)
-            and candidate.server is not server
-            and candidate.server.id not in job.avoid
+    def can_move(self, job: Job, server: BackendServer, now: float) -> bool:
+        """Returns whether a job that runs could get a slot elsewhere at once.
+
+        That is on a sound server, and beside the jobs that already wait for one.
+
+        Args:
+            job: The job.
+            server: The server at which it runs.
+            now: Monotonic time in seconds.
+        """
+        free = sum(
+            candidate.free
             for candidate in self._candidates.of_service(job.service, now)
+            if candidate.server is not server
+            and candidate.server.id not in job.avoid
+            and not candidate.health.is_ejected(now)
         )
+        return free > len(self._service(job.service).queue)
 
     def note_request(self, job: Job) -> None:
         """Counts a request towards the share that may be hedged."""
