Decode one JSON body at a time in the daemon, and keep little of it

Cause: each request in hand kept its decoded body, some twenty times its size, until its response; an invalid max_tokens was sent back whole, 800 KB for a body of 400 KB. Change: a body is decoded under a lock, what is needed is read from it, and it is dropped; a refusal shows 100 characters of a value.

--- a/cornelpin/daemon/http/acceptance.py
+++ b/cornelpin/daemon/http/acceptance.py
@@ -21,6 +21,8 @@
 # Assumed output of a completion without a token limit.
 DEFAULT_OUTPUT_TOKENS = 64
 MAX_TIMEOUT_S = 86_400
+MAX_SHOWN = 100
+"""Characters of an invalid value in a refusal."""
 # Headers for the entry or its connection; not forwarded to backend servers.
 UNFORWARDED_HEADERS = frozenset(
     {"Authorization", "Host", "Connection", "Transfer-Encoding", "Expect"}
@@ -184,13 +186,50 @@
     return timeout_s
 
 
+@attrs.frozen
+class Completion:
+    """What the body of a completion or chat completion asks for.
+
+    Attributes:
+        route: The model it names.
+        cost_tokens: Estimate of the work, prompt and output.
+        prompt: The prompt or messages, for the lookup of cached prefixes.
+        streamed: Whether the response is wanted as a stream.
+    """
+
+    route: str
+    cost_tokens: int
+    prompt: bytes
+    streamed: bool
+
+
+def read_completion(document: dict[str, Any], http: HttpRequest) -> Completion:
+    """Reads the decoded body of a completion.
+
+    Raises:
+        Refusal: If it names no model or has an invalid limit.
+    """
+    route = document.get("model")
+    if not isinstance(route, str):
+        raise Refusal(
+            Reason.BAD_REQUEST, detail="the body must name a route as its model"
+        )
+    return Completion(
+        route,
+        estimate_cost_tokens(document, len(http.body)),
+        encode_prompt(document),
+        streamed=document.get("stream") is True,
+    )
+
+
 def estimate_cost_tokens(document: dict[str, Any], body_bytes: int) -> int:
     """Estimates the work of a completion in tokens, prompt and output."""
     limit = document.get("max_completion_tokens", document.get("max_tokens"))
     if limit is not None and (type(limit) is not int or limit < 1):
+        shown = json.dumps(limit)[:MAX_SHOWN]
         raise Refusal(
             Reason.BAD_REQUEST,
-            detail=f"max_tokens is {json.dumps(limit)}; valid: an integer of 1 or more",
+            detail=f"max_tokens is {shown}; valid: an integer of 1 or more",
         )
     return body_bytes // BYTES_PER_TOKEN + (limit or DEFAULT_OUTPUT_TOKENS)
 
--- a/cornelpin/daemon/http/admin.py
+++ b/cornelpin/daemon/http/admin.py
@@ -76,8 +76,7 @@
         return json_response({"number": view.number, "document": view.document})
 
     def _patch(self, http: HttpRequest) -> HttpResponse:
-        document = http.json()
-        base, patch = document.get("base"), document.get("patch")
+        base, patch = http.read_json(lambda d: (d.get("base"), d.get("patch")))
         if type(base) is not int or not isinstance(patch, dict):
             raise Refusal(
                 Reason.BAD_REQUEST,
--- a/cornelpin/daemon/http/callers.py
+++ b/cornelpin/daemon/http/callers.py
@@ -7,9 +7,8 @@
 
 from cornelpin.core.execution import Reason, Refusal
 from cornelpin.daemon.http.acceptance import (
-    encode_prompt,
-    estimate_cost_tokens,
     find_workspace,
+    read_completion,
     resolve_route,
     routes_of,
 )
@@ -73,29 +72,25 @@
         """Handles a completion or chat completion."""
         config = self._process.view.config
         named_workspace = find_workspace(http, config)
-        document = http.json()
-        route = document.get("model")
-        if not isinstance(route, str):
-            raise Refusal(
-                Reason.BAD_REQUEST, detail="the body must name a route as its model"
-            )
-        resolved = resolve_route(config, named_workspace, route, kind="model")
+        call = http.read_json(lambda document: read_completion(document, http))
+        resolved = resolve_route(config, named_workspace, call.route, kind="model")
         req = resolved.build_request(
             http,
             request_id,
             path=http.path,
-            cost=estimate_cost_tokens(document, len(http.body)),
-            prompt=encode_prompt(document),
+            cost=call.cost_tokens,
+            prompt=call.prompt,
         )
         version = resolved.route.version or ""
-        streamed = document.get("stream") is True
         if req.durable:
             self._check_not_draining()
-            return self._durable.submit(http, req, version=version, streamed=streamed)
+            return self._durable.submit(
+                http, req, version=version, streamed=call.streamed
+            )
 
         def perform() -> HttpResponse:
             exchange = self._open(http, req, version=version)
-            respond = streamed_response if streamed else whole_response
+            respond = streamed_response if call.streamed else whole_response
             return respond(exchange, request_id)
 
         return self._perform_once(http, req, perform)
--- a/cornelpin/daemon/http/messages.py
+++ b/cornelpin/daemon/http/messages.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import json
+import threading
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import attrs
 
@@ -13,12 +14,15 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+T = TypeVar("T")
+
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 
 
 UNLISTED_HEADERS = frozenset({"content-length", "transfer-encoding"})
 """Headers that tell the length of a body, which is known here."""
+_DECODING = threading.Lock()
 
 
 def _is_connected() -> bool:
@@ -62,12 +66,22 @@
         scheme, _, token = self.header("Authorization").partition(" ")
         return token.strip() if scheme.lower() == "bearer" else ""
 
-    def json(self) -> Any:
-        """Returns the body decoded as a JSON object.
+    def read_json(self, read: Callable[[dict[str, Any]], T]) -> T:
+        """Returns what a function reads from the body, a JSON object.
+
+        One body of the process is decoded at a time, as it takes many times its size;
+        ``read`` must not return large parts of it.
+
+        Args:
+            read: Reads what is wanted.
 
         Raises:
             Refusal: If the body is not a JSON object.
         """
+        with _DECODING:
+            return read(self._decoded())
+
+    def _decoded(self) -> dict[str, Any]:
         try:
             document = json.loads(self.body)
         except (ValueError, RecursionError) as exc:
--- a/cornelpin/tests/crowds.py
+++ b/cornelpin/tests/crowds.py
@@ -270,6 +270,16 @@
 """Clients that wait for their responses; they misbehave by their number only."""
 
 
+def _nested_json(door: Door) -> Iterator[bytes | float]:
+    frame = b'{"model": "none", "x": [%s[]]}'
+    body = frame % (b"[]," * ((door.body_bytes - len(frame)) // 3))
+    yield door.head(b"Content-Length: %d" % len(body)) + body
+
+
+NESTED_JSON = Kind(_nested_json, connections=CONNECTIONS, reads=True)
+"""Clients whose documents take many times their size when they are decoded."""
+
+
 LARGE_FRAME_BYTES = 4_194_304
 
 
--- a/cornelpin/tests/test_bad_inputs.py
+++ b/cornelpin/tests/test_bad_inputs.py
@@ -301,3 +301,18 @@
     assert any('outcome="answered"' in line for line in counted)
     assert any('outcome="unauthorized"' in line for line in counted)
     assert response_headers["Content-Type"].startswith("text/plain")
+
+
+def test_large_invalid_limit_is_not_sent_back_whole(running: Testbed) -> None:
+    body = {"model": running.deployment.model_route, "max_tokens": [[]] * 100_000}
+    token = workspace_token(first_workspace(running))
+    status, _, received = call(
+        running,
+        "POST",
+        "/v1/completions",
+        json.dumps(body).encode(),
+        {"Authorization": f"Bearer {token}"},
+    )
+    assert status == 400
+    assert len(received) < 2_000
+    assert b"max_tokens is [[], " in received
--- a/cornelpin/tests/test_daemon_crowds.py
+++ b/cornelpin/tests/test_daemon_crowds.py
@@ -10,7 +10,13 @@
 
 import pytest
 
-from cornelpin.tests.crowds import KINDS, LARGE_FRAMES, Crowd, Kind
+from cornelpin.tests.crowds import (
+    KINDS,
+    LARGE_FRAMES,
+    NESTED_JSON,
+    Crowd,
+    Kind,
+)
 from cornelpin.tests.daemon_crowd_bed import (
     ENTRY,
     FILES,
@@ -113,3 +119,8 @@
 @pytest.mark.parametrize("name", [ENTRY, SIDE])
 def test_large_frames_before_a_proof_of_the_key(name: str, beds: Beds) -> None:
     run_crowd(beds, LARGE_FRAMES, name, None)
+
+
+@pytest.mark.parametrize("path", ["/v1/completions", "/v1/chat/completions"])
+def test_documents_that_are_large_when_decoded(path: str, beds: Beds) -> None:
+    run_crowd(beds, NESTED_JSON, ENTRY, path)
