Bound the daemon's log lines about peers that break the protocol

Change: at most one line in 5 s, with the number of those that were not logged. Evidence: test_crowd_is_logged_in_few_lines, two cases red with a line for each.

--- a/cornelpin/daemon/listener.py
+++ b/cornelpin/daemon/listener.py
@@ -23,6 +23,8 @@
 ACCEPT_POLL_S = 0.5
 MAX_CONNECTIONS = 1024
 ACCEPT_RETRY_S = 0.1
+LOG_INTERVAL_S = 5.0
+"""Least time between two log lines about connections that break the protocol."""
 MAX_HANDSHAKES = 32
 """Connections that may be open without a proof of the shared key: the oldest of them is
 closed for a new one."""
@@ -58,6 +60,8 @@
         self._sock = socket.create_server((address, port), backlog=BACKLOG)
         self._sock.settimeout(ACCEPT_POLL_S)
         self.rejected = 0
+        self._logged_at = float("-inf")
+        self._unlogged = 0
 
     def run(self, stop: threading.Event) -> None:
         """Accepts connections until stopped."""
@@ -108,7 +112,7 @@
             self._serve(self._handshake(sock))
         except ProtocolError as exc:
             self.rejected += 1
-            logger.warning("peer connection closed after a protocol error: {}", exc)
+            self._log_violation(exc)
         except PeerClosed:
             pass
         finally:
@@ -127,3 +131,19 @@
             with self._lock:
                 self._handshakes.pop(sock, None)
             self._free_handshakes.release()
+
+    def _log_violation(self, exc: ProtocolError) -> None:
+        """Logs a connection that broke the protocol, with how many were not logged."""
+        with self._lock:
+            now = time.monotonic()
+            if now < self._logged_at + LOG_INTERVAL_S:
+                self._unlogged += 1
+                return
+            unlogged, self._unlogged = self._unlogged, 0
+            self._logged_at = now
+        logger.warning(
+            "peer connection closed after a protocol error: {}; {} others since the "
+            "last line",
+            exc,
+            unlogged,
+        )
--- a/cornelpin/tests/crowds.py
+++ b/cornelpin/tests/crowds.py
@@ -270,6 +270,14 @@
 """Clients that wait for their responses; they misbehave by their number only."""
 
 
+def _broken_frame(door: Door) -> Iterator[bytes | float]:
+    yield (9).to_bytes(4, "big") + b"not known"
+
+
+BROKEN_FRAMES = Kind(_broken_frame, connections=MANY_CONNECTIONS, reads=True)
+"""Clients at the address for other processes that break its protocol."""
+
+
 def _nested_json(door: Door) -> Iterator[bytes | float]:
     frame = b'{"model": "none", "x": [%s[]]}'
     body = frame % (b"[]," * ((door.body_bytes - len(frame)) // 3))
--- a/cornelpin/tests/test_daemon_crowds.py
+++ b/cornelpin/tests/test_daemon_crowds.py
@@ -10,7 +10,9 @@
 
 import pytest
 
+from benchmarks.waiting import wait_until
 from cornelpin.tests.crowds import (
+    BROKEN_FRAMES,
     KINDS,
     LARGE_FRAMES,
     NESTED_JSON,
@@ -38,6 +40,9 @@
 SEED = 47
 CROWD_S = 4.0
 """Time for which a crowd sends at most."""
+LOG_TIMEOUT_S = 30.0
+MOST_LINES = 10
+"""Log lines that a crowd may cause: far fewer than it has clients."""
 SIDE = f"side-{SERVICE}"
 # Process and path; no path for the address for other processes.
 DOORS = {
@@ -124,3 +129,23 @@
 @pytest.mark.parametrize("path", ["/v1/completions", "/v1/chat/completions"])
 def test_documents_that_are_large_when_decoded(path: str, beds: Beds) -> None:
     run_crowd(beds, NESTED_JSON, ENTRY, path)
+
+
+LOGGED = [
+    # Process, path, crowd, and the text of the log lines it causes.
+    (ENTRY, None, BROKEN_FRAMES, "protocol error"),
+    (SIDE, None, BROKEN_FRAMES, "protocol error"),
+]
+
+
+@pytest.mark.parametrize(("name", "path", "kind", "text"), LOGGED)
+def test_crowd_is_logged_in_few_lines(
+    name: str, path: str | None, kind: Kind, text: str, beds: Beds
+) -> None:
+    log = beds.get().processes[name].stderr_path
+    before = log.read_text().count(text)
+    run_crowd(beds, kind, name, path)
+    wait_until(
+        lambda: log.read_text().count(text) > before, LOG_TIMEOUT_S, "a line is logged"
+    )
+    assert log.read_text().count(text) - before <= MOST_LINES
