Say when the daemon is short of memory or connections

Change: a log line, at most one in 5 s, with how many clients it met, and three gauges: cornelpin_http_memory, cornelpin_http_connections, cornelpin_http_shortages. Evidence: two cases of test_crowd_is_logged_in_few_lines and test_closed_connections_have_a_metric, which nothing could meet before.

--- a/cornelpin/daemon/__main__.py
+++ b/cornelpin/daemon/__main__.py
@@ -90,6 +90,7 @@
         threads=HEALTH_THREADS,
         limits=process.settings.limits,
     )
+    process.meters.add_http_gauges(server.resources)
     server.start()
 
 
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -151,6 +151,7 @@
             threads=settings.limits.http_threads,
             limits=settings.limits,
         )
+        process.meters.add_http_gauges(self._http.resources)
 
     def start(self) -> None:
         """Starts all tasks."""
--- a/cornelpin/daemon/http/server.py
+++ b/cornelpin/daemon/http/server.py
@@ -7,6 +7,8 @@
 from concurrent.futures import Future
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from cornelpin.daemon.http._errors import ProblemConnection
 from cornelpin.daemon.http.threads import ThreadedApp
 from cornelpin.daemon.process_limits import descriptor_limit
@@ -25,6 +27,8 @@
 
 HEADER_TIMEOUT_S = 30.0
 IDLE_TIMEOUT_S = 120.0
+REPORT_S = 5.0
+"""Least time between two log lines about a lack of memory or connections."""
 FILE_DESCRIPTORS = 200
 """Descriptors that are not for sockets."""
 
@@ -38,6 +42,9 @@
         port: Port to listen on.
         threads: Number of requests that are handled at once.
         limits: Limits of the process.
+
+    Attributes:
+        resources: Memory and connections of its clients.
     """
 
     def __init__(
@@ -64,8 +71,9 @@
         sockets = max(0, descriptor_limit(limits.max_fds) - FILE_DESCRIPTORS)
         callers = caller_connections(limits.memory_mb, sockets)
         memory.make_room = callers.evict_stalled
-        self._resources = Resources(memory, TurnGate(), callers)
+        self.resources = Resources(memory, TurnGate(), callers)
         self._listening: Future[None] = Future()
+        self._reported = (0, 0, 0)
 
     def start(self) -> None:
         """Starts serving; returns once connections are accepted.
@@ -86,9 +94,34 @@
 
     async def _serve(self) -> None:
         app = ThreadedApp(self._handle, self._limits, threads=self._threads)
-        listener = Listener(self._sock, lambda: ProblemConnection(app, self._resources))
+        listener = Listener(self._sock, lambda: ProblemConnection(app, self.resources))
         self._listening.set_result(None)
         try:
-            await asyncio.Event().wait()
+            while True:
+                await asyncio.sleep(REPORT_S)
+                self._report()
         finally:
             listener.close()
+
+    def _report(self) -> None:
+        """Logs refusals and closed connections since the last line, if any."""
+        memory, conns = self.resources.memory, self.resources.connections
+        reported = self._reported
+        self._reported = memory.refused, conns.closed, conns.evicted
+        if self._reported == reported:
+            return
+        refused, closed, evicted = (
+            now - before for now, before in zip(self._reported, reported, strict=True)
+        )
+        logger.warning(
+            "short of memory or connections: {} requests refused, {} connections "
+            "closed for new ones, {} ended without progress; {} of {} bytes and {} of "
+            "{} connections in use",
+            refused,
+            closed,
+            evicted,
+            memory.used,
+            memory.limit,
+            len(conns),
+            conns.limit,
+        )
--- a/cornelpin/daemon/metrics.py
+++ b/cornelpin/daemon/metrics.py
@@ -22,6 +22,7 @@
 
     from cornelpin.daemon.control_cost import ControlCost
     from cornelpin.daemon.settings import Settings
+    from cornelpin.http1.connections import Resources
 
 PUSH_INTERVAL_MS = 10_000
 
@@ -94,6 +95,26 @@
             description="Processor time of control tasks and control messages",
         )
 
+    def add_http_gauges(self, resources: Resources) -> None:
+        """Adds gauges of what the clients of an HTTP server use and were refused."""
+        memory, conns = resources.memory, resources.connections
+        self.add_gauge(
+            "cornelpin_http_memory",
+            lambda: [
+                Observation(size, {"use": use})
+                for use, size in list(memory.by_use.items())
+            ],
+        )
+        self.add_gauge("cornelpin_http_connections", lambda: [Observation(len(conns))])
+        self.add_gauge(
+            "cornelpin_http_shortages",
+            lambda: [
+                Observation(memory.refused, {"kind": "refused"}),
+                Observation(conns.closed, {"kind": "closed"}),
+                Observation(conns.evicted, {"kind": "evicted"}),
+            ],
+        )
+
     def count_outcome(self, tier: str, outcome: str) -> None:
         """Counts a request by its final outcome.
 
--- a/cornelpin/tests/daemon_crowd_bed.py
+++ b/cornelpin/tests/daemon_crowd_bed.py
@@ -142,6 +142,12 @@
         """Returns whether the process says that it is ready, asked for a while."""
         return await self._until_ok((LOOPBACK, self._address.http_port), "/readyz", {})
 
+    async def metrics(self) -> str:
+        """Returns the process's metrics."""
+        address = LOOPBACK, self._address.http_port
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return (await fetch(address, "/metrics")).body.decode()
+
     async def _until_ok(
         self, address: tuple[str, int], path: str, headers: dict[str, str]
     ) -> bool:
--- a/cornelpin/tests/test_daemon_crowds.py
+++ b/cornelpin/tests/test_daemon_crowds.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING
 
 import pytest
@@ -133,6 +134,8 @@
 
 LOGGED = [
     # Process, path, crowd, and the text of the log lines it causes.
+    (ENTRY, ROUTE, KINDS["silent_connections"], "short of memory or connections"),
+    (SIDE, "/readyz", KINDS["silent_connections"], "short of memory or connections"),
     (ENTRY, None, BROKEN_FRAMES, "protocol error"),
     (SIDE, None, BROKEN_FRAMES, "protocol error"),
 ]
@@ -149,3 +152,12 @@
         lambda: log.read_text().count(text) > before, LOG_TIMEOUT_S, "a line is logged"
     )
     assert log.read_text().count(text) - before <= MOST_LINES
+
+
+@pytest.mark.parametrize("name", [ENTRY, SIDE])
+def test_closed_connections_have_a_metric(name: str, beds: Beds) -> None:
+    run_crowd(beds, KINDS["silent_connections"], name, "/readyz")
+    text = asyncio.run(Probe(beds.get(), name).metrics())
+    closed = re.search(r'cornelpin_http_shortages\S*kind="closed"\S* (\S+)', text)
+    assert closed is not None
+    assert float(closed[1]) > 0.0
