Leave connections of the daemon to others where requests run for long

Callers saw: with two crowds that wait for a slow service an entry answered nobody, not even the list of models or readiness: requests in hand held all connections. Cause: only held_requests limited them, which may be more than there are connections. Change: the gateway's shares by route and workspace, in http1 now, limit them here, too; more get 429, not run, with Retry-After. Durable and adopted requests hold none.

--- a/cornelpin/daemon/dispatch.py
+++ b/cornelpin/daemon/dispatch.py
@@ -14,7 +14,7 @@
 from cornelpin.daemon.messages import Ask, Chunk, End, Gone, Head, NotRun, Withdraw
 from cornelpin.daemon.placement import grant_message
 from cornelpin.daemon.preferences import Preferences
-from cornelpin.daemon.ticket_table import SessionEnded, TicketLimits, TicketTable
+from cornelpin.daemon.ticket_table import SessionEnded, TicketTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +24,7 @@
     from cornelpin.daemon.peer import Peer
     from cornelpin.daemon.process import Process
     from cornelpin.daemon.suspicion_sync import SuspicionSync
+    from cornelpin.daemon.ticket_table import TicketLimits
 
 # Exchange is defined in exchange.py and re-exported for callers of ``open``.
 __all__ = ["Dispatcher", "Exchange"]
@@ -35,7 +36,7 @@
     Args:
         process: The process.
         links: Links to the sides.
-        limit: Maximum number of requests that the entry holds.
+        limits: Limits of what the entry holds.
 
     Attributes:
         moves: Chooses the versions of model routes; set by the entry. With None, a
@@ -46,12 +47,14 @@
             the entry.
     """
 
-    def __init__(self, process: Process, links: LinkTable, limit: int) -> None:
+    def __init__(
+        self, process: Process, links: LinkTable, limits: TicketLimits
+    ) -> None:
         self._process = process
         self.links = links
         self.preferences = Preferences()
         self.answer_times = AnswerTimes()
-        self.tickets = TicketTable(TicketLimits(limit), self._shed_orders)
+        self.tickets = TicketTable(limits, self._shed_orders)
         self.moves: MoveView | None = None
         self.suspicions: SuspicionSync | None = None
         self.entry_share: Callable[[], EntryShare] = EntryShare
--- a/cornelpin/daemon/entry.py
+++ b/cornelpin/daemon/entry.py
@@ -35,7 +35,7 @@
 from cornelpin.daemon.http.admin import AdminApi
 from cornelpin.daemon.http.app import EntryApp
 from cornelpin.daemon.http.callers import CallerApi
-from cornelpin.daemon.http.server import HttpServer
+from cornelpin.daemon.http.server import HttpServer, client_connections
 from cornelpin.daemon.links import Link, LinkTable
 from cornelpin.daemon.listener import PeerListener
 from cornelpin.daemon.liveness import CHECK_INTERVAL_S, Pinger
@@ -44,6 +44,7 @@
 from cornelpin.daemon.status_rows import process_row, route_rows, tier_rows
 from cornelpin.daemon.supervisor import every
 from cornelpin.daemon.suspicion_sync import SuspicionSync
+from cornelpin.daemon.ticket_table import TicketLimits
 from cornelpin.daemon.timeline import TimelineCollector
 from cornelpin.stores import host_list, object_store
 
@@ -92,9 +93,11 @@
             on_message=self._on_message,
             on_lost=lambda link: None,
         )
-        self._dispatcher = Dispatcher(
-            process, self._links, settings.limits.held_requests
+        held = TicketLimits(
+            settings.limits.held_requests,
+            connections=client_connections(settings.limits).limit,
         )
+        self._dispatcher = Dispatcher(process, self._links, held)
         self._records = EntryRecords(
             process, self._dispatcher, self._objects, self._peers
         )
--- a/cornelpin/daemon/http/server.py
+++ b/cornelpin/daemon/http/server.py
@@ -24,6 +24,7 @@
 
     from cornelpin.daemon.http.messages import HttpRequest, HttpResponse
     from cornelpin.daemon.settings import LimitSettings
+    from cornelpin.http1.connections import OpenConnections
 
 HEADER_TIMEOUT_S = 30.0
 IDLE_TIMEOUT_S = 120.0
@@ -33,6 +34,12 @@
 """Descriptors that are not for sockets."""
 
 
+def client_connections(limits: LimitSettings) -> OpenConnections:
+    """Returns the connections that clients may have, by the limits of the process."""
+    sockets = max(0, descriptor_limit(limits.max_fds) - FILE_DESCRIPTORS)
+    return caller_connections(limits.memory_mb, sockets)
+
+
 class HttpServer:
     """An HTTP server whose event loop runs in its own thread.
 
@@ -68,8 +75,7 @@
             (address, port), receive_bytes=RECEIVE_BUFFER_BYTES
         )
         memory = traffic_memory(limits.memory_mb)
-        sockets = max(0, descriptor_limit(limits.max_fds) - FILE_DESCRIPTORS)
-        callers = caller_connections(limits.memory_mb, sockets)
+        callers = client_connections(limits)
         memory.make_room = callers.evict_stalled
         self.resources = Resources(memory, TurnGate(), callers)
         self._listening: Future[None] = Future()
--- a/cornelpin/daemon/ticket_table.py
+++ b/cornelpin/daemon/ticket_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import random
 import threading
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from cornelpin.core.execution import Reason, Refusal
 from cornelpin.core.limits import over_limit
 from cornelpin.daemon.messages import NotRun, Withdraw
+from cornelpin.http1.request_shares import RequestShares
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -19,6 +21,11 @@
     from cornelpin.daemon.links import Link
 
 DEFAULT_RETRY_AFTER_S = 1.0
+UNLIMITED_CONNECTIONS = 1_000_000
+"""Number of connections that limits nothing."""
+SHARE_RETRY_S = (0.5, 1.5)
+"""Range of Retry-After, in seconds, for a request over its share of the connections.
+The random value spreads the retries."""
 # Share of the limits kept free for higher tiers, scaled by the fraction of the tiers
 # that are higher.
 HEADROOM_SHARE = 0.2
@@ -41,10 +48,21 @@
     Attributes:
         count: Maximum number of requests.
         body_bytes: Maximum size of their bodies in bytes.
+        connections: Number of connections of callers, of which requests hold one each.
     """
 
     count: int
     body_bytes: int = 256 * 1024 * 1024
+    connections: int = UNLIMITED_CONNECTIONS
+
+
+def _holds_connection(ticket: Ticket) -> bool:
+    """Whether a caller waits for the response on a connection to this entry."""
+    return not (ticket.req.durable or ticket.adopted)
+
+
+def _group(ticket: Ticket) -> tuple[str, str]:
+    return ticket.req.route, ticket.req.workspace
 
 
 class TicketTable:
@@ -66,6 +84,7 @@
         self._tickets: dict[str, Ticket] = {}
         self._body_bytes = 0
         self._by_workspace: collections.Counter[str] = collections.Counter()
+        self._shares = RequestShares(limits.connections)
 
     def __len__(self) -> int:
         return len(self._tickets)
@@ -78,20 +97,38 @@
             concurrent: Maximum number of tickets of its workspace, None for no limit.
 
         Raises:
-            Refusal: If the workspace is over its limit, or the table is full and no
-                request of a lower tier waits.
+            Refusal: If the workspace is over its limit, the table is full and no
+                request of a lower tier waits, or its route and workspace hold their
+                share of the connections.
         """
         orders = self._shed_orders()
         workspace = ticket.req.workspace
         with self._lock:
             if concurrent is not None and self._by_workspace[workspace] >= concurrent:
                 raise over_limit(workspace, DEFAULT_RETRY_AFTER_S)
-            while not self._fits(ticket, orders):
-                self._make_room(ticket, orders)
+            self._share(ticket)
+            try:
+                while not self._fits(ticket, orders):
+                    self._make_room(ticket, orders)
+            except Refusal:
+                self._release_share(ticket)
+                raise
             self._tickets[ticket.req.request_id] = ticket
             self._body_bytes += len(ticket.req.body)
             self._by_workspace[workspace] += 1
 
+    def _share(self, ticket: Ticket) -> None:
+        if _holds_connection(ticket) and not self._shares.admit(*_group(ticket)):
+            raise Refusal(
+                Reason.SHED,
+                detail="requests like this hold too many connections",
+                retry_after_s=random.uniform(*SHARE_RETRY_S),
+            )
+
+    def _release_share(self, ticket: Ticket) -> None:
+        if _holds_connection(ticket):
+            self._shares.release(*_group(ticket))
+
     def _fits(self, ticket: Ticket, orders: Mapping[str, int]) -> bool:
         """Whether a ticket leaves the headroom for higher tiers free."""
         mine = orders.get(ticket.req.tier, -1)
@@ -133,6 +170,7 @@
         if ticket is not None:
             self._body_bytes -= len(ticket.req.body)
             self._by_workspace[ticket.req.workspace] -= 1
+            self._release_share(ticket)
 
     def find(self, request_id: str) -> Ticket | None:
         """Returns a ticket by request id."""
--- a/cornelpin/gateway/request_handler.py
+++ b/cornelpin/gateway/request_handler.py
@@ -26,10 +26,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from cornelpin.gateway.request_shares import RequestShares
     from cornelpin.gateway.rollouts import RolloutController
     from cornelpin.gateway.scheduler import Scheduler
     from cornelpin.gateway.state import GatewayState
+    from cornelpin.http1.request_shares import RequestShares
     from cornelpin.http1.requests import ClientRequest
     from cornelpin.http1.responder import Responder
     from cornelpin.scheduling.routing import Workspace
--- a/cornelpin/gateway/resources.py
+++ b/cornelpin/gateway/resources.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from cornelpin.gateway.request_shares import RequestShares
 from cornelpin.gateway.senders import Senders
 from cornelpin.http1.connections import Resources
 from cornelpin.http1.pacing import TurnGate
+from cornelpin.http1.request_shares import RequestShares
 from cornelpin.http1.shares import (
     MIN_CONNECTIONS,
     caller_connections,
--- a/cornelpin/tests/daemon_crowd_bed.py
+++ b/cornelpin/tests/daemon_crowd_bed.py
@@ -39,8 +39,12 @@
 """What resets a process's highest resident memory, written to its ``clear_refs``."""
 
 
-def deployment() -> Deployment:
-    """Describes one entry and one service with two workspaces."""
+def deployment(*, max_wait_s: float = 10.0) -> Deployment:
+    """Describes one entry and one service with two workspaces.
+
+    Args:
+        max_wait_s: Time for which a request may wait, seconds.
+    """
     tier = Tier(
         name="release",
         route="registry",
@@ -48,6 +52,8 @@
         shed_order=40,
         urgency=0,
         share=1.0,
+        max_wait_s=max_wait_s,
+        timeout_s=2.0 * max_wait_s,
     )
     return Deployment(
         name="crowds",
@@ -138,6 +144,13 @@
             address, ROUTE, {"Authorization": f"Bearer {token}"}
         )
 
+    async def models_are_listed(self) -> bool:
+        """Returns whether the entry answers what needs no service."""
+        headers = {"Authorization": f"Bearer {workspace_token(ORDINARY)}"}
+        return await self._until_ok(
+            (LOOPBACK, self._address.http_port), "/v1/models", headers
+        )
+
     async def is_ready(self) -> bool:
         """Returns whether the process says that it is ready, asked for a while."""
         return await self._until_ok((LOOPBACK, self._address.http_port), "/readyz", {})
--- a/cornelpin/tests/test_daemon_crowds.py
+++ b/cornelpin/tests/test_daemon_crowds.py
@@ -9,6 +9,7 @@
 import re
 from typing import TYPE_CHECKING
 
+import attrs
 import pytest
 
 from benchmarks.waiting import wait_until
@@ -17,7 +18,9 @@
     KINDS,
     LARGE_FRAMES,
     NESTED_JSON,
+    PATIENT,
     Crowd,
+    Door,
     Kind,
 )
 from cornelpin.tests.daemon_crowd_bed import (
@@ -32,6 +35,7 @@
     Probe,
     deployment,
 )
+from standins.service import CONTROL_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -41,6 +45,10 @@
 SEED = 47
 CROWD_S = 4.0
 """Time for which a crowd sends at most."""
+SLOW = 10_000.0
+"""Factor on the response time of a slow service: longer than its callers wait."""
+WAIT_S = 120.0
+"""Time for which the callers of a slow service wait."""
 LOG_TIMEOUT_S = 30.0
 MOST_LINES = 10
 """Log lines that a crowd may cause: far fewer than it has clients."""
@@ -161,3 +169,34 @@
     closed = re.search(r'cornelpin_http_shortages\S*kind="closed"\S* (\S+)', text)
     assert closed is not None
     assert float(closed[1]) > 0.0
+
+
+@pytest.mark.parametrize("crowds", [1, 2])
+def test_crowd_that_waits_for_a_slow_service(crowds: int) -> None:
+    with LimitedTestbed(deployment(max_wait_s=WAIT_S), seed=SEED) as bed:
+        bed.client(SERVICE).call("POST", f"{CONTROL_PREFIX}faults", {"slow": SLOW})
+        probe = Probe(bed, ENTRY)
+        door = probe.door(ROUTE)
+        timeout = b"X-Cornelpin-Timeout-S: %d" % WAIT_S
+        door = attrs.evolve(door, fields=(*door.fields, timeout))
+        asyncio.run(check_waiting_crowds(probe, door, crowds))
+
+
+async def check_waiting_crowds(probe: Probe, door: Door, crowds: int) -> None:
+    """Lets crowds come and wait; what does not need their service is answered."""
+    measuring = asyncio.ensure_future(probe.measure())
+    waiting = [Crowd(PATIENT, door) for _ in range(crowds)]
+    try:
+        for crowd in waiting:
+            await crowd.run(CROWD_S)
+        assert probe.running
+        assert await probe.is_ready(), "beside the crowd"
+        assert await probe.models_are_listed(), "beside the crowd"
+    finally:
+        for crowd in waiting:
+            await crowd.close()
+    assert await probe.models_are_listed(), "after the crowd"
+    measuring.cancel()
+    assert probe.running
+    assert probe.peak_bytes < MEMORY_MB * MIB
+    assert probe.peak_sockets <= MAX_FDS - FILES
--- a/cornelpin/tests/test_request_shares.py
+++ b/cornelpin/tests/test_request_shares.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cornelpin.gateway.request_shares import RequestShares
+from cornelpin.http1.request_shares import RequestShares
 
 CONNECTIONS = 100
 LIMIT = 90
--- a/cornelpin/tests/test_reservations.py
+++ b/cornelpin/tests/test_reservations.py
@@ -160,10 +160,11 @@
     assert first.rank == ranks[expected]
 
 
-def make_ticket(number, tier, body=b""):
+def make_ticket(number, tier, body=b"", workspace="w", durable=False):
     req = Request(
         request_id=str(number),
-        workspace="w",
+        workspace=workspace,
+        durable=durable,
         route="r",
         tier=tier,
         kind="model",
@@ -201,3 +202,20 @@
         return
     table.admit(new)
     assert [i for i, t in enumerate(tickets) if not t.waiting] == evicted
+
+
+def test_ticket_table_leaves_connections_to_other_workspaces():
+    table = TicketTable(TicketLimits(100, connections=20), dict)
+    crowd = [make_ticket(i, "question", workspace="crowd") for i in range(20)]
+    for each in crowd[:18]:
+        table.admit(each)
+    with pytest.raises(Refusal) as refusal:
+        table.admit(crowd[18])
+    assert "connections" in refusal.value.detail
+    assert not refusal.value.execution.may_have_run
+    table.admit(make_ticket("other", "question"))
+    # Durable requests hold no connection.
+    table.admit(make_ticket("durable", "question", workspace="crowd", durable=True))
+    table.remove("0")
+    table.remove("1")
+    table.admit(crowd[19])
--- a/properties/dispatch_steps.py
+++ b/properties/dispatch_steps.py
@@ -16,7 +16,7 @@
 from cornelpin.daemon.dispatch import Dispatcher
 from cornelpin.daemon.messages import Ask, Head, Heartbeat
 from cornelpin.daemon.runs import RESPONSE_RETENTION_S
-from cornelpin.daemon.ticket_table import SessionEnded
+from cornelpin.daemon.ticket_table import SessionEnded, TicketLimits
 from properties.dispatch_fakes import SERVERS, FakePeer, SimulatedServer, make_process
 
 MAX_REQUESTS = 4
@@ -39,7 +39,7 @@
         links = types.SimpleNamespace(
             generation=1, of_servers=lambda names: [self.servers[n].link for n in names]
         )
-        self.dispatcher = Dispatcher(process, links, limit=MAX_REQUESTS)
+        self.dispatcher = Dispatcher(process, links, TicketLimits(MAX_REQUESTS))
         self.exchanges = {}
         self.heads = set()
         for server in self.servers.values():
