Share the bounds of the daemon's crowd tests

Two tests checked the same bounds in the same lines. No check changes: measured while the crowd comes, memory, sockets and life of the process.

--- a/cornelpin/tests/test_daemon_crowds.py
+++ b/cornelpin/tests/test_daemon_crowds.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import re
 from typing import TYPE_CHECKING
 
@@ -38,7 +39,7 @@
 from standins.service import CONTROL_PREFIX
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import AsyncIterator, Iterator
 
 pytestmark = pytest.mark.isolated
 
@@ -94,23 +95,30 @@
     beds.drop()
 
 
-async def check_crowd(probe: Probe, crowd: Crowd) -> None:
-    """Lets a crowd come and checks what holds meanwhile and afterwards."""
+@contextlib.asynccontextmanager
+async def within_limits(probe: Probe) -> AsyncIterator[None]:
+    """Checks that a process lives and keeps its limits within the context."""
     measuring = asyncio.ensure_future(probe.measure())
-    try:
-        await crowd.run(CROWD_S)
-        assert probe.running
-        assert await probe.ordinary_request_is_answered(), "beside the crowd"
-        assert await probe.is_ready(), "beside the crowd"
-    finally:
-        await crowd.close()
-    assert await probe.ordinary_request_is_answered(), "after the crowd"
+    yield
     measuring.cancel()
     assert probe.running
     assert probe.peak_bytes < MEMORY_MB * MIB
     assert probe.peak_sockets <= MAX_FDS - FILES
 
 
+async def check_crowd(probe: Probe, crowd: Crowd) -> None:
+    """Lets a crowd come and checks what holds meanwhile and afterwards."""
+    async with within_limits(probe):
+        try:
+            await crowd.run(CROWD_S)
+            assert probe.running
+            assert await probe.ordinary_request_is_answered(), "beside the crowd"
+            assert await probe.is_ready(), "beside the crowd"
+        finally:
+            await crowd.close()
+        assert await probe.ordinary_request_is_answered(), "after the crowd"
+
+
 def run_crowd(beds: Beds, kind: Kind, name: str, path: str | None) -> None:
     """Runs a crowd at a door of a process; a failure ends the testbed."""
     try:
@@ -184,19 +192,15 @@
 
 async def check_waiting_crowds(probe: Probe, door: Door, crowds: int) -> None:
     """Lets crowds come and wait; what does not need their service is answered."""
-    measuring = asyncio.ensure_future(probe.measure())
     waiting = [Crowd(PATIENT, door) for _ in range(crowds)]
-    try:
-        for crowd in waiting:
-            await crowd.run(CROWD_S)
-        assert probe.running
-        assert await probe.is_ready(), "beside the crowd"
-        assert await probe.models_are_listed(), "beside the crowd"
-    finally:
-        for crowd in waiting:
-            await crowd.close()
-    assert await probe.models_are_listed(), "after the crowd"
-    measuring.cancel()
-    assert probe.running
-    assert probe.peak_bytes < MEMORY_MB * MIB
-    assert probe.peak_sockets <= MAX_FDS - FILES
+    async with within_limits(probe):
+        try:
+            for crowd in waiting:
+                await crowd.run(CROWD_S)
+            assert probe.running
+            assert await probe.is_ready(), "beside the crowd"
+            assert await probe.models_are_listed(), "beside the crowd"
+        finally:
+            for crowd in waiting:
+                await crowd.close()
+        assert await probe.models_are_listed(), "after the crowd"
