--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,14 +1,17 @@
-"""Clients that send a body in chunks leave; does their work end?"""
+"""Entries are stopped as planned while requests reach their deadline."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from pathlib import Path
 
 import attrs
 
 from review.stage import (
+    CONTACT_S,
+    EntryProcess,
     Record,
     Stage,
     config,
@@ -21,17 +24,16 @@
 )
 from standins.fleet.server import Behaviour, FleetServer
 
-RUN_S = 2.0
-CLIENTS = 12
-SLOTS = 3
-TARGET_MS = 4_000
-BODY_BYTES = 70_000
-CHUNK_BYTES = 4_096
-LEAVE_S = 0.3
-LATE_S = 0.5
-FEW = 3
-PHASES = (("/safe/", "length"), ("/safe/", "chunks"), ("/unsafe/", "chunks"))
-"""Routes and forms of the body; the first shows that a close is noticed otherwise."""
+ENTRIES, SERVERS, SLOTS = 6, 20, 9
+ROUNDS = 5
+HUNG = 20
+HUNG_DEADLINE_S = 4.5
+GAP_S = 1.0
+ANSWER_GRACE_S = 0.1
+SPACING_S = 0.0015
+SOUND = 15
+LEAD_S = 0.02
+NORMAL = Behaviour(events=90, gap_s=0.02)
 
 
 @attrs.define
@@ -39,94 +41,115 @@
     """A request of a client."""
 
     request_id: str
-    form: str
-    left_at: float = float("inf")
+    entry: EntryProcess
+    sent_at: float = 0.0
+    ended_at: float = 0.0
     status: int = 0
-
-
-def body_of(form: str) -> tuple[dict[str, str], bytes]:
-    """Returns header fields and bytes of a body, in chunks or with a length."""
-    body = b"x" * BODY_BYTES
-    if form == "length":
-        return {"Content_Length": str(BODY_BYTES)}, body
-    parts = [body[i : i + CHUNK_BYTES] for i in range(0, BODY_BYTES, CHUNK_BYTES)]
-    data = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
-    return {"Transfer_Encoding": "chunked"}, data + b"0\r\n\r\n"
-
-
-async def client(
-    stage: Stage, prefix: str, form: str, sent: list[Sent], record: Record
-) -> None:
-    """Sends a request; leaves, or waits for the answer without the disruption."""
-    fields, data = body_of(form)
-    request_id, head = request_head(f"{prefix}dossie", **fields)
-    one = Sent(request_id, form)
-    sent.append(one)
-    reader, writer = await asyncio.open_connection(*stage.entries[0].callers)
-    writer.write(head + b"\r\n" + data)
-    await writer.drain()
-    record(f"{request_id} sent to {prefix}, body with {form}")
-    if troubled():
-        await asyncio.sleep(LEAVE_S)
-        one.left_at = time.monotonic()
-        record(f"{request_id} its client closes the connection")
-    else:
-        one.status, _, _ = await read_answer(reader)
-        record(f"{request_id} answered {one.status}")
+    complete: bool = False
+
+
+async def ask(entry: EntryProcess, target: str, deadline_ms: int) -> Sent:
+    """Sends a request on a connection of its own and waits for the answer."""
+    request_id, head = request_head(
+        target, deadline_ms=deadline_ms, Content_Length="2", Token_Usage="40,60"
+    )
+    one = Sent(request_id, entry)
+    reader, writer = await asyncio.open_connection(*entry.callers)
+    one.sent_at = time.monotonic()
+    writer.write(head + b"\r\nhi")
+    one.status, _, one.complete = await read_answer(reader)
+    one.ended_at = time.monotonic()
     writer.close()
+    return one
 
 
-def count(
-    servers: list[FleetServer], sent: list[Sent], record: Record
-) -> tuple[int, int]:
-    """Returns the requests that reached a server late, and those at work late."""
-    arrived = {i: at for s in servers for at, i in s.arrivals}
-    stopped = {i for s in servers for i in s.cancelled}
-    late = at_work = 0
-    for one in sent:
-        at = arrived.get(one.request_id)
-        if at is None:
-            continue
-        after_s = at - one.left_at
-        if after_s > LATE_S:
-            late += 1
-            record(f"{one.request_id} reached a server {after_s:.2f} s after the close")
-        at_work += one.request_id not in stopped
-    return late, at_work
+@attrs.define
+class Stop:
+    """A planned stop of an entry.
+
+    Attributes:
+        entry: The entry.
+        hung: Requests that it sends to servers that do not answer.
+        at: Monotonic time of the stop, when their deadline passes.
+    """
+
+    entry: EntryProcess
+    hung: list[asyncio.Task[Sent]]
+    at: float
+
+
+async def prepare(entry: EntryProcess, deadline_s: float) -> Stop:
+    """Sends an entry some requests to which no server will answer."""
+    first_at = time.monotonic()
+    hung = []
+    for _ in range(HUNG if troubled() else 0):
+        asking = ask(entry, "/safe/look", round(1e3 * deadline_s))
+        hung.append(asyncio.create_task(asking))
+        await asyncio.sleep(SPACING_S)
+    return Stop(entry, hung, first_at + deadline_s + ANSWER_GRACE_S + LEAD_S)
+
+
+async def carry_out(stop: Stop, record: Record) -> list[Sent]:
+    """Stops an entry and starts it again; returns what it had in hand."""
+    entry = stop.entry
+    await asyncio.sleep(stop.at - 1.0 - time.monotonic())
+    asking = (ask(entry, "/stream/dossie", 12_000) for _ in range(SOUND))
+    sound = [asyncio.create_task(one) for one in asking]
+    await asyncio.sleep(stop.at - time.monotonic())
+    entry.send_signal(signal.SIGTERM)
+    record(f"{entry.name}: SIGTERM")
+    code = await entry.wait()
+    record(f"{entry.name} has ended with code {code}")
+    await entry.start()
+    for one in await asyncio.gather(*stop.hung):
+        record(f"{one.request_id} (to a hung server) answered {one.status}")
+    return list(await asyncio.gather(*sound))
+
+
+async def roll(stage: Stage, record: Record) -> list[Sent]:
+    """Stops all entries in turn after servers have hung; returns sound requests."""
+    if troubled():
+        for server in stage.servers:
+            server.behaviour = Behaviour(fault="mute")
+    stops = [
+        await prepare(entry, HUNG_DEADLINE_S + GAP_S * number)
+        for number, entry in enumerate(stage.entries)
+    ]
+    await asyncio.sleep(0.3)
+    for server in stage.servers:
+        server.behaviour = NORMAL
+    record("the servers answer again")
+    in_hand = await asyncio.gather(*(carry_out(stop, record) for stop in stops))
+    await asyncio.sleep(CONTACT_S + 0.2)
+    return [one for sent in in_hand for one in sent]
 
 
 async def play(stage: Stage, record: Record) -> bool:
     """Plays the case."""
-    servers = [FleetServer("app", slots=SLOTS) for _ in range(2)]
+    servers = [FleetServer("app", slots=SLOTS) for _ in range(SERVERS)]
     for server in servers:
-        server.behaviour = Behaviour(answer_s=RUN_S)
-    routes = [
-        route(prefix, prefix.strip("/"), target_latency_ms=TARGET_MS)
-        for prefix in ("/safe/", "/unsafe/")
-    ]
+        server.behaviour = NORMAL
+    routes = [route("/stream/", "stream"), route("/safe/", "safe")]
     await stage.start(config(routes), servers)
-    held = True
-    for prefix, form in PHASES:
-        sent: list[Sent] = []
-        tasks = (client(stage, prefix, form, sent, record) for _ in range(CLIENTS))
-        await asyncio.gather(*tasks)
-        await asyncio.sleep(3 * RUN_S)
-        if not troubled():
-            held = held and all(one.status == 200 for one in sent)
-            continue
-        late, at_work = count(servers, sent, record)
-        reached = sum(any(o.request_id in s.runs for s in servers) for o in sent)
-        record(
-            f"{prefix}, body with {form}: {late} of {CLIENTS} reached a server over "
-            f"{LATE_S} s after the close, {at_work} of {reached} ran to their end "
-            f"for nobody"
-        )
-        # Of the requests that may run once, only late arrivals count.
-        ran_on = prefix == "/safe/" and at_work > reached / 4
-        held = held and late <= FEW and not ran_on
+    lost = 0
+    for _ in range(ROUNDS):
+        sound = await roll(stage, record)
+        ran = {i for s in servers for i in s.runs}
+        for one in sound:
+            whole = "whole" if one.complete else "not whole"
+            record(f"{one.request_id} (sound) answered {one.status}, {whole}")
+            if one.request_id in ran and not one.complete:
+                lost += 1
+                record(
+                    f"{one.request_id} ran, and its connection ended after "
+                    f"{one.ended_at - one.sent_at:.2f} s without a whole answer"
+                )
     record_runs(record, servers)
-    return held
+    codes = [code for entry in stage.entries for code in entry.ended]
+    record(f"exit codes after SIGTERM: {codes}")
+    record(f"{lost} requests in hand were lost by planned stops")
+    return not lost
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, 1, play)
+    run_case(Path(__file__).parent, ENTRIES, play)
