Review: aim the planned stops at the deadline that requests share

Cause: with requests spread over 40 ms few stops met a time-out that had just fired. Change: in case 6 the requests that no server answers have a deadline in common, and the stops are aimed at it.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 import time
 from pathlib import Path
@@ -25,15 +26,17 @@
 from standins.fleet.server import Behaviour, FleetServer
 
 ENTRIES, SERVERS, SLOTS = 6, 20, 9
-ROUNDS = 5
+ROUNDS = 2
 HUNG = 20
-HUNG_DEADLINE_S = 4.5
+HUNG_DEADLINE_S = 5.0
 GAP_S = 1.0
 ANSWER_GRACE_S = 0.1
-SPACING_S = 0.0015
+SPACING_S = 0.004
 SOUND = 15
-LEAD_S = 0.02
+LEADS_S = (-0.0005, 0.0, 0.0005, 0.001, 0.0015)
+SPIN_S = 0.005
 NORMAL = Behaviour(events=90, gap_s=0.02)
+_leads_s = itertools.cycle(LEADS_S)
 
 
 @attrs.define
@@ -80,13 +83,13 @@
 
 async def prepare(entry: EntryProcess, deadline_s: float) -> Stop:
     """Sends an entry some requests to which no server will answer."""
-    first_at = time.monotonic()
+    ends_at = time.monotonic() + deadline_s
     hung = []
     for _ in range(HUNG if troubled() else 0):
-        asking = ask(entry, "/safe/look", round(1e3 * deadline_s))
-        hung.append(asyncio.create_task(asking))
+        left_ms = round(1e3 * (ends_at - time.monotonic()))
+        hung.append(asyncio.create_task(ask(entry, "/safe/look", left_ms)))
         await asyncio.sleep(SPACING_S)
-    return Stop(entry, hung, first_at + deadline_s + ANSWER_GRACE_S + LEAD_S)
+    return Stop(entry, hung, ends_at + ANSWER_GRACE_S + next(_leads_s))
 
 
 async def carry_out(stop: Stop, record: Record) -> list[Sent]:
@@ -95,7 +98,9 @@
     await asyncio.sleep(stop.at - 1.0 - time.monotonic())
     asking = (ask(entry, "/stream/dossie", 12_000) for _ in range(SOUND))
     sound = [asyncio.create_task(one) for one in asking]
-    await asyncio.sleep(stop.at - time.monotonic())
+    await asyncio.sleep(stop.at - SPIN_S - time.monotonic())
+    while time.monotonic() < stop.at:
+        pass
     entry.send_signal(signal.SIGTERM)
     record(f"{entry.name}: SIGTERM")
     code = await entry.wait()
