--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,12 +23,14 @@
     run_case,
     troubled,
 )
+from standins.fleet.raw_http import RawRequest
 from standins.fleet.server import Behaviour, FleetServer
 
 ENTRIES, SERVERS, SLOTS = 6, 20, 9
 ROUNDS = 2
-HUNG = 20
-HUNG_DEADLINE_S = 5.0
+ASKED = 45
+HANG_OF_20 = 9
+HUNG_DEADLINE_S = 6.0
 GAP_S = 1.0
 ANSWER_GRACE_S = 0.1
 SPACING_S = 0.004
@@ -39,6 +41,26 @@
 _leads_s = itertools.cycle(LEADS_S)
 
 
+class GreyServer(FleetServer):
+    """A server that hangs on a part of its requests while it is told to.
+
+    Attributes:
+        hangs: Whether it does.
+    """
+
+    hangs = False
+    _asked = 0
+
+    async def _run(
+        self, req: RawRequest, request_id: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        if self.hangs:
+            self._asked += 1
+            if self._asked * HANG_OF_20 % 20 < HANG_OF_20:
+                await asyncio.sleep(60)
+        return await super()._run(req, request_id, writer)
+
+
 @attrs.define
 class Sent:
     """A request of a client."""
@@ -85,7 +107,7 @@
     """Sends an entry some requests to which no server will answer."""
     ends_at = time.monotonic() + deadline_s
     hung = []
-    for _ in range(HUNG if troubled() else 0):
+    for _ in range(ASKED if troubled() else 0):
         left_ms = round(1e3 * (ends_at - time.monotonic()))
         hung.append(asyncio.create_task(ask(entry, "/safe/look", left_ms)))
         await asyncio.sleep(SPACING_S)
@@ -107,22 +129,21 @@
     record(f"{entry.name} has ended with code {code}")
     await entry.start()
     for one in await asyncio.gather(*stop.hung):
-        record(f"{one.request_id} (to a hung server) answered {one.status}")
+        record(f"{one.request_id} (as servers hang) answered {one.status}")
     return list(await asyncio.gather(*sound))
 
 
-async def roll(stage: Stage, record: Record) -> list[Sent]:
+async def roll(stage: Stage, servers: list[GreyServer], record: Record) -> list[Sent]:
     """Stops all entries in turn after servers have hung; returns sound requests."""
-    if troubled():
-        for server in stage.servers:
-            server.behaviour = Behaviour(fault="mute")
+    for server in servers:
+        server.hangs = troubled()
     stops = [
         await prepare(entry, HUNG_DEADLINE_S + GAP_S * number)
         for number, entry in enumerate(stage.entries)
     ]
     await asyncio.sleep(0.3)
-    for server in stage.servers:
-        server.behaviour = NORMAL
+    for server in servers:
+        server.hangs = False
     record("the servers answer again")
     in_hand = await asyncio.gather(*(carry_out(stop, record) for stop in stops))
     await asyncio.sleep(CONTACT_S + 0.2)
@@ -131,14 +152,14 @@
 
 async def play(stage: Stage, record: Record) -> bool:
     """Plays the case."""
-    servers = [FleetServer("app", slots=SLOTS) for _ in range(SERVERS)]
+    servers = [GreyServer("app", slots=SLOTS) for _ in range(SERVERS)]
     for server in servers:
         server.behaviour = NORMAL
     routes = [route("/stream/", "stream"), route("/safe/", "safe")]
-    await stage.start(config(routes), servers)
+    await stage.start(config(routes), list(servers))
     lost = 0
     for _ in range(ROUNDS):
-        sound = await roll(stage, record)
+        sound = await roll(stage, servers, record)
         ran = {i for s in servers for i in s.runs}
         for one in sound:
             whole = "whole" if one.complete else "not whole"
@@ -149,7 +170,7 @@
                     f"{one.request_id} ran, and its connection ended after "
                     f"{one.ended_at - one.sent_at:.2f} s without a whole answer"
                 )
-    record_runs(record, servers)
+    record_runs(record, list(servers))
     codes = [code for entry in stage.entries for code in entry.ended]
     record(f"exit codes after SIGTERM: {codes}")
     record(f"{lost} requests in hand were lost by planned stops")
