Leave a time-out that has fired alone when an entry stops

Cause: a stop shortens the time-outs of all requests. asyncio.Timeout.reschedule raises RuntimeError once a time-out has fired and its task has not run yet; the exception ended Entry.run. Change: end_by leaves a time-out that has fired alone. The request ends with it, in a later turn of the loop and earlier than the stop asks, so nothing is left to shorten.

--- a/cornelpin/gateway/attempts.py
+++ b/cornelpin/gateway/attempts.py
@@ -119,7 +119,9 @@
     def end_by(self, at: float) -> None:
         """Shortens the request's deadline to a monotonic time, unless it is earlier."""
         self.job.deadline = min(self.job.deadline, at)
-        if self.timeout is not None:
+        # A time-out that has fired can't be rescheduled: the request ends with it, in a
+        # later turn of the loop.
+        if self.timeout is not None and not self.timeout.expired():
             when = self.timeout.when()
             self.timeout.reschedule(at if when is None else min(at, when))
 
--- a/cornelpin/tests/test_planned_stop.py
+++ b/cornelpin/tests/test_planned_stop.py
@@ -4,18 +4,22 @@
 
 import asyncio
 import socket
+import time
 from typing import TYPE_CHECKING
 
 import pytest
 
 from cornelpin.tests.fleet_client import Response, fetch, request
 from cornelpin.tests.gateway_harness import Harness, route, run_harness, until
+from standins.fleet.server import Behaviour
 
 if TYPE_CHECKING:
     from cornelpin.gateway.app import Entry
 
 GRACE_S = 5.0
 TIMEOUT_MS = 9_000
+HUNG_DEADLINE_MS = 1_000
+BLOCKED_S = 0.05
 RESPONSE_BYTES = 7_800_000
 RECEIVE_BUFFER_BYTES = 65_536
 READ_BYTES = 60_000
@@ -28,12 +32,12 @@
 ]
 
 
-async def send(entry: Entry, target: str) -> Response:
+async def send(entry: Entry, target: str, deadline_ms: int = TIMEOUT_MS) -> Response:
     return await fetch(
         entry._settings.callers,
         target,
         method="POST",
-        headers={"Deadline-Ms": str(TIMEOUT_MS)},
+        headers={"Deadline-Ms": str(deadline_ms)},
     )
 
 
@@ -87,6 +91,42 @@
     asyncio.run(scenario())
 
 
+async def until_timers_fire(at: float, turns: int) -> None:
+    """Returns when timers are due, a number of turns of the loop after a busy one."""
+    await asyncio.sleep(at - BLOCKED_S - time.monotonic())
+    time.sleep(BLOCKED_S)
+    for _ in range(turns):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("target", ["/safe/x", "/unsafe/x", "/stream/x"])
+@pytest.mark.parametrize("turns", [0, 1, 2])
+def test_stop_beside_a_timeout_that_has_fired_cuts_nothing(
+    target: str, turns: int
+) -> None:
+    """Guards against a stop that ends the process as a request has just timed out."""
+
+    async def scenario() -> None:
+        async with stopping_harness() as harness:
+            server, entry = harness.servers[0], harness.entries[0]
+            server.behaviour.fault = "mute"
+            hung = asyncio.create_task(send(entry, target, HUNG_DEADLINE_MS))
+            await until(lambda: server.running == 1)
+            server.behaviour = Behaviour(events=20, gap_s=0.1)
+            sound = asyncio.create_task(send(entry, "/stream/sound"))
+            await until(lambda: server.running == 2)
+            attempts = next(iter(entry.request_handler._attempts.values()))
+            assert attempts.timeout is not None
+            fires_at = attempts.timeout.when()
+            assert fires_at is not None
+            await until_timers_fire(fires_at, turns)
+            await stop(harness)
+            assert ((await hung).status, (await hung).complete) == (504, True)
+            assert ((await sound).status, (await sound).complete) == (200, True)
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("measured", [True, False])
 def test_late_stream_is_taken_only_if_it_can_end_in_time(*, measured: bool) -> None:
     """Guards against streams that are begun during a stop and cut at its end."""
