Call data centres that have fallen silent every second

After a cut of over 1.5 s entries of two data centres heard each other again at the next hello only, up to 12 s later, so that contents, permits and quotas of the other one were unknown until then. Cause: summaries and reports go to live relays only. Once both sides have fallen silent neither has a live relay to send to, and only hellos go to addresses that are not live. Change: relays send a hello each second to the first relays of a silent data centre.

--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -35,8 +35,10 @@
 from cornelpin.gateway.peer import Peer, StoreReport
 from cornelpin.gateway.summaries import (
     ENTRY_REPORT_INTERVAL_S,
+    RELAYS_PER_DATA_CENTRE,
     SUMMARY_FAST_INTERVAL_S,
     Summary,
+    relay_order,
     sum_class_counts,
     sum_speeds,
 )
@@ -71,6 +73,9 @@
 """A message due within this time is sent now instead of by another timer."""
 PEER_EXPIRY_S = 15.0
 """Time without a message after which a peer is removed: longer than a restart."""
+SILENT_HELLO_INTERVAL_S = 1.0
+"""Time between hellos to the relays of a silent data centre, which sends nothing else
+while it hears nothing either."""
 MAX_NOTICES_PER_MESSAGE = 200
 """Most notices of servers in one message, of about 30 bytes each."""
 ONE_TIME_UPDATES = (
@@ -181,6 +186,8 @@
         self._sequence = 0
         self._full_state_sent_at = 0.0
         self._hello_sent_at = 0.0
+        # Monotonic time of the last hello to a silent data centre.
+        self._called_at = 0.0
         # Whether the next full state is followed by the notices of servers.
         self._notices_due = True
         self._timer: asyncio.TimerHandle | None = None
@@ -339,6 +346,7 @@
         self._forget_lost()
         self._summary_exchange.expire(now)
         self._note_silent_data_centres()
+        self._call_silent_data_centres(now)
 
     def _note_silent_data_centres(self) -> None:
         known = {peer.data_centre for peer in self._peers.values()}
@@ -347,6 +355,19 @@
             logs.event("data_centre.silent", data_centres=sorted(silent))
             self.silent_data_centres = silent
 
+    def _call_silent_data_centres(self, now: float) -> None:
+        """Sends hellos to the relays of silent data centres if this entry is one."""
+        due = now >= self._called_at + SILENT_HELLO_INTERVAL_S
+        if not self.silent_data_centres or not due:
+            return
+        if self._summary_exchange.rank(self._live_local(), now) is None:
+            return
+        self._called_at = now
+        for name in self.silent_data_centres:
+            peers = {h: p for h, p in self._peers.items() if p.data_centre == name}
+            order = relay_order({host: p.link_mbps for host, p in peers.items()})
+            self._send_hello(peers[h].ip for h in order[:RELAYS_PER_DATA_CENTRE])
+
     def _remove(self, host: str, peer: Peer, now: float) -> None:
         del self._peers[host]
         self._lost.add(host)
--- a/cornelpin/tests/test_summaries.py
+++ b/cornelpin/tests/test_summaries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, Any
 
 import msgpack
@@ -26,6 +27,8 @@
 from cornelpin.tests.gateway_harness import Harness, run_harness, until
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from cornelpin.gateway.app import Entry
 
 MAX_SUMMARY_BYTES = 700
@@ -208,6 +211,38 @@
     asyncio.run(scenario())
 
 
+@contextlib.contextmanager
+def cut_between_data_centres(harness: Harness) -> Iterator[None]:
+    """Loses all messages between entries of different data centres."""
+    zones = {e._settings.ip: e._settings.data_centre for e in harness.entries}
+    for entry in harness.entries:
+
+        def receive(data: bytes, addr: tuple[str, int], entry: Entry = entry) -> None:
+            if zones[addr[0]] == entry._settings.data_centre:
+                type(entry.peers).datagram_received(entry.peers, data, addr)
+
+        entry.peers.datagram_received = receive  # type: ignore[method-assign]
+    try:
+        yield
+    finally:
+        for entry in harness.entries:
+            del entry.peers.datagram_received
+
+
+def test_data_centres_hear_each_other_soon_after_a_cut() -> None:
+    """Guards against data centres that wait for each other's next hello."""
+
+    async def scenario() -> None:
+        async with run_harness(entries=0) as harness:
+            await start_two_data_centres(harness)
+            with cut_between_data_centres(harness):
+                await asyncio.sleep(2.5)
+                assert [e.peers.count for e in harness.entries] == [2, 2, 3, 3, 3]
+            await until(lambda: all(e.peers.count == 5 for e in harness.entries), 3.0)
+
+    asyncio.run(scenario())
+
+
 def test_poison_request_is_known_in_all_data_centres_at_once() -> None:
     async def scenario() -> None:
         async with run_harness(entries=0) as harness:
