Tell entries that start or were cut off which contents crash servers

Callers saw: after three crashes all entries refused a content that crashes servers; then each entry that was restarted let it through up to three times. Cause: runs with a crash were updates, sent once and part of no full state or hello, so whoever was not there began at zero: entries that start, were cut off, or lost a datagram. Change: what is known of a content is a state that entries merge: the runs that count, those taken back, the last trial. Two entries of each data centre send it as notices to entries that start, that were silent or ask, and once more after each update.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -51,7 +51,7 @@
 
 ENTRY_KIND = "cornelpin-entries"
 """Kind of the store objects with which entries register their IP addresses."""
-POISON_FIELDS = ("broken", "sound_contents", "crashed", "refuted", "sound", "poison")
+POISON_FIELDS = ("contents", "crashed", "refuted", "sound", "poison")
 """Fields of a message about contents and parts of prompts that crash servers."""
 HOUSEKEEPING_S = 0.5
 """Interval at which idle connections are closed, the state of removed servers is
@@ -112,7 +112,8 @@
             slowdowns=lambda: self.scheduler.dispatcher.slowdowns.take_unsent(
                 time.monotonic()
             ),
-            server_notices=lambda: {
+            notices=lambda: {
+                "contents": self.state.poison_detector.export(time.monotonic()),
                 "limits": self.server_limits.limits.export(time.monotonic()),
                 "leaving": self.state.servers.known_leaving(),
             },
@@ -254,8 +255,7 @@
         """Returns and clears the one-time updates (``peers.ONE_TIME_UPDATES``)."""
         updates = {
             "refused": self.state.client_retries.take_unsent(time.monotonic()),
-            "broken": self.state.poison_detector.take_unsent(),
-            "sound_contents": self.state.poison_detector.take_unsent_sound(),
+            "contents": self.state.poison_detector.take_unsent(time.monotonic()),
             "refuted": self.state.take_unsent_refuted(),
             "crashed": self.state.poison_parts.take_unsent_crashes(),
             "sound": self.state.poison_parts.take_unsent_sound(),
--- a/cornelpin/gateway/peer.py
+++ b/cornelpin/gateway/peer.py
@@ -38,6 +38,7 @@
         data_centre: Data centre of its host.
         incarnation: Random id of its process.
         link_mbps: Bandwidth of its host's link, Mbit/s.
+        heard_since: Monotonic time of its first message.
         sequence: Sequence number of its last message.
         received_at: Monotonic time of its last message.
         in_flight: Its requests in flight and their prompt tokens not yet processed, by
@@ -61,6 +62,7 @@
     data_centre: str
     incarnation: str
     link_mbps: float = 0.0
+    heard_since: float = 0.0
     sequence: int = -1
     received_at: float = 0.0
     in_flight: dict[str, tuple[int, int]] = attrs.field(factory=dict)
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -15,9 +15,11 @@
 * ``slowdowns``: how long work takes on servers at this moment, as they state it
 * ``digest``: a relay's reports on the entries of its data centre
 * ``poison``: quarantined parts of prompts
-* ``notices``: repeated ``limits`` and ``leaving``, which relays do not pass on
+* ``notices``: repeated ``contents``, ``limits`` and ``leaving``, which relays do not
+  pass on
 * ``permits``: permits to send to servers with limits; a message has this field alone
-* ``refused``, ``broken``, ``leaving``, ``crashed``, ``sound``, ``limits``: see
+* ``missed``: the sender has missed messages, and asks for the notices
+* ``refused``, ``contents``, ``leaving``, ``crashed``, ``sound``, ``limits``: see
   ONE_TIME_UPDATES
 """
 
@@ -32,6 +34,7 @@
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.broadcast_group import BroadcastGroup
+from cornelpin.gateway.notices import Notices, is_informant
 from cornelpin.gateway.peer import Peer, StoreReport
 from cornelpin.gateway.summaries import (
     ENTRY_REPORT_INTERVAL_S,
@@ -76,23 +79,19 @@
 SILENT_HELLO_INTERVAL_S = 1.0
 """Time between hellos to the relays of a silent data centre, which sends nothing else
 while it hears nothing either."""
-MAX_NOTICES_PER_MESSAGE = 200
-"""Most notices of servers in one message, of about 30 bytes each."""
 ONE_TIME_UPDATES = (
     "refused",
-    "broken",
+    "contents",
     "leaving",
     "crashed",
     "refuted",
     "sound",
-    "sound_contents",
     "limits",
 )
 """Fields that are sent once and not repeated in full-state messages: refused requests,
-runs with an incomplete response (``exchange.Broken``), servers that said that they
-leave, parts of prompts in hand at crashes or shown to be sound, and changed limits of
-servers."""
-URGENT_UPDATES = ("broken", "leaving", "crashed", "refuted", "limits")
+what is new of contents that crash servers, servers that said that they leave, parts of
+prompts in hand at crashes or shown to be sound, and changed limits of servers."""
+URGENT_UPDATES = ("contents", "leaving", "crashed", "refuted", "limits")
 """Those of them that ``flush`` sends to all entries."""
 
 
@@ -113,9 +112,9 @@
         slowdowns: Returns what servers have stated of their momentary slowdowns and
             other entries do not know yet. It is old soon, so it is sent once, and in
             the own data centre only.
-        server_notices: Returns what servers have said of themselves, as lists by field:
-            their limits, and that they leave. For entries that start or have missed an
-            update.
+        notices: Returns what is known of contents that crash servers, and what servers
+            have said of themselves, their limits and that they leave, as lists by
+            field. For entries that start or have missed an update.
         store_report: Returns what the others are told of the copies of the store's
             objects; sent after each change and every STORE_REPORT_INTERVAL_S.
         on_message: Called after a message is merged, with the host and incarnation of
@@ -146,7 +145,7 @@
         class_counts: Callable[[], dict[str, dict[str, list[float]]]],
         speeds: Callable[[], dict[str, list[float]]],
         slowdowns: Callable[[], list[list[str | float]]],
-        server_notices: Callable[[], dict[str, list[Any]]],
+        notices: Callable[[], dict[str, list[Any]]],
         store_report: Callable[[], StoreReport],
         on_message: Callable[[str, str, dict[str, Any]], None],
         on_permits: Callable[[str, dict[str, Any]], None],
@@ -163,7 +162,6 @@
         self._class_counts = class_counts
         self._speeds = speeds
         self._slowdowns = slowdowns
-        self._server_notices = server_notices
         self._store_report = store_report
         self._store_report_sent_at = 0.0
         self._store_reported: tuple[Any, Any] = (None, None)
@@ -171,6 +169,7 @@
         self._on_permits = on_permits
         self._senders = senders
         self._started = time.monotonic()
+        self._notices = Notices(notices, self._started)
         # Hosts of expired peers that may be running on the other side of a partition.
         self._lost: set[str] = set()
         self._peers: dict[str, Peer] = {}
@@ -188,8 +187,8 @@
         self._hello_sent_at = 0.0
         # Monotonic time of the last hello to a silent data centre.
         self._called_at = 0.0
-        # Whether the next full state is followed by the notices of servers.
-        self._notices_due = True
+        # Monotonic time of the last message of any entry.
+        self._heard_at = self._started
         self._timer: asyncio.TimerHandle | None = None
         self.silent_data_centres: frozenset[str] = frozenset()
         self.slots_scarce = False
@@ -337,6 +336,7 @@
             self._send_full_local_state()
         elif self.slots_scarce or now - self._local.sent_at >= HEARTBEAT_INTERVAL_S:
             self._send_due()
+        self._send_due_notices(now)
         self._send_summary_if_due(now)
         for host, peer in list(self._peers.items()):
             if now - peer.received_at > PEER_LIVENESS_S:
@@ -356,11 +356,9 @@
             self.silent_data_centres = silent
 
     def _call_silent_data_centres(self, now: float) -> None:
-        """Sends hellos to the relays of silent data centres if this entry is one."""
+        """Sends hellos to the relays of silent data centres."""
         due = now >= self._called_at + SILENT_HELLO_INTERVAL_S
-        if not self.silent_data_centres or not due:
-            return
-        if self._summary_exchange.rank(self._live_local(), now) is None:
+        if not self.silent_data_centres or not due or not self._is_informant(now):
             return
         self._called_at = now
         for name in self.silent_data_centres:
@@ -389,6 +387,8 @@
     def flush(self) -> None:
         """Sends updates now: all to the own data centre, urgent ones to all entries."""
         updates = self._one_time_updates()
+        if "contents" in updates:
+            self._notices.repeat_everywhere(time.monotonic())
         self._send_local(updates=updates)
         state = self._state()
         urgent = {name: state[name] for name in ("rollouts", "poison")}
@@ -401,7 +401,8 @@
     def send_full_state(self) -> None:
         """Sends the full state to the own data centre and hellos to all others."""
         self._hello_sent_at = time.monotonic()
-        self._notices_due = True
+        self._notices.repeat_now()
+        self._notices.repeat_everywhere(self._hello_sent_at)
         self._send_full_local_state()
         self._send_hello(self._remote_or_unknown)
 
@@ -409,27 +410,37 @@
         self._full_state_sent_at = time.monotonic()
         full_state = dict(self._state(), full=True, ips=sorted(self.addresses))
         self._send_local(full_state)
-        if self._notices_due:
-            self._notices_due = False
-            self._send_server_notices(self._local.addresses)
 
     def _send_hello(self, addresses: Iterable[str]) -> None:
         """Sends all known addresses and what an entry that starts must know."""
         hello = {"poison": self._state()["poison"], "ips": sorted(self.addresses)}
         self._send(hello | self._store_fields(self._store_report()), addresses)
 
-    def _send_server_notices(self, addresses: Iterable[str]) -> None:
-        """Sends the notices of servers if this entry is a relay of its data centre.
+    def _send_notices(self, addresses: Iterable[str], *fields: str) -> None:
+        """Sends the notices, or those of some fields, if this entry is an informant."""
+        if not self._is_informant(time.monotonic()):
+            return
+        for some in self._notices.messages(*fields):
+            self._send({"notices": some}, addresses)
+
+    def _send_due_notices(self, now: float) -> None:
+        """Sends the notices that are due.
 
-        So what an entry receives does not grow with the number of entries.
+        The first relays of other data centres repeat there what they get, and send it
+        to no other data centre.
         """
-        rank = self._summary_exchange.rank(self._live_local(), time.monotonic())
-        if rank is None:
+        if not self._notices.take_due(now):
             return
-        for name, notices in self._server_notices().items():
-            for first in range(0, len(notices), MAX_NOTICES_PER_MESSAGE):
-                some = notices[first : first + MAX_NOTICES_PER_MESSAGE]
-                self._send({"notices": {name: some}}, addresses)
+        self._send_notices(self._local.addresses)
+        if self._notices.take_due_for_relays():
+            relays = self._summary_exchange.remote_relays(0, self.live_peers())
+            self._send_notices(relays, "contents")
+
+    def _is_informant(self, now: float) -> bool:
+        """Returns whether this entry sends the notices of its data centre."""
+        return is_informant(
+            self.host, now - self._started, self._link_mbps, self._live_local(), now
+        )
 
     def send_permits(self, host: str, message: dict[str, Any]) -> None:
         """Sends a message about permits to one entry."""
@@ -543,6 +554,7 @@
 
     def age_reports(self, suspended_s: float) -> None:
         """Ages all reports by a time that the monotonic clock has not counted."""
+        self._heard_at -= suspended_s
         for peer in self._peers.values():
             peer.received_at -= suspended_s
             for kind in peer.store_seen_at:
@@ -595,14 +607,16 @@
         local = data_centre == self._data_centre
         (self._remote_or_unknown if local else self._local.addresses).discard(ip)
         (self._local.addresses if local else self._remote_or_unknown).add(ip)
-        peer = self._peers[host] = Peer(ip, data_centre, incarnation)
+        peer = self._peers[host] = Peer(
+            ip, data_centre, incarnation, heard_since=time.monotonic()
+        )
         if local:
             # The next tick sends a full state, for the new peer.
             self._full_state_sent_at = 0.0
-            self._notices_due = True
+            self._notices.repeat_now()
         elif self._transport is not None:
             self._send_hello([ip])
-            self._send_server_notices([ip])
+            self._send_notices([ip])
         return peer
 
     def _merge(
@@ -611,8 +625,15 @@
         """Merges a message that an entry sent about itself."""
         if sequence <= peer.sequence:
             return
+        now = time.monotonic()
+        self._note_heard(peer.ip, now)
+        # A peer that was silent was cut off, or paused.
+        silent = peer.sequence >= 0 and now - peer.received_at > PEER_LIVENESS_S
+        if silent or "missed" in message:
+            self._send_notices([peer.ip])
         peer.sequence = sequence
-        peer.received_at = time.monotonic()
+        peer.received_at = now
+        self._note_notices(peer, message, now)
         if message.get("full"):
             self._clear_in_flight(peer)
         self._add_addresses(message.get("ips", ()))
@@ -635,6 +656,22 @@
             )
         self._on_message(host, peer.incarnation, message)
 
+    def _note_heard(self, ip: str, now: float) -> None:
+        """Asks for notices if no entry was heard for some time before this message.
+
+        This entry was then cut off, or paused.
+        """
+        silent_s, self._heard_at = now - self._heard_at, now
+        if silent_s > PEER_LIVENESS_S:
+            self._send({"missed": True}, self._local.addresses or {ip})
+
+    def _note_notices(self, peer: Peer, message: dict[str, Any], now: float) -> None:
+        """Lets updates about contents, and notices from elsewhere, be repeated."""
+        if "contents" in message:
+            self._notices.repeat_everywhere(now)
+        elif "notices" in message and peer.data_centre != self._data_centre:
+            self._notices.repeat_here(now)
+
     def _receive_summary(
         self, data_centre: str, message: dict[str, Any], data: bytes, ip: str
     ) -> None:
@@ -643,9 +680,13 @@
         If it was received from the other data centre, not from an entry of the own one,
         it is forwarded to the entries of the own one.
         """
+        now = time.monotonic()
+        self._note_heard(ip, now)
         if ip not in self._local.addresses:
             self._send_datagrams(data, self._local.addresses)
-        now = time.monotonic()
+            if not self._summary_exchange.hears(data_centre):
+                # Its relay passes on what it may have missed.
+                self._send_notices([ip])
         self._summary_exchange.receive(data_centre, message, now)
         for host, report in message.get("digest", {}).items():
             self._merge_entry_report(host, data_centre, report, now)
--- a/cornelpin/gateway/state.py
+++ b/cornelpin/gateway/state.py
@@ -21,6 +21,7 @@
 from cornelpin.scheduling.poison_parts import PoisonParts
 from cornelpin.scheduling.poison_requests import PoisonDetector, select_trier
 from cornelpin.scheduling.quota import FleetView, Quotas, QuotaTolerance
+from cornelpin.scheduling.refuted_crashes import RefutedCrashes
 from cornelpin.scheduling.restrictions import Evacuations
 from cornelpin.scheduling.rollouts import Rollouts
 from cornelpin.scheduling.servers import ServerList
@@ -117,8 +118,9 @@
         self.rollouts = Rollouts(
             share=bounds.new_version_share, extra=bounds.new_version_extra
         )
-        self.poison_detector = PoisonDetector()
-        self.poison_parts = PoisonParts()
+        refuted = RefutedCrashes()
+        self.poison_detector = PoisonDetector(refuted)
+        self.poison_parts = PoisonParts(refuted)
         self.crashes = CrashDetector(
             self.servers,
             on_crash=self._on_crash,
@@ -342,6 +344,7 @@
         if not self.poison_detector.begin_trial(content, job.request_id, now):
             return False
         logs.event("request.trial", id=job.request_id)
+        self._flush()
         return True
 
     def suspect_crash(self, job: Job, server: BackendServer, *, begun: bool) -> None:
@@ -379,11 +382,12 @@
         """Takes back the crash of an incarnation that has responded since."""
         with self._logged_quarantine():
             self.poison_parts.retract_crash(incarnation)
-        self.poison_detector.retract_crash(incarnation)
+            self.poison_detector.retract_crash(incarnation, time.monotonic())
 
     def record_sound_content(self, job: Job) -> None:
         """Records a whole answer to a request."""
-        self.poison_detector.record_sound(job.fingerprint)
+        with self._logged_quarantine():
+            self.poison_detector.record_sound(job.fingerprint, time.monotonic())
 
     def record_sound_parts(self, job: Job) -> None:
         """Records that an answer to a request has begun."""
@@ -393,9 +397,8 @@
     def merge_poison(self, message: Mapping[str, Any]) -> None:
         """Merges what another entry's message says about crashes and their causes."""
         now = time.monotonic()
-        self.poison_detector.merge_from(message.get("broken", ()), now)
-        self.poison_detector.merge_sound(message.get("sound_contents", ()))
         with self._logged_quarantine():
+            self.poison_detector.merge_from(message.get("contents", ()), now)
             self.poison_parts.merge_crashes(message.get("crashed", ()), now)
             self.poison_parts.merge_sound(message.get("sound", ()), now)
             self.poison_parts.merge_from(message.get("poison", {}), now)
@@ -404,9 +407,19 @@
 
     @contextlib.contextmanager
     def _logged_quarantine(self) -> Iterator[None]:
-        """Logs the parts that are quarantined or released meanwhile."""
+        """Logs the contents and parts that are quarantined or released meanwhile."""
+        contents_before = self.poison_detector.quarantined
         before = self.poison_parts.quarantined
         yield
+        contents = self.poison_detector.quarantined
+        for content in contents - contents_before:
+            logs.warning(
+                "content.quarantined",
+                content=content.hex(),
+                runs=self.poison_detector.runs(content),
+            )
+        for content in contents_before - contents:
+            logs.event("content.released", content=content.hex())
         after = self.poison_parts.quarantined
         for part in after.keys() - before.keys():
             logs.warning(
--- a/cornelpin/gateway/summary_exchange.py
+++ b/cornelpin/gateway/summary_exchange.py
@@ -69,6 +69,10 @@
         """Returns the last summary of each other data centre."""
         return list(self._summaries.values())
 
+    def hears(self, data_centre: str) -> bool:
+        """Returns whether there is a summary of a data centre that has not expired."""
+        return data_centre in self._summaries
+
     def expire(self, now: float) -> None:
         """Drops expired summaries."""
         for data_centre, summary in list(self._summaries.items()):
--- a/cornelpin/scheduling/poison_parts.py
+++ b/cornelpin/scheduling/poison_parts.py
@@ -19,6 +19,8 @@
 
 import attrs
 
+from cornelpin.scheduling.refuted_crashes import RefutedCrashes
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
 
@@ -34,9 +36,6 @@
 crash on a part that the former one could answer."""
 MAX_SUSPECTS = 500
 MAX_SOUND_PARTS = 20_000
-MAX_REFUTED = 1_000
-"""Refuted crashes that are remembered, the last ones: other entries may still report
-them."""
 MAX_EXPORTED = 50
 """Quarantined parts in a message."""
 _NOTHING = frozenset({""})
@@ -61,16 +60,19 @@
 class PoisonParts:
     """Finds, for all entries together, the parts that crash servers.
 
+    Args:
+        refuted: Crashes that did not take place.
+
     Attributes:
         quarantined: Quarantined parts, each with the parts that a request must have to
             be rejected.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, refuted: RefutedCrashes | None = None) -> None:
         self.quarantined: dict[str, frozenset[str]] = {}
+        self._refuted = RefutedCrashes() if refuted is None else refuted
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
         self._sound: OrderedDict[str, float] = OrderedDict()
-        self._refuted: OrderedDict[str, None] = OrderedDict()
         self._unsent_crashes: list[tuple[str, Sequence[str]]] = []
         self._unsent_sound: set[str] = set()
 
@@ -99,9 +101,7 @@
 
     def retract_crash(self, incarnation: str) -> None:
         """Takes back a crash: the incarnation has responded since."""
-        self._refuted[incarnation] = None
-        while len(self._refuted) > MAX_REFUTED:
-            self._refuted.popitem(last=False)
+        self._refuted.add(incarnation)
         self._unsent_crashes = [c for c in self._unsent_crashes if c[0] != incarnation]
         for part, suspect in list(self._suspects.items()):
             suspect.crashes.discard(incarnation)
--- a/cornelpin/tests/test_crash_detection.py
+++ b/cornelpin/tests/test_crash_detection.py
@@ -218,9 +218,11 @@
         contents.record_failure(b"x", f"r{number} s{number}@1", 1.0)
     exported = parts.export(1.0)
     assert parts.find(["a"]) and contents.is_quarantined(b"x")
-    for table in (parts, contents):
-        table.retract_crash("s1@1")
+    exported_contents = contents.export(1.0)
+    parts.retract_crash("s1@1")
+    contents.retract_crash("s1@1", 2.0)
     parts.merge_from(exported, 2.0)
+    contents.merge_from(exported_contents, 2.0)
     parts.merge_crashes([("s1@1", ["a"])], 2.0)
     assert parts.find(["a"]) is None and not contents.is_quarantined(b"x")
 
@@ -229,9 +231,11 @@
     first, second = PoisonDetector(), PoisonDetector()
     for number in range(3):
         first.record_failure(b"x", f"r{number} s@{number}", 1.0)
-    second.merge_from(first.take_unsent(), 1.0)
-    second.record_sound(b"x")
-    first.merge_sound(second.take_unsent_sound())
+    reported = first.take_unsent(1.0)
+    second.merge_from(reported, 1.0)
+    second.record_sound(b"x", 2.0)
+    first.merge_from(second.take_unsent(2.0), 2.0)
+    second.merge_from(reported, 2.0)
     for detector in (first, second):
         assert not detector.is_quarantined(b"x")
 
--- a/cornelpin/tests/test_poison_trials.py
+++ b/cornelpin/tests/test_poison_trials.py
@@ -33,7 +33,7 @@
         """Lets the content crash a server of which an entry hears."""
         self.runs += 1
         self.detectors[host].record_failure(CONTENT, f"r{self.runs} s@{self.runs}", now)
-        unsent = self.detectors[host].take_unsent()
+        unsent = self.detectors[host].take_unsent(now)
         for other, detector in self.detectors.items():
             if other != host:
                 detector.merge_from(unsent, now)
@@ -91,10 +91,10 @@
         fleet.crash(HOSTS[0], 0.0)
     trier = select_trier(CONTENT, HOSTS)
     assert fleet.passed(trier, "trial", FIRST_QUARANTINE_S)
-    fleet.detectors[trier].record_sound(CONTENT)
-    sound = fleet.detectors[trier].take_unsent_sound()
+    fleet.detectors[trier].record_sound(CONTENT, FIRST_QUARANTINE_S)
+    sound = fleet.detectors[trier].take_unsent(FIRST_QUARANTINE_S)
     for host in HOSTS:
-        fleet.detectors[host].merge_sound(sound)
+        fleet.detectors[host].merge_from(sound, FIRST_QUARANTINE_S)
         assert fleet.passed(host, "next", FIRST_QUARANTINE_S)
 
 
