Take no answer without length for whole that ends during the upload

Callers saw: a server that answered a long upload at once, without a length, and ended its side before it had the request: the part that had come was passed on as a complete 200. Cause: the end of the server's side ends an answer without length, whatever is under way. Evidence: test_answer_that_is_cut_during_an_upload_is_not_complete, 6 of 45 cases failed before, all without length and half-closed; a plain reset was recognised before. Change: such an end counts only if all bytes of the request have arrived at the server. Why it works: a server that has read the request has acknowledged it before its side ends.

--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -100,6 +100,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._eof = False
         self._eof_parsed = False
+        self._cut_request = False
         self._error: Exception | None = None
         self._busy = False
         self._unusable = False
@@ -224,6 +225,9 @@
     async def _wait_for_data(self) -> None:
         if self._error is not None:
             raise ConnectionBroken(str(self._error))
+        if self._cut_request:
+            # What ends with the connection may be a part of the response.
+            raise ConnectionBroken("closed before the request was sent")
         if self._eof:
             if self._eof_parsed:
                 raise ConnectionBroken("closed by the server")
@@ -328,9 +332,15 @@
     def eof_received(self) -> bool:
         """Records the server's end of stream."""
         self._eof = True
+        self._cut_request = self._busy and not self._request_taken()
         self._wake()
         return False
 
+    def _request_taken(self) -> bool:
+        """Returns whether all bytes of the request have arrived at the server."""
+        assert self._writer is not None
+        return self.send_finished and not self._writer.kernel_bytes()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Records the loss of the connection."""
         if not self._eof:
