Pass no status on that HTTP does not have

Callers saw: a server's status from 600 to 999 came to its caller as it was. Cause: the parser takes any three digits from 200 on. Change: the client's connection refuses a status over 599 as no HTTP, for backend servers and the store.

--- a/cornelpin/http1/client.py
+++ b/cornelpin/http1/client.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
 
+MAX_STATUS = 599
+"""Highest status that HTTP has (RFC 9110, section 15)."""
 CONNECT_TIMEOUT_S = 0.6
 """Connect timeout, shorter than the 1 s after which the kernel resends a lost SYN, so
 that the request is sent to another server sooner. A host without power never
@@ -220,6 +222,8 @@
             event = self._http.next_event()
         except h11.RemoteProtocolError as exc:
             raise ConnectionBroken(f"not HTTP: {exc}") from exc
+        if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+            raise ConnectionBroken(f"not HTTP: status {event.status_code}")
         return None if event is h11.NEED_DATA else event
 
     async def _wait_for_data(self) -> None:
--- a/cornelpin/tests/test_cut_answers.py
+++ b/cornelpin/tests/test_cut_answers.py
@@ -24,6 +24,8 @@
     "length": b"Content-Length: 400\r\n\r\n" + EVENT,
     "chunks": b"Transfer-Encoding: chunked\r\n\r\n15\r\n" + EVENT + b"\r\n",
 }
+ODD_STATUSES = ["000", "099", "00", "0200", "2000", "-20", "600", "999", "OK", ""]
+INTERIM_ONLY = ["101", "199"]
 
 
 def answer(status: str, rest: bytes, head: bytes) -> bytes:
@@ -78,3 +80,18 @@
         assert (response.status, response.complete) != (200, True), response.body
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("target", TARGETS)
+@pytest.mark.parametrize("status", ODD_STATUSES + INTERIM_ONLY)
+@pytest.mark.parametrize("ending", ["keep", "close"])
+def test_odd_status_is_no_answer(target: str, status: str, ending: str) -> None:
+    """Guards against statuses that HTTP does not have, such as 000, at callers."""
+
+    async def scenario() -> None:
+        rest = b"Content-Length: 4\r\n\r\nbody"
+        response = await response_to(target, status, rest, ending, b"x")
+        assert response.status in {502, 503, 504}
+        assert response.complete
+
+    asyncio.run(scenario())
