Tell cut and malformed answers of backend servers from whole ones

Callers saw: an answer of a plain service that was cut before its length, in its head or in the last chunk came as a complete answer; statuses 101, 199 and from 600 on were passed on, and a 103 was taken for the answer, which was lost. A run without length that was cancelled counted as done. Cause: http.client reports a missing rest only if a body is read at once, takes a length that it can't read for none, and each status but 100 for the final one. Change: drivers use one exchange (http1/blocking) on the parser of the gateway. A response is whole by its framing, or by the end of the server's side after it has taken the request.

--- a/cornelpin/backends/_engine.py
+++ b/cornelpin/backends/_engine.py
@@ -7,12 +7,10 @@
 from __future__ import annotations
 
 import contextlib
-import http.client
 import json
 from typing import TYPE_CHECKING
 
 from cornelpin.backends._http import (
-    READ_BYTES,
     HttpExchange,
     Unreachable,
     perform,
@@ -35,6 +33,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from cornelpin.http1.blocking import ResponseHead
+
 EVENT_PREFIX = b"data: "
 END_OF_STREAM = b"[DONE]"
 ORDER_TIMEOUT_S = 600.0
@@ -88,17 +88,17 @@
             exchange.open()
             headers = {"Content-Type": "application/json"}
             body = json.dumps(order).encode()
-            resp = exchange.send("POST", "/orders", headers, body)
-            detail = resp.read().decode(errors="replace")
-        except (Unreachable, OSError, http.client.HTTPException) as exc:
+            head = exchange.send("POST", "/orders", headers, body)
+            detail = exchange.read_all().decode(errors="replace")
+        except (Unreachable, OSError) as exc:
             return OrderResult(done=False, detail=f"{type(exc).__name__}: {exc}")
         finally:
             exchange.close()
-        already_unloaded = op == "unload" and resp.status == 404
-        if resp.status == 200 or already_unloaded:
+        already_unloaded = op == "unload" and head.status == 404
+        if head.status == 200 or already_unloaded:
             return OrderResult(done=True)
         return OrderResult(
-            False, _retry_after_s(resp), f"status {resp.status}: {detail}"
+            False, _retry_after_s(head), f"status {head.status}: {detail}"
         )
 
     def _stream(
@@ -113,15 +113,15 @@
     ) -> RunResult:
 
         def stream(exchange: HttpExchange) -> RunResult:
-            resp = exchange.send(method, path, headers, body)
+            head = exchange.send(method, path, headers, body)
             # Only ``resume`` sends GET requests.
-            if method == "GET" and resp.status == 404:
+            if method == "GET" and head.status == 404:
                 return RunResult(UNKNOWN, "the engine does not know the request")
-            sink.head(resp.status, _response_headers(resp))
-            if resp.status != 200:
-                sink.parts([resp.read()])
-                return RunResult(DONE if resp.status < 500 else FAILED)
-            return _forward_events(resp, sink)
+            sink.head(head.status, _response_headers(head))
+            if head.status != 200:
+                sink.parts([exchange.read_all()])
+                return RunResult(DONE if head.status < 500 else FAILED)
+            return _forward_events(exchange, sink)
 
         result = perform(self._url, cancel, stream)
         if result.outcome == CANCELLED:
@@ -146,20 +146,20 @@
     return json.dumps(document).encode()
 
 
-def _retry_after_s(resp: http.client.HTTPResponse) -> float:
+def _retry_after_s(head: ResponseHead) -> float:
     try:
-        return max(0.0, float(resp.headers.get("Retry-After") or 0))
+        return max(0.0, float(head.get("Retry-After") or 0))
     except ValueError:
         return 0.0
 
 
-def _response_headers(resp: http.client.HTTPResponse) -> dict[str, str]:
-    return {"Content-Type": resp.headers.get("Content-Type", "application/json")}
+def _response_headers(head: ResponseHead) -> dict[str, str]:
+    return {"Content-Type": head.get("Content-Type", "application/json")}
 
 
-def _forward_events(resp: http.client.HTTPResponse, sink: ResponseSink) -> RunResult:
+def _forward_events(exchange: HttpExchange, sink: ResponseSink) -> RunResult:
     """Forwards stream events to the sink, up to the end marker."""
-    for events in _event_batches(resp):
+    for events in _event_batches(exchange):
         if events and events[-1] == END_OF_STREAM:
             if events[:-1]:
                 sink.parts(events[:-1])
@@ -169,13 +169,10 @@
     raise ConnectionError("the stream ended without its end marker")
 
 
-def _event_batches(resp: http.client.HTTPResponse) -> Iterator[list[bytes]]:
-    """Yields the complete events after each read, until the connection ends."""
+def _event_batches(exchange: HttpExchange) -> Iterator[list[bytes]]:
+    """Yields the complete events after each read, until the response ends."""
     pending = b""
-    while True:
-        data = resp.read1(READ_BYTES)
-        if not data:
-            return
+    while data := exchange.read():
         *blocks, pending = (pending + data).split(b"\n\n")
         yield [
             block[len(EVENT_PREFIX) :]
--- a/cornelpin/backends/_http.py
+++ b/cornelpin/backends/_http.py
@@ -1,24 +1,24 @@
-"""HTTP exchanges with a backend server over ``http.client``."""
+"""HTTP exchanges with a backend server, on a connection each."""
 
 from __future__ import annotations
 
 import contextlib
-import http.client
 import socket
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
 from cornelpin.backends._registry import CANCELLED, FAILED, NOT_RUN, RunResult
+from cornelpin.http1.blocking import BlockingExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from cornelpin.backends._registry import CancelToken
+    from cornelpin.http1.blocking import ResponseHead
 
 # Also the read timeout of short requests.
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 600.0
-READ_BYTES = 65_536
 
 
 class Unreachable(Exception):
@@ -30,10 +30,11 @@
 
     def __init__(self, url: str, *, read_timeout_s: float = READ_TIMEOUT_S) -> None:
         parts = urlsplit(url)
-        self._conn = http.client.HTTPConnection(
-            parts.hostname or "", parts.port, timeout=CONNECT_TIMEOUT_S
-        )
+        self._address = (parts.hostname or "", parts.port or 80)
+        self._host = parts.netloc
         self._read_timeout_s = read_timeout_s
+        self._sock: socket.socket | None = None
+        self._exchange: BlockingExchange | None = None
 
     def open(self) -> None:
         """Connects.
@@ -42,32 +43,56 @@
             Unreachable: If the connection fails.
         """
         try:
-            self._conn.connect()
+            sock = socket.create_connection(self._address, CONNECT_TIMEOUT_S)
         except OSError as exc:
             raise Unreachable(str(exc)) from exc
-        self._conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._conn.sock.settimeout(self._read_timeout_s)
+        self._sock = sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(self._read_timeout_s)
+        self._exchange = BlockingExchange(sock, self._host)
 
     def send(
         self, method: str, path: str, headers: Mapping[str, str], body: bytes
-    ) -> http.client.HTTPResponse:
-        """Sends the request and returns the response when its head has arrived."""
-        self._conn.request(method, path, body=body or None, headers=dict(headers))
-        return self._conn.getresponse()
+    ) -> ResponseHead:
+        """Sends the request and returns the head of the response when it has arrived.
+
+        Raises:
+            OSError: If the exchange breaks.
+            ValueError: If the request can't be sent.
+        """
+        assert self._exchange is not None
+        self._exchange.send(method, path, headers, body)
+        return self._exchange.read_head()
+
+    def read(self) -> bytes:
+        """Returns the next part of the body, empty at the end of a whole response.
+
+        Raises:
+            OSError: If the response is cut or malformed.
+        """
+        assert self._exchange is not None
+        return self._exchange.read()
+
+    def read_all(self) -> bytes:
+        """Returns the rest of the body; raises as ``read``."""
+        assert self._exchange is not None
+        return self._exchange.read_all()
 
     def interrupt_on(self, cancel: CancelToken) -> None:
         """Shuts down the connection when the run is cancelled."""
-        sock = self._conn.sock
+        exchange = self._exchange
+        assert exchange is not None
 
         def interrupt() -> None:
             with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+                exchange.interrupt()
 
         cancel.on_cancel(interrupt)
 
     def close(self) -> None:
         """Closes the connection."""
-        self._conn.close()
+        if self._sock is not None:
+            self._sock.close()
 
 
 def perform(
@@ -90,7 +115,7 @@
         return action(exchange)
     except Unreachable as exc:
         return RunResult(NOT_RUN, str(exc), connection_failed=True)
-    except (OSError, http.client.HTTPException, ValueError) as exc:
+    except (OSError, ValueError) as exc:
         if cancel.cancelled:
             return RunResult(CANCELLED)
         return RunResult(FAILED, f"{type(exc).__name__}: {exc}", connection_failed=True)
@@ -107,9 +132,9 @@
     exchange = HttpExchange(url, read_timeout_s=CONNECT_TIMEOUT_S)
     try:
         exchange.open()
-        resp = exchange.send(method, path, {"Content-Type": "application/json"}, body)
-        return resp.status, resp.read()
-    except (Unreachable, http.client.HTTPException) as exc:
+        head = exchange.send(method, path, {"Content-Type": "application/json"}, body)
+        return head.status, exchange.read_all()
+    except Unreachable as exc:
         raise OSError(str(exc)) from exc
     finally:
         exchange.close()
--- a/cornelpin/backends/_service.py
+++ b/cornelpin/backends/_service.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import http.client
+from typing import TYPE_CHECKING
 
-from cornelpin.backends._http import READ_BYTES, HttpExchange, perform
+from cornelpin.backends._http import HttpExchange, perform
 from cornelpin.backends._registry import (
     DONE,
     UNKNOWN,
@@ -16,6 +16,9 @@
     backend,
 )
 
+if TYPE_CHECKING:
+    from cornelpin.http1.blocking import ResponseHead
+
 # Response headers that are not forwarded: hop-by-hop ones, and Content-Length, as the
 # entry frames the body again.
 NOT_FORWARDED_HEADERS = frozenset(
@@ -35,9 +38,9 @@
 
         def forward(exchange: HttpExchange) -> RunResult:
             headers = {**call.headers, "X-Request-Id": call.request_id}
-            resp = exchange.send(call.method, call.path, headers, call.body)
-            sink.head(resp.status, _forwarded_headers(resp))
-            while data := resp.read(READ_BYTES):
+            head = exchange.send(call.method, call.path, headers, call.body)
+            sink.head(head.status, _forwarded_headers(head))
+            while data := exchange.read():
                 sink.parts([data])
             return RunResult(DONE)
 
@@ -58,9 +61,9 @@
         return OrderResult(done=False, detail="a plain service has no versions")
 
 
-def _forwarded_headers(resp: http.client.HTTPResponse) -> dict[str, str]:
+def _forwarded_headers(head: ResponseHead) -> dict[str, str]:
     return {
         name: value
-        for name, value in resp.headers.items()
+        for name, value in head.headers.items()
         if name.lower() not in NOT_FORWARDED_HEADERS
     }
--- a/cornelpin/http1/writer.py
+++ b/cornelpin/http1/writer.py
@@ -6,7 +6,7 @@
 import termios
 from array import array
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
     import asyncio
@@ -16,6 +16,23 @@
 the peer does not take at once."""
 
 
+class SupportsFileno(Protocol):
+    """A socket, or the view of one that a transport gives."""
+
+    def fileno(self) -> int:
+        """Returns its file descriptor."""
+
+
+def untaken_bytes(sock: SupportsFileno) -> int:
+    """Returns the number of bytes in the kernel that the peer has not taken."""
+    count = array("i", [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except (OSError, ValueError):  # Closed, or not available for sockets.
+        return 0
+    return count[0]
+
+
 class PartWriter:
     """Writes to a transport without copying a large message whole.
 
@@ -45,14 +62,7 @@
     def kernel_bytes(self) -> int:
         """Returns the number of bytes in the kernel that the peer has not taken."""
         sock = self._transport.get_extra_info("socket")
-        if sock is None:
-            return 0
-        count = array("i", [0])
-        try:
-            fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
-        except (OSError, ValueError):  # Closed, or not available for sockets.
-            return 0
-        return count[0]
+        return 0 if sock is None else untaken_bytes(sock)
 
     def write(self, data: bytes) -> None:
         """Writes a message or a part of one; a large one is kept until it is sent."""
