Take no status of the store's responses that HTTP does not have

Cause: http.client takes each status but 100 for the final one. Change: statuses outside 200 to 599 are no response.

--- a/cornelpin/stores/http_client.py
+++ b/cornelpin/stores/http_client.py
@@ -12,6 +12,8 @@
 from attrs import frozen
 
 DEFAULT_TIMEOUT_S = 2.0
+MIN_STATUS, MAX_STATUS = 200, 599
+"""Range of the statuses of final responses."""
 
 
 @frozen
@@ -83,6 +85,8 @@
             conn.sock.settimeout(self._timeout_s + wait_s)
             conn.request(method, self._base + path, body=body, headers=headers or {})
             resp = conn.getresponse()
+            if not MIN_STATUS <= resp.status <= MAX_STATUS:
+                raise http.client.BadStatusLine(str(resp.status))
             return Response(resp.status, dict(resp.headers), resp.read())
         except (OSError, http.client.HTTPException) as exc:
             self.close()
