Keep notices few when all entries start and between data centres

While all entries are new each of them was an informant; each hello of another data centre could count as the end of a silence; and relays that hear no other data centre kept updates for one that might start much later. Change: of entries that are all new, the first relays send notices; silence counts in the own data centre; updates are dropped while no other data centre is known; a hello is not followed by a second round of notices.

--- a/cornelpin/gateway/notices.py
+++ b/cornelpin/gateway/notices.py
@@ -42,9 +42,10 @@
         self._updated_at = float("-inf")
         self._for_relays = False
 
-    def repeat_now(self) -> None:
-        """Lets the own data centre get all notices as soon as possible."""
+    def repeat_now(self, *, everywhere: bool = False) -> None:
+        """Lets the own data centre, or all of them, get notices at once."""
         self._due_at = 0.0
+        self._for_relays |= everywhere
 
     def repeat_everywhere(self, now: float) -> None:
         """Lets all data centres get the notices a moment after an update."""
@@ -102,14 +103,12 @@
         local: Live peers of its data centre by host.
         now: Monotonic time in seconds.
     """
-    settled = {
-        name: peer.link_mbps
-        for name, peer in local.items()
-        if now - peer.heard_since >= SETTLED_S
-    }
-    if running_s >= SETTLED_S:
-        settled[host] = link_mbps
-    return not settled or host in relay_order(settled)[:RELAYS_PER_DATA_CENTRE]
+    links = {name: peer.link_mbps for name, peer in local.items()}
+    links[host] = link_mbps
+    ages_s = {name: now - peer.heard_since for name, peer in local.items()}
+    ages_s[host] = running_s
+    settled = {name: links[name] for name in links if ages_s[name] >= SETTLED_S}
+    return host in relay_order(settled or links)[:RELAYS_PER_DATA_CENTRE]
 
 
 def _batches(notices: list[Any]) -> Iterator[list[Any]]:
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -401,8 +401,7 @@
     def send_full_state(self) -> None:
         """Sends the full state to the own data centre and hellos to all others."""
         self._hello_sent_at = time.monotonic()
-        self._notices.repeat_now()
-        self._notices.repeat_everywhere(self._hello_sent_at)
+        self._notices.repeat_now(everywhere=True)
         self._send_full_local_state()
         self._send_hello(self._remote_or_unknown)
 
@@ -524,6 +523,8 @@
             return
         relays = self._summary_exchange.remote_relays(rank, self.live_peers())
         if not relays:
+            if all(p.data_centre == self._data_centre for p in self._peers.values()):
+                self._summary_exchange.drop_updates()
             return
         message = self._summary_exchange.next_summary(self._state(), local, now)
         reports = self._summary_exchange.next_entry_reports(
@@ -627,9 +628,7 @@
             return
         now = time.monotonic()
         self._note_heard(peer.ip, now)
-        # A peer that was silent was cut off, or paused.
-        silent = peer.sequence >= 0 and now - peer.received_at > PEER_LIVENESS_S
-        if silent or "missed" in message:
+        if "missed" in message or self._was_silent(peer, now):
             self._send_notices([peer.ip])
         peer.sequence = sequence
         peer.received_at = now
@@ -656,6 +655,15 @@
             )
         self._on_message(host, peer.incarnation, message)
 
+    def _was_silent(self, peer: Peer, now: float) -> bool:
+        """Returns whether a peer that is heard again was cut off, or paused.
+
+        Of other data centres, entries are mostly known by reports.
+        """
+        local = peer.data_centre == self._data_centre
+        silent_s = now - peer.received_at
+        return local and peer.sequence >= 0 and silent_s > PEER_LIVENESS_S
+
     def _note_heard(self, ip: str, now: float) -> None:
         """Asks for notices if no entry was heard for some time before this message.
 
--- a/cornelpin/gateway/summary_exchange.py
+++ b/cornelpin/gateway/summary_exchange.py
@@ -99,6 +99,10 @@
             # Without another data centre no summary is sent, so the list would grow.
             del kept[:-MAX_PENDING_UPDATES]
 
+    def drop_updates(self) -> None:
+        """Drops the updates collected for the next summary; they would be old."""
+        self._one_time_updates.clear()
+
     def rank(self, local: Mapping[str, Peer], now: float) -> int | None:
         """Returns this entry's rank among its data centre's relays; None if not one.
 
