Repeat recent contents only, and tell an entry that starts alone

A crash of a server makes each content that it had in hand a suspect, and each update and each start had all notices sent to all entries of the data centre: 200 contents of some 75 bytes, with 100 entries 1.5 MB a start. Change: a repetition has the contents of the last 4 s, and an entry that starts gets the notices alone; all of them come with each hello, as before.

--- a/cornelpin/gateway/app.py
+++ b/cornelpin/gateway/app.py
@@ -112,11 +112,7 @@
             slowdowns=lambda: self.scheduler.dispatcher.slowdowns.take_unsent(
                 time.monotonic()
             ),
-            notices=lambda: {
-                "contents": self.state.poison_detector.export(time.monotonic()),
-                "limits": self.server_limits.limits.export(time.monotonic()),
-                "leaving": self.state.servers.known_leaving(),
-            },
+            notices=self._notices,
             on_message=self._on_peer_message,
             on_permits=lambda host, message: self.server_limits.receive(host, message),
             senders=self.resources.senders,
@@ -251,6 +247,15 @@
             "poison": self.state.poison_parts.export(time.monotonic()),
         }
 
+    def _notices(self, max_age_s: float) -> dict[str, Any]:
+        """Returns what entries that have missed updates are told (see peers.py)."""
+        now = time.monotonic()
+        return {
+            "contents": self.state.poison_detector.export(now, max_age_s),
+            "limits": self.server_limits.limits.export(now),
+            "leaving": self.state.servers.known_leaving(),
+        }
+
     def _one_time_updates(self) -> dict[str, Any]:
         """Returns and clears the one-time updates (``peers.ONE_TIME_UPDATES``)."""
         updates = {
--- a/cornelpin/gateway/notices.py
+++ b/cornelpin/gateway/notices.py
@@ -14,7 +14,7 @@
 from cornelpin.gateway.summaries import RELAYS_PER_DATA_CENTRE, relay_order
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Mapping
+    from collections.abc import Iterator, Mapping
 
     from cornelpin.gateway.peer import Peer
 
@@ -23,65 +23,45 @@
 REPEAT_S = 2.0
 """Time from an update to the notices that repeat it: more than that after which an
 entry that hears nothing knows that it has missed messages."""
+RECENT_S = 2 * REPEAT_S
+"""Age of events up to which a repetition covers them."""
 SETTLED_S = 3.0
 """Time for which an entry has run, or is heard, before it tells others what has
 happened earlier."""
 
 
-class Notices:
-    """What is to be told again, and when.
+class Repetition:
+    """When updates are repeated, as some entries may have missed them."""
 
-    Args:
-        collect: Returns the notices as lists by field.
-        now: Monotonic time in seconds.
-    """
-
-    def __init__(self, collect: Callable[[], dict[str, list[Any]]], now: float) -> None:
-        self._collect = collect
-        self._due_at = now
+    def __init__(self) -> None:
+        self._due_at = float("inf")
         self._updated_at = float("-inf")
-        self._for_relays = False
+        self._everywhere = False
 
-    def repeat_now(self, *, everywhere: bool = False) -> None:
-        """Lets the own data centre, or all of them, get notices at once."""
-        self._due_at = 0.0
-        self._for_relays |= everywhere
+    def note_update(self, now: float) -> None:
+        """Lets an update be repeated in all data centres."""
+        self.note_notices(now)
+        self._everywhere = True
 
-    def repeat_everywhere(self, now: float) -> None:
-        """Lets all data centres get the notices a moment after an update."""
-        self.repeat_here(now)
-        self._for_relays = True
-
-    def repeat_here(self, now: float) -> None:
-        """Lets the own data centre get the notices a moment after others."""
+    def note_notices(self, now: float) -> None:
+        """Lets the notices of another data centre be repeated in this one."""
         self._updated_at = now
         self._due_at = min(self._due_at, now + REPEAT_S)
 
     def take_due(self, now: float) -> bool:
-        """Returns whether notices are due for the own data centre, once."""
+        """Returns whether a repetition is due, once."""
         if now < self._due_at:
             return False
         again_at = self._updated_at + REPEAT_S
         self._due_at = again_at if again_at > now else float("inf")
         return True
 
-    def take_due_for_relays(self) -> bool:
-        """Returns whether the notices just taken are due for other data centres."""
-        due = self._for_relays
+    def take_everywhere(self) -> bool:
+        """Returns whether the repetition that was taken goes to all data centres."""
+        everywhere = self._everywhere
         # Until the last update is repeated.
-        self._for_relays = due and self._due_at < float("inf")
-        return due
-
-    def messages(self, *fields: str) -> Iterator[dict[str, list[Any]]]:
-        """Yields notices in parts that each fit into a message.
-
-        Args:
-            fields: The fields; all if none is given.
-        """
-        for field, notices in self._collect().items():
-            if not fields or field in fields:
-                for batch in _batches(notices):
-                    yield {field: batch}
+        self._everywhere = everywhere and self._due_at < float("inf")
+        return everywhere
 
 
 def is_informant(
@@ -111,7 +91,8 @@
     return host in relay_order(settled or links)[:RELAYS_PER_DATA_CENTRE]
 
 
-def _batches(notices: list[Any]) -> Iterator[list[Any]]:
+def batches(notices: list[Any]) -> Iterator[list[Any]]:
+    """Yields notices in lists that each fit into a message."""
     batch: list[Any] = []
     size = 0
     for notice in notices:
--- a/cornelpin/gateway/peers.py
+++ b/cornelpin/gateway/peers.py
@@ -34,7 +34,7 @@
 
 from cornelpin.gateway import logs
 from cornelpin.gateway.broadcast_group import BroadcastGroup
-from cornelpin.gateway.notices import Notices, is_informant
+from cornelpin.gateway.notices import RECENT_S, Repetition, batches, is_informant
 from cornelpin.gateway.peer import Peer, StoreReport
 from cornelpin.gateway.summaries import (
     ENTRY_REPORT_INTERVAL_S,
@@ -114,7 +114,8 @@
             the own data centre only.
         notices: Returns what is known of contents that crash servers, and what servers
             have said of themselves, their limits and that they leave, as lists by
-            field. For entries that start or have missed an update.
+            field. For entries that start or have missed an update. Takes the age of
+            events, in seconds, from which on contents are left out.
         store_report: Returns what the others are told of the copies of the store's
             objects; sent after each change and every STORE_REPORT_INTERVAL_S.
         on_message: Called after a message is merged, with the host and incarnation of
@@ -145,7 +146,7 @@
         class_counts: Callable[[], dict[str, dict[str, list[float]]]],
         speeds: Callable[[], dict[str, list[float]]],
         slowdowns: Callable[[], list[list[str | float]]],
-        notices: Callable[[], dict[str, list[Any]]],
+        notices: Callable[[float], dict[str, list[Any]]],
         store_report: Callable[[], StoreReport],
         on_message: Callable[[str, str, dict[str, Any]], None],
         on_permits: Callable[[str, dict[str, Any]], None],
@@ -169,7 +170,8 @@
         self._on_permits = on_permits
         self._senders = senders
         self._started = time.monotonic()
-        self._notices = Notices(notices, self._started)
+        self._notices = notices
+        self._repetition = Repetition()
         # Hosts of expired peers that may be running on the other side of a partition.
         self._lost: set[str] = set()
         self._peers: dict[str, Peer] = {}
@@ -336,7 +338,7 @@
             self._send_full_local_state()
         elif self.slots_scarce or now - self._local.sent_at >= HEARTBEAT_INTERVAL_S:
             self._send_due()
-        self._send_due_notices(now)
+        self._repeat_updates(now)
         self._send_summary_if_due(now)
         for host, peer in list(self._peers.items()):
             if now - peer.received_at > PEER_LIVENESS_S:
@@ -388,7 +390,7 @@
         """Sends updates now: all to the own data centre, urgent ones to all entries."""
         updates = self._one_time_updates()
         if "contents" in updates:
-            self._notices.repeat_everywhere(time.monotonic())
+            self._repetition.note_update(time.monotonic())
         self._send_local(updates=updates)
         state = self._state()
         urgent = {name: state[name] for name in ("rollouts", "poison")}
@@ -401,9 +403,10 @@
     def send_full_state(self) -> None:
         """Sends the full state to the own data centre and hellos to all others."""
         self._hello_sent_at = time.monotonic()
-        self._notices.repeat_now(everywhere=True)
         self._send_full_local_state()
         self._send_hello(self._remote_or_unknown)
+        self._send_notices(self._local.addresses)
+        self._send_contents(self._first_remote_relays(), float("inf"))
 
     def _send_full_local_state(self) -> None:
         self._full_state_sent_at = time.monotonic()
@@ -415,25 +418,38 @@
         hello = {"poison": self._state()["poison"], "ips": sorted(self.addresses)}
         self._send(hello | self._store_fields(self._store_report()), addresses)
 
-    def _send_notices(self, addresses: Iterable[str], *fields: str) -> None:
-        """Sends the notices, or those of some fields, if this entry is an informant."""
-        if not self._is_informant(time.monotonic()):
-            return
-        for some in self._notices.messages(*fields):
-            self._send({"notices": some}, addresses)
+    def _send_notices(self, addresses: Iterable[str]) -> None:
+        """Sends all notices if this entry is an informant."""
+        if self._is_informant(time.monotonic()):
+            for field, notices in self._notices(float("inf")).items():
+                self._send_batches(field, notices, addresses)
 
-    def _send_due_notices(self, now: float) -> None:
-        """Sends the notices that are due.
+    def _send_contents(self, addresses: Iterable[str], max_age_s: float) -> None:
+        """Sends the notices about contents if this entry is an informant."""
+        if self._is_informant(time.monotonic()):
+            contents = self._notices(max_age_s)["contents"]
+            self._send_batches("contents", contents, addresses)
+
+    def _send_batches(
+        self, field: str, notices: list[Any], addresses: Iterable[str]
+    ) -> None:
+        for some in batches(notices):
+            self._send({"notices": {field: some}}, addresses)
+
+    def _repeat_updates(self, now: float) -> None:
+        """Repeats updates about contents if that is due.
 
         The first relays of other data centres repeat there what they get, and send it
         to no other data centre.
         """
-        if not self._notices.take_due(now):
+        if not self._repetition.take_due(now):
             return
-        self._send_notices(self._local.addresses)
-        if self._notices.take_due_for_relays():
-            relays = self._summary_exchange.remote_relays(0, self.live_peers())
-            self._send_notices(relays, "contents")
+        self._send_contents(self._local.addresses, RECENT_S)
+        if self._repetition.take_everywhere():
+            self._send_contents(self._first_remote_relays(), RECENT_S)
+
+    def _first_remote_relays(self) -> list[str]:
+        return self._summary_exchange.remote_relays(0, self.live_peers())
 
     def _is_informant(self, now: float) -> bool:
         """Returns whether this entry sends the notices of its data centre."""
@@ -614,10 +630,9 @@
         if local:
             # The next tick sends a full state, for the new peer.
             self._full_state_sent_at = 0.0
-            self._notices.repeat_now()
         elif self._transport is not None:
             self._send_hello([ip])
-            self._send_notices([ip])
+        self._send_notices([ip])
         return peer
 
     def _merge(
@@ -676,9 +691,9 @@
     def _note_notices(self, peer: Peer, message: dict[str, Any], now: float) -> None:
         """Lets updates about contents, and notices from elsewhere, be repeated."""
         if "contents" in message:
-            self._notices.repeat_everywhere(now)
+            self._repetition.note_update(now)
         elif "notices" in message and peer.data_centre != self._data_centre:
-            self._notices.repeat_here(now)
+            self._repetition.note_notices(now)
 
     def _receive_summary(
         self, data_centre: str, message: dict[str, Any], data: bytes, ip: str
--- a/cornelpin/scheduling/poison_requests.py
+++ b/cornelpin/scheduling/poison_requests.py
@@ -204,17 +204,22 @@
         unsent, self._unsent = self._unsent, set()
         return [self._packed(f, now) for f in sorted(unsent) if f in self._records]
 
-    def export(self, now: float) -> list[list[Any]]:
+    def export(self, now: float, max_age_s: float = float("inf")) -> list[list[Any]]:
         """Returns what is known, for entries that have missed a part of it.
 
         Each content has its fingerprint, the ages of its failed runs and of those that
         were taken back, in seconds by id, and the last trial and its age.
+
+        Args:
+            now: Monotonic time in seconds.
+            max_age_s: Age of its last event, in seconds, over which a content is left
+                out.
         """
         for fingerprint in list(self._records):
             self._drop_if_expired(fingerprint, now)
-        latest = sorted(
-            self._records, key=lambda f: self._records[f].last_event_at, reverse=True
-        )
+        events = {f: record.last_event_at for f, record in self._records.items()}
+        recent = [f for f, at in events.items() if now - at <= max_age_s]
+        latest = sorted(recent, key=lambda f: events[f], reverse=True)
         return [self._packed(fingerprint, now) for fingerprint in latest[:MAX_EXPORTED]]
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
--- a/cornelpin/tests/test_notices.py
+++ b/cornelpin/tests/test_notices.py
@@ -5,7 +5,13 @@
 import msgpack
 import pytest
 
-from cornelpin.gateway.notices import MESSAGE_BYTES, REPEAT_S, Notices, is_informant
+from cornelpin.gateway.notices import (
+    MESSAGE_BYTES,
+    REPEAT_S,
+    Repetition,
+    batches,
+    is_informant,
+)
 from cornelpin.gateway.peer import Peer
 
 NOW = 100.0
@@ -59,19 +65,28 @@
 
 def test_each_update_is_repeated() -> None:
     """Guards against an update that only the repetition of an earlier one covers."""
-    notices = Notices(dict, 0.0)
-    assert notices.take_due(0.0)
+    repetition = Repetition()
     for at in (1.0, 1.0 + REPEAT_S / 2):
-        notices.repeat_everywhere(at)
-    due_at = [at / 10 for at in range(10, 100) if notices.take_due(at / 10)]
+        repetition.note_update(at)
+    due_at = []
+    for at in (number / 10 for number in range(100)):
+        if repetition.take_due(at):
+            assert repetition.take_everywhere()
+            due_at.append(at)
     assert due_at == [1.0 + REPEAT_S, 1.0 + 1.5 * REPEAT_S]
 
 
+def test_notices_of_others_are_repeated_in_one_data_centre() -> None:
+    """Guards against data centres that send each other the same notices for ever."""
+    repetition = Repetition()
+    repetition.note_notices(1.0)
+    assert repetition.take_due(1.0 + REPEAT_S)
+    assert not repetition.take_everywhere()
+
+
 def test_messages_of_notices_are_small() -> None:
     content = [b"x" * 8, {"run": 1.0}, {}, "", 0.0]
-    contents = [content] * 1_000
-    notices = Notices(lambda: {"contents": contents, "leaving": []}, 0.0)
-    messages = list(notices.messages("contents"))
-    assert sum(len(message["contents"]) for message in messages) == len(contents)
-    sizes = [len(msgpack.packb(message["contents"])) for message in messages]
+    messages = list(batches([content] * 1_000))
+    assert [each for message in messages for each in message] == [content] * 1_000
+    sizes = [len(msgpack.packb(message)) for message in messages]
     assert max(sizes) <= MESSAGE_BYTES + len(msgpack.packb(content))
