Try answers that are cut during short uploads, and reset at once

Cause: the first tests had one size, of which the sender's kernel takes a part only, and a moment between the end of the server's side and the reset. Change: uploads that the kernel takes whole, and a reset right after the half-close, at the entry and at the drivers of services.

--- a/cornelpin/tests/test_cut_answers.py
+++ b/cornelpin/tests/test_cut_answers.py
@@ -11,7 +11,8 @@
 from standins.fleet.early_answers import ENDINGS, EarlyServer
 from standins.fleet.server import FleetServer
 
-UPLOAD_BYTES = 3_000_000
+UPLOADS_BYTES = [100_000, 3_000_000]
+"""One that the kernel of the sender takes whole, and one that it does not."""
 ROUTES = [
     route("/safe/", "safe"),
     route("/unsafe/", "unsafe", max_attempts=1),
@@ -51,7 +52,7 @@
     target: str, status: str, rest: bytes, ending: str, body: bytes
 ) -> Response:
     """Returns what a caller gets of a server that answers early."""
-    limits = LIMITS | {"max_body_bytes": 2 * UPLOAD_BYTES}
+    limits = LIMITS | {"max_body_bytes": 2 * max(UPLOADS_BYTES)}
     async with run_harness(servers=0, routes=ROUTES, limits=limits) as harness:
         server = early_server(harness, status, rest, ending)
         await server.start()
@@ -68,14 +69,15 @@
 @pytest.mark.parametrize("target", TARGETS)
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("ending", ENDINGS)
+@pytest.mark.parametrize("size", UPLOADS_BYTES)
 def test_answer_that_is_cut_during_an_upload_is_not_complete(
-    target: str, framing: str, ending: str
+    target: str, framing: str, ending: str, size: int
 ) -> None:
     """Guards against a part of an answer that its caller takes for the whole."""
 
     async def scenario() -> None:
         response = await response_to(
-            target, "200", FRAMINGS[framing], ending, b"x" * UPLOAD_BYTES
+            target, "200", FRAMINGS[framing], ending, b"x" * size
         )
         assert (response.status, response.complete) != (200, True), response.body
 
--- a/cornelpin/tests/test_driver_answers.py
+++ b/cornelpin/tests/test_driver_answers.py
@@ -17,9 +17,10 @@
     make_backend,
 )
 from cornelpin.stores.http_client import HttpClient, NoResponse
-from standins.fleet.early_answers import EarlyServer
+from standins.fleet.early_answers import ENDINGS, EarlyServer
 
-UPLOAD_BYTES = 20_000_000
+UPLOADS_BYTES = [100_000, 20_000_000]
+"""One that the kernel of the sender takes whole, and one that it does not."""
 OK = "HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n"
 TOKENS = "data: one\n\ndata: [DONE]\n\n"
@@ -136,13 +137,14 @@
     assert set(sink.statuses) <= {200, 400}
 
 
-@pytest.mark.parametrize("ending", ["reset", "close", "half-close, reset"])
+@pytest.mark.parametrize("ending", ENDINGS[:-1])
 @pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n"])
+@pytest.mark.parametrize("size", UPLOADS_BYTES)
 def test_answer_that_is_cut_during_an_upload_is_not_done(
-    framing: str, ending: str
+    framing: str, ending: str, size: int
 ) -> None:
     answer = f"{OK}{framing}\r\nbody"
-    body = b"x" * UPLOAD_BYTES
+    body = b"x" * size
     result, sink = asyncio.run(run("service", answer, ending, body))
     assert result.outcome == FAILED, sink
 
--- a/standins/fleet/early_answers.py
+++ b/standins/fleet/early_answers.py
@@ -17,7 +17,14 @@
 """Socket option by which the close of a connection is a reset."""
 DELAY_S = 0.03
 """Time between two steps, in which the other side handles the first."""
-ENDINGS = ("reset", "close", "half-close, reset", "half-close, close", "keep")
+ENDINGS = (
+    "reset",
+    "close",
+    "half-close, reset",
+    "half-close, reset at once",
+    "half-close, close",
+    "keep",
+)
 """How the connection ends after the answer. A close is a reset if a part of the request
 has arrived and was not read."""
 
@@ -74,8 +81,9 @@
     async def _end(self, writer: asyncio.StreamWriter) -> None:
         if self._ending.startswith("half-close"):
             writer.write_eof()
-            await asyncio.sleep(DELAY_S)
-        if self._ending.endswith("reset"):
+            if not self._ending.endswith("at once"):
+                await asyncio.sleep(DELAY_S)
+        if "reset" in self._ending:
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
         if self._ending != "keep":
